--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,124 @@
+// Package worker is the protocol between the owner of a worker shard and the
+// platform's agent on a worker, which runs tasks under leases.
+//
+// There is one call, Sync. It carries starts, stops, the renewal of all
+// leases and acknowledgements, and answers with the inventory, so that one
+// message a second is all that a quiet worker costs. What the scheduler
+// demands of the agent:
+//
+//   - fencing: a Sync whose epoch is below the highest epoch seen is refused
+//     with ErrStaleEpoch and has no effect; a higher one is remembered;
+//   - inventory: the answer lists every attempt that is running and every
+//     finished one that has not been acknowledged;
+//   - self-stop: an attempt whose lease is not renewed stops by itself at the
+//     end of the lease, by the worker's own monotonic clock;
+//   - bounded clock rate error: the worker's clock is off by at most
+//     MaxClockDrift of the time that passes;
+//   - idempotence: a Start of a known task and attempt has no further effect,
+//     and a Start of an attempt lower than one seen for the task is refused;
+//   - capacity: a Start that would exceed the worker's capacity is refused.
+//
+// Usage:
+//
+//	c := worker.Client{Address: host.Address}
+//	report, err := c.Sync(ctx, worker.Sync{Epoch: 7, Lease: 10 * time.Second})
+package worker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+// MaxClockDrift is the largest error in the rate of a worker's clock that the
+// scheduler allows for, as a fraction.
+const MaxClockDrift = 0.01
+
+// ErrStaleEpoch is returned for a Sync below the highest epoch that the worker
+// has seen. Nothing was started, stopped or renewed.
+var ErrStaleEpoch = errors.New("stale epoch")
+
+// ErrUnreachable is returned when no answer came. The Sync may have taken
+// effect.
+var ErrUnreachable = errors.New("worker unreachable")
+
+// Agent is a worker as its shard's owner sees it.
+type Agent interface {
+	Sync(ctx context.Context, s Sync) (Report, error)
+}
+
+// Sync is the one request to a worker.
+type Sync struct {
+	Epoch uint64 `json:"epoch"`
+	// Lease is granted to every attempt from the receipt of this message; 0
+	// renews nothing.
+	Lease  time.Duration `json:"lease-ns"`
+	Starts []Start       `json:"starts,omitempty"`
+	Stops  []Stop        `json:"stops,omitempty"`
+	// Throttles set the processor share of a running attempt.
+	Throttles []Throttle `json:"throttles,omitempty"`
+	// Acknowledged attempts are finished and may be forgotten.
+	Acknowledged []Ref `json:"acknowledged,omitempty"`
+}
+
+// Ref names one attempt of a task.
+type Ref struct {
+	Task    string `json:"task"`
+	Attempt uint64 `json:"attempt"`
+}
+
+// Start asks for an attempt to run.
+type Start struct {
+	Ref
+	JobShard     string          `json:"job-shard"`
+	Organisation string          `json:"organisation"`
+	Class        string          `json:"class"`
+	Kind         string          `json:"kind,omitempty"`
+	Demand       resource.Vector `json:"demand"`
+	Work         []byte          `json:"work,omitempty"` // passed to the task as it is
+}
+
+// Stop ends an attempt, after a checkpoint if asked for.
+type Stop struct {
+	Ref
+	Checkpoint bool `json:"checkpoint,omitempty"`
+}
+
+// Throttle limits a running attempt to a share of its processors.
+type Throttle struct {
+	Ref
+	Percent int `json:"percent"` // 1 to 100
+}
+
+// State is where an attempt stands.
+type State string
+
+// States of an attempt on a worker.
+const (
+	Running State = "running"
+	Done    State = "done"
+	Failed  State = "failed"
+	Stopped State = "stopped" // by a Stop or the end of its lease
+	Refused State = "refused" // never ran
+)
+
+// Attempt is an entry of a worker's inventory.
+type Attempt struct {
+	Start
+	State      State           `json:"state"`
+	Reason     string          `json:"reason,omitempty"`
+	Result     []byte          `json:"result,omitempty"`
+	Checkpoint []byte          `json:"checkpoint,omitempty"`
+	Ran        time.Duration   `json:"ran-ns"`
+	Used       resource.Vector `json:"used"` // lags by the platform's report interval
+}
+
+// Report is a worker's whole inventory.
+type Report struct {
+	Epoch    uint64          `json:"epoch"` // highest epoch seen
+	Capacity resource.Vector `json:"capacity"`
+	Leaving  bool            `json:"leaving,omitempty"`
+	Attempts []Attempt       `json:"attempts,omitempty"`
+}
