--- /dev/null
+++ b/job/entry.go
@@ -0,0 +1,72 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// EntryKind tells what an Entry records.
+type EntryKind string
+
+// Kinds of entry.
+const (
+	// EntryOpen starts the epoch of a new owner.
+	EntryOpen EntryKind = "open"
+	// EntryAccept accepts a job and grants attempt 1 of its tasks.
+	EntryAccept EntryKind = "accept"
+	// EntryEnd ends a task for good.
+	EntryEnd EntryKind = "end"
+	// EntryRetry ends an attempt and grants the next one.
+	EntryRetry EntryKind = "retry"
+	// EntryCancel records that the caller cancelled a job.
+	EntryCancel EntryKind = "cancel"
+	// EntryForget drops a finished job from the book.
+	EntryForget EntryKind = "forget"
+)
+
+// Entry is one durable change of a Book.
+type Entry struct {
+	Kind EntryKind `json:"kind"`
+	Job  string    `json:"job,omitempty"`
+	// Epoch of the owner, for EntryOpen.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// Spec of an accepted job, when it is small; else Object names where it is.
+	Spec     *Spec     `json:"spec,omitempty"`
+	Object   string    `json:"object,omitempty"`
+	Accepted time.Time `json:"accepted,omitzero"`
+
+	Task    int           `json:"task,omitempty"`
+	Attempt uint64        `json:"attempt,omitempty"`
+	State   State         `json:"state,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+	Worker  string        `json:"worker,omitempty"`
+	Result  []byte        `json:"result,omitempty"`
+	Ran     time.Duration `json:"ran-ns,omitempty"`
+	// Failure is set when the ended attempt ran and failed, as opposed to
+	// having been lost, refused or preempted.
+	Failure    bool   `json:"failure,omitempty"`
+	Checkpoint []byte `json:"checkpoint,omitempty"`
+}
+
+// batch is the value of one journal row.
+type batch struct {
+	Writer  string  `json:"writer"` // tells own rows from others' on read-back
+	Entries []Entry `json:"entries"`
+}
+
+func encodeBatch(writer string, entries []Entry) ([]byte, error) {
+	body, err := json.Marshal(batch{Writer: writer, Entries: entries})
+	if err != nil {
+		return nil, fmt.Errorf("journal batch of %d entries: %w", len(entries), err)
+	}
+	return body, nil
+}
+
+func decodeBatch(key string, body []byte) (batch, error) {
+	var b batch
+	if err := json.Unmarshal(body, &b); err != nil {
+		return batch{}, fmt.Errorf("journal row %q: %w", key, err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/job/journal.go
@@ -0,0 +1,274 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// Store reads and writes the journal of one job shard. Exported fields are set
+// before Open. Its methods are called by one goroutine at a time.
+type Store struct {
+	Table      platform.Table
+	Objects    platform.Objects
+	DataCentre string
+	Shard      string
+	// Writer is unique to this ownership of the shard (process, incarnation
+	// and epoch); it tells own rows from others' when a lost answer is
+	// resolved.
+	Writer string
+	Epoch  uint64
+
+	next     uint64 // number of the next journal row
+	base     uint64 // rows below are part of the snapshot
+	baseRow  uint64 // version of the base row
+	snapshot string // object of the snapshot, "" for none
+}
+
+// ErrDeposed is returned when another owner has opened a later epoch.
+var ErrDeposed = errors.New("another process owns the job shard")
+
+// maxInlineSpec is the size in bytes above which a job's spec goes to the
+// object store rather than into the journal row.
+const maxInlineSpec = 8 << 10
+
+// replayPage is the number of journal rows read at once.
+const replayPage = 200
+
+type baseRecord struct {
+	Number uint64 `json:"number"`
+	Object string `json:"object"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+func (s *Store) prefix() string { return "journal/" + s.DataCentre + "/" + s.Shard + "/" }
+
+func (s *Store) rowKey(n uint64) string { return fmt.Sprintf("%s%020d", s.prefix(), n) }
+
+func (s *Store) baseKey() string { return "journal-base/" + s.DataCentre + "/" + s.Shard }
+
+func keyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
+
+// Open replays the journal and appends the entry that opens this owner's
+// epoch; from then on no earlier owner can append. It is repeated after
+// failures other than ErrDeposed.
+func (s *Store) Open(ctx context.Context) (*Book, error) {
+	for {
+		book, epoch, err := s.replay(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if epoch > s.Epoch {
+			return nil, fmt.Errorf("job shard %s/%s epoch %d, journal has epoch %d: %w", s.DataCentre, s.Shard, s.Epoch, epoch, ErrDeposed)
+		}
+		err = s.appendRow(ctx, []Entry{{Kind: EntryOpen, Epoch: s.Epoch}}, nil)
+		if errors.Is(err, platform.ErrConflict) {
+			continue // the previous owner appended after the replay
+		}
+		if err != nil {
+			return nil, err
+		}
+		return book, nil
+	}
+}
+
+func (s *Store) replay(ctx context.Context) (*Book, uint64, error) {
+	b := &Book{}
+	epoch, err := s.loadBase(ctx, b)
+	if err != nil {
+		return nil, 0, err
+	}
+	s.next = s.base
+	after := ""
+	if s.base > 0 {
+		after = s.rowKey(s.base - 1)
+	}
+	for {
+		rows, err := s.Table.Range(ctx, s.prefix(), after, replayPage)
+		if err != nil {
+			return nil, 0, fmt.Errorf("replay of %s: %w", s.prefix(), err)
+		}
+		for _, r := range rows {
+			after = r.Key
+			if r.Key != s.rowKey(s.next) {
+				return nil, 0, fmt.Errorf("journal row %q found where number %d was due", r.Key, s.next)
+			}
+			s.next++
+			opened, err := s.applyRow(ctx, b, r)
+			if err != nil {
+				return nil, 0, err
+			}
+			epoch = max(epoch, opened)
+		}
+		if len(rows) < replayPage {
+			return b, epoch, nil
+		}
+	}
+}
+
+func (s *Store) applyRow(ctx context.Context, b *Book, r platform.Row) (epoch uint64, err error) {
+	rows, err := decodeBatch(r.Key, r.Value)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range rows.Entries {
+		if e.Kind == EntryOpen {
+			epoch = e.Epoch
+		}
+		if e.Kind == EntryAccept && e.Spec == nil {
+			if e.Spec, err = s.loadSpec(ctx, e.Object); err != nil {
+				return 0, err
+			}
+		}
+		b.Apply(e)
+	}
+	return epoch, nil
+}
+
+func (s *Store) loadSpec(ctx context.Context, name string) (*Spec, error) {
+	body, err := s.Objects.Get(ctx, name)
+	if err != nil {
+		return nil, fmt.Errorf("object %q of an accepted job: %w", name, err)
+	}
+	var spec Spec
+	if err := json.Unmarshal(body, &spec); err != nil {
+		return nil, fmt.Errorf("object %q of an accepted job: %w", name, err)
+	}
+	return &spec, nil
+}
+
+// Append makes entries durable as one row. On ErrConflict wrapped in
+// ErrDeposed the shard is lost. On platform.ErrUnknown the same entries must
+// be appended again before any others, which succeeds whether or not the first
+// write took effect; on platform.ErrUnavailable nothing was written.
+//
+// Accepted jobs that carry an idempotency key take the key's row in the same
+// commit; ErrKeyTaken is returned when another job has one of the keys.
+func (s *Store) Append(ctx context.Context, entries []Entry) error {
+	var keys []platform.Op
+	for i := range entries {
+		e := &entries[i]
+		if e.Kind != EntryAccept {
+			continue
+		}
+		if err := s.storeSpec(ctx, e); err != nil {
+			return err
+		}
+		if e.Spec.Key != "" {
+			keys = append(keys, platform.Create(keyRow(e.Spec.Organisation, e.Spec.Key), []byte(e.Job)))
+		}
+	}
+	err := s.appendRow(ctx, entries, keys)
+	if errors.Is(err, platform.ErrConflict) {
+		return s.explainConflict(ctx, entries, err)
+	}
+	return err
+}
+
+func (s *Store) storeSpec(ctx context.Context, e *Entry) error {
+	body, err := json.Marshal(e.Spec)
+	if err != nil {
+		return fmt.Errorf("spec of job %s: %w", e.Job, err)
+	}
+	if len(body) <= maxInlineSpec || e.Object != "" {
+		return nil
+	}
+	name := "jobs/" + e.Job
+	if err := s.Objects.Put(ctx, name, body); err != nil {
+		// A stray object harms nobody: no row refers to it.
+		return fmt.Errorf("object %q: %v: %w", name, err, platform.ErrUnavailable)
+	}
+	e.Object = name
+	return nil
+}
+
+func (s *Store) appendRow(ctx context.Context, entries []Entry, keys []platform.Op) error {
+	slim := make([]Entry, len(entries))
+	for i, e := range entries {
+		if e.Object != "" {
+			e.Spec = nil
+		}
+		slim[i] = e
+	}
+	body, err := encodeBatch(s.Writer, slim)
+	if err != nil {
+		return err
+	}
+	key := s.rowKey(s.next)
+	_, err = s.Table.Commit(ctx, append([]platform.Op{platform.Create(key, body)}, keys...)...)
+	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict) {
+		err = s.resolve(ctx, key, body, err)
+	}
+	if err != nil {
+		return fmt.Errorf("journal row %q: %w", key, err)
+	}
+	s.next++
+	return nil
+}
+
+// resolve reads the row back after a lost answer or a conflict: the row may be
+// our own, written by the call whose answer was lost. A row that is absent
+// after a lost answer may still appear, so the error stays ErrUnknown.
+func (s *Store) resolve(ctx context.Context, key string, body []byte, cause error) error {
+	row, err := s.Table.Get(ctx, key)
+	switch {
+	case err == nil && string(row.Value) == string(body):
+		return nil
+	case err == nil:
+		return platform.ErrConflict
+	case errors.Is(err, platform.ErrNotFound):
+		return cause
+	default:
+		return fmt.Errorf("read back after %v: %v: %w", cause, err, platform.ErrUnknown)
+	}
+}
+
+// ErrKeyTaken is returned by Append when the idempotency keys of some entries
+// belong to other jobs. Nothing was written.
+type ErrKeyTaken struct {
+	// Jobs maps the identifier of a refused job to that of the first one.
+	Jobs map[string]string
+}
+
+// Error implements error.
+func (e *ErrKeyTaken) Error() string {
+	return fmt.Sprintf("%d idempotency keys are taken by other jobs", len(e.Jobs))
+}
+
+func (s *Store) explainConflict(ctx context.Context, entries []Entry, cause error) error {
+	taken := &ErrKeyTaken{Jobs: map[string]string{}}
+	for _, e := range entries {
+		if e.Kind != EntryAccept || e.Spec.Key == "" {
+			continue
+		}
+		row, err := s.Table.Get(ctx, keyRow(e.Spec.Organisation, e.Spec.Key))
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("conflict not explained: %v: %w", err, platform.ErrUnavailable)
+		}
+		if string(row.Value) != e.Job {
+			taken.Jobs[e.Job] = string(row.Value)
+		}
+	}
+	if len(taken.Jobs) > 0 {
+		return taken
+	}
+	return fmt.Errorf("%v: %w", cause, ErrDeposed)
+}
+
+// LookupKey returns the job that first used an idempotency key, "" for none.
+func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (string, error) {
+	row, err := t.Get(ctx, keyRow(organisation, key))
+	if errors.Is(err, platform.ErrNotFound) {
+		return "", nil
+	}
+	if err != nil {
+		return "", fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
+	}
+	return string(row.Value), nil
+}
--- /dev/null
+++ b/job/snapshot.go
@@ -0,0 +1,176 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// jobImage is a job in a snapshot.
+type jobImage struct {
+	ID       string      `json:"id"`
+	Spec     Spec        `json:"spec"`
+	Accepted time.Time   `json:"accepted"`
+	Tasks    []taskImage `json:"tasks"`
+}
+
+// taskImage is a task in a snapshot. Whether a granted attempt was sent is not
+// kept: a book that is rebuilt treats it as possibly sent.
+type taskImage struct {
+	Attempt     uint64        `json:"attempt"`
+	State       State         `json:"state"`
+	Worker      string        `json:"worker,omitempty"`
+	Reason      string        `json:"reason,omitempty"`
+	Result      []byte        `json:"result,omitempty"`
+	Ran         time.Duration `json:"ran-ns,omitempty"`
+	Failures    int           `json:"failures,omitempty"`
+	CancelAsked bool          `json:"cancel-asked,omitempty"`
+	Checkpoint  []byte        `json:"checkpoint,omitempty"`
+}
+
+// Image returns the durable part of the book.
+func (b *Book) Image() ([]byte, error) {
+	images := make([]jobImage, 0, len(b.jobs))
+	for _, j := range b.Jobs() {
+		image := jobImage{ID: j.ID, Spec: j.Spec, Accepted: j.Accepted, Tasks: make([]taskImage, len(j.tasks))}
+		for i, t := range j.tasks {
+			state := t.State
+			if !state.Final() {
+				state = Waiting
+			}
+			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.CancelAsked, t.Checkpoint}
+		}
+		images = append(images, image)
+	}
+	body, err := json.Marshal(images)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot of %d jobs: %w", len(images), err)
+	}
+	return body, nil
+}
+
+// load fills an empty book from an image.
+func (b *Book) load(body []byte) error {
+	var images []jobImage
+	if err := json.Unmarshal(body, &images); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	for _, image := range images {
+		if len(image.Tasks) != len(image.Spec.Tasks) {
+			return fmt.Errorf("snapshot: job %s has %d tasks and %d states", image.ID, len(image.Spec.Tasks), len(image.Tasks))
+		}
+		b.Apply(Entry{Kind: EntryAccept, Job: image.ID, Spec: &image.Spec, Accepted: image.Accepted})
+		j := b.jobs[image.ID]
+		for i, t := range image.Tasks {
+			j.tasks[i] = Task{
+				Index: i, Attempt: t.Attempt, State: Waiting, Worker: t.Worker, Reason: t.Reason, Result: t.Result,
+				Ran: t.Ran, Failures: t.Failures, CancelAsked: t.CancelAsked, Checkpoint: t.Checkpoint,
+			}
+			j.setState(&j.tasks[i], t.State)
+		}
+		if j.open == 0 {
+			delete(b.open, j.ID)
+		}
+	}
+	return nil
+}
+
+func (s *Store) loadBase(ctx context.Context, b *Book) (epoch uint64, err error) {
+	s.base, s.baseRow, s.snapshot = 0, 0, ""
+	row, err := s.Table.Get(ctx, s.baseKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	var r baseRecord
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	body, err := s.Objects.Get(ctx, r.Object)
+	if err != nil {
+		return 0, fmt.Errorf("snapshot %q: %w", r.Object, err)
+	}
+	if err := b.load(body); err != nil {
+		return 0, fmt.Errorf("snapshot %q: %w", r.Object, err)
+	}
+	s.base, s.baseRow, s.snapshot = r.Number, row.Version, r.Object
+	return r.Epoch, nil
+}
+
+// Rows returns the number of journal rows since the last snapshot.
+func (s *Store) Rows() uint64 { return s.next - s.base }
+
+// Next returns the number of the next journal row. An image of the book taken
+// now covers all rows below it.
+func (s *Store) Next() uint64 { return s.next }
+
+// Compact stores an image of the book that covers all journal rows below
+// number, makes it the base of the journal and removes the rows. It is safe to
+// fail at any point: rows below the base are ignored by a replay.
+func (s *Store) Compact(ctx context.Context, image []byte, number uint64) error {
+	name := fmt.Sprintf("snapshots/%s/%s/%020d-%s", s.DataCentre, s.Shard, number, s.Writer)
+	if err := s.Objects.Put(ctx, name, image); err != nil {
+		return fmt.Errorf("snapshot %q: %w", name, err)
+	}
+	body, err := json.Marshal(baseRecord{Number: number, Object: name, Epoch: s.Epoch})
+	if err != nil {
+		return fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	versions, err := s.Table.Commit(ctx, platform.Update(s.baseKey(), body, s.baseRow))
+	if err != nil {
+		return s.reloadBase(ctx, err)
+	}
+	from, old := s.base, s.snapshot
+	s.base, s.baseRow, s.snapshot = number, versions[0], name
+	return s.removeRows(ctx, from, number, old)
+}
+
+// reloadBase learns after a failed write which base is in force, so that the
+// next Compact starts from it.
+func (s *Store) reloadBase(ctx context.Context, cause error) error {
+	row, err := s.Table.Get(ctx, s.baseKey())
+	if err == nil {
+		var r baseRecord
+		if err := json.Unmarshal(row.Value, &r); err == nil && r.Number <= s.next {
+			s.base, s.baseRow, s.snapshot = r.Number, row.Version, r.Object
+		}
+	}
+	return fmt.Errorf("row %q: %w", s.baseKey(), cause)
+}
+
+// removePage is the number of rows removed in one commit.
+const removePage = 100
+
+func (s *Store) removeRows(ctx context.Context, from, to uint64, oldSnapshot string) error {
+	for from < to {
+		rows, err := s.Table.Range(ctx, s.prefix(), "", removePage)
+		if err != nil {
+			return fmt.Errorf("removal of rows below %d: %w", to, err)
+		}
+		var ops []platform.Op
+		for _, r := range rows {
+			if r.Key < s.rowKey(to) {
+				ops = append(ops, platform.Remove(r.Key, r.Version))
+			}
+		}
+		if len(ops) == 0 {
+			break
+		}
+		if _, err := s.Table.Commit(ctx, ops...); err != nil {
+			return fmt.Errorf("removal of rows below %d: %w", to, err)
+		}
+		from += uint64(len(ops))
+	}
+	if oldSnapshot != "" {
+		if err := s.Objects.Delete(ctx, oldSnapshot); err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return fmt.Errorf("removal of snapshot %q: %w", oldSnapshot, err)
+		}
+	}
+	return nil
+}
