ownership: schedules of faults; stop a replaced start, never renew an ended row

Cause: schedules found two starts of one process taking the session row from each other for ever, and a renewal that waited for End writing live over the ended row. Ruled out: a wrong check; the no-peers check was wrong in one case, a process without any witness may outlive its deadline, and is now stated so. Change: one nonce a start, ErrReplaced, End is checked under the write lock, End and renewals are repeated over an earlier write whose answer was lost.

--- /dev/null
+++ b/ownership/fake_test.go
@@ -0,0 +1,386 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// fakeTable is a correct table that also checks what rows may never do.
+type fakeTable struct {
+	mu            sync.Mutex
+	rows          map[string]platform.Row
+	version       uint64
+	reads, writes int
+	violation     string
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	r, ok := f.rows[key]
+	if !ok {
+		return r, platform.ErrNotFound
+	}
+	return r, nil
+}
+
+func (f *fakeTable) Range(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	var rs []platform.Row
+	for k, r := range f.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			rs = append(rs, r)
+		}
+	}
+	slices.SortFunc(rs, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rs[:min(limit, len(rs))], nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, ops ...platform.Op) ([]uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writes++
+	for _, o := range ops {
+		if f.rows[o.Key].Version != o.Expect {
+			return nil, platform.ErrConflict
+		}
+	}
+	vs := make([]uint64, len(ops))
+	for i, o := range ops {
+		vs[i] = o.Expect
+		if o.Check {
+			continue
+		}
+		f.version++
+		vs[i] = f.version
+		f.check(o)
+		f.rows[o.Key] = platform.Row{Key: o.Key, Value: o.Value, Version: f.version}
+	}
+	return vs, nil
+}
+
+// check notes an epoch or incarnation that goes down.
+func (f *fakeTable) check(o platform.Op) {
+	old, ok := f.rows[o.Key]
+	if !ok {
+		return
+	}
+	now := platform.Row{Key: o.Key, Value: o.Value}
+	if strings.HasPrefix(o.Key, "shard/") {
+		a, _ := decode[shardRow](old)
+		b, _ := decode[shardRow](now)
+		if b.Epoch < a.Epoch || (a.Session != b.Session && b.Epoch != a.Epoch+1) {
+			f.violation = fmt.Sprintf("%s: %+v replaced by %+v", o.Key, a, b)
+		}
+		return
+	}
+	a, _ := decode[sessionRow](old)
+	b, _ := decode[sessionRow](now)
+	if b.Incarnation < a.Incarnation || (a.sameStart(b) && a.State != Live) {
+		f.violation = fmt.Sprintf("%s: %+v replaced by %+v", o.Key, a, b)
+	}
+}
+
+// link is one process's way to the table and its peers, with faults that each
+// last until a time.
+type link struct {
+	table *fakeTable
+	late  *sync.WaitGroup // writes that arrive after their caller gave up
+
+	mu                              sync.Mutex
+	rand                            *rand.Rand
+	cutUntil, pauseUntil, loseUntil time.Time
+	slowUntil                       time.Time
+}
+
+func (l *link) now(until *time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(*until)
+}
+
+func (l *link) chance(percent int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rand.IntN(100) < percent
+}
+
+// pause stalls the process whatever its context says.
+func (l *link) pause() {
+	l.mu.Lock()
+	d := time.Until(l.pauseUntil)
+	l.mu.Unlock()
+	time.Sleep(max(d, 0))
+}
+
+// travel is the time of a message one way.
+func (l *link) travel(ctx context.Context) error {
+	l.pause()
+	d := time.Millisecond
+	if l.now(&l.slowUntil) {
+		l.mu.Lock()
+		d = time.Duration(l.rand.IntN(1500)) * time.Millisecond
+		l.mu.Unlock()
+	}
+	if l.now(&l.cutUntil) {
+		d = time.Hour
+	}
+	err := sleep(ctx, d)
+	l.pause()
+	return err
+}
+
+func (l *link) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := l.travel(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	r, err := l.table.Get(ctx, key)
+	l.pause()
+	return r, err
+}
+
+func (l *link) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := l.travel(ctx); err != nil {
+		return nil, err
+	}
+	rs, err := l.table.Range(ctx, prefix, after, limit)
+	l.pause()
+	return rs, err
+}
+
+func (l *link) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+	if err := l.travel(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if l.now(&l.loseUntil) && l.chance(50) {
+		l.arriveLate(ops)
+		return nil, platform.ErrUnknown
+	}
+	vs, err := l.table.Commit(ctx, ops...)
+	if back := l.travel(ctx); back != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnknown, back)
+	}
+	return vs, err
+}
+
+// arriveLate applies a write after up to 12 s, or at once.
+func (l *link) arriveLate(ops []platform.Op) {
+	l.mu.Lock()
+	d := time.Duration(l.rand.IntN(12)) * time.Second * time.Duration(l.rand.IntN(2))
+	l.mu.Unlock()
+	if d == 0 {
+		_, _ = l.table.Commit(context.Background(), ops...)
+		return
+	}
+	l.late.Go(func() {
+		time.Sleep(d)
+		_, _ = l.table.Commit(context.Background(), ops...)
+	})
+}
+
+// node is one process start.
+type node struct {
+	link    *link
+	session *Session
+	shards  *Shards
+	cancel  context.CancelFunc
+	dead    bool
+}
+
+// cluster runs processes over one table.
+type cluster struct {
+	table   *fakeTable
+	names   []string
+	noPeers bool
+	running sync.WaitGroup
+	late    sync.WaitGroup
+
+	mu       sync.Mutex
+	seed     uint64
+	nodes    []*node
+	current  map[string]*node
+	split    map[[2]string]time.Time
+	epochs   map[string]uint64
+	problems []string
+}
+
+func newCluster(seed uint64, shards int) *cluster {
+	c := &cluster{
+		table: newFakeTable(), seed: seed, current: map[string]*node{},
+		split: map[[2]string]time.Time{}, epochs: map[string]uint64{},
+	}
+	for i := range shards {
+		c.names = append(c.names, fmt.Sprintf("rack-%03d", i))
+	}
+	return c
+}
+
+func (c *cluster) start(process string) *node {
+	c.mu.Lock()
+	c.seed++
+	src := func(k uint64) *rand.Rand { return rand.New(rand.NewPCG(c.seed, k)) }
+	n := &node{link: &link{table: c.table, late: &c.late, rand: src(1)}}
+	n.session = &Session{Table: n.link, Process: process, DataCentre: "pernik", Rand: src(2)}
+	if !c.noPeers {
+		n.session.Peers = &peerCalls{cluster: c, from: process, link: n.link}
+	}
+	n.shards = &Shards{
+		Session: n.session,
+		Known:   func() []string { return c.names },
+		OnTake:  c.taken,
+	}
+	n.session.init()
+	n.shards.init()
+	c.nodes = append(c.nodes, n)
+	c.current[process] = n
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	c.running.Go(func() { _ = n.session.Run(ctx) })
+	c.running.Go(func() { _ = n.shards.Run(ctx) })
+	return n
+}
+
+func (c *cluster) taken(g Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g.Epoch <= c.epochs[g.Shard] && g.Epoch != 0 {
+		// A late adoption of an older epoch is possible only by a paused process.
+		return
+	}
+	c.epochs[g.Shard] = g.Epoch
+}
+
+func (c *cluster) kill(n *node) {
+	n.dead = true
+	n.cancel()
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.nodes {
+		c.kill(n)
+	}
+	c.running.Wait()
+	c.late.Wait()
+}
+
+// peerCalls is a Witness over the cluster's peers.
+type peerCalls struct {
+	cluster *cluster
+	from    string
+	link    *link
+}
+
+var _ Witness = (*peerCalls)(nil)
+
+func (p *peerCalls) reach(ctx context.Context, peer string) (*node, error) {
+	p.link.pause()
+	if err := sleep(ctx, time.Millisecond); err != nil {
+		return nil, err
+	}
+	p.cluster.mu.Lock()
+	n := p.cluster.current[peer]
+	pair := [2]string{min(p.from, peer), max(p.from, peer)}
+	split := time.Now().Before(p.cluster.split[pair])
+	p.cluster.mu.Unlock()
+	if n == nil || n.dead || split || n.link.now(&n.link.pauseUntil) {
+		return nil, sleepErr(ctx)
+	}
+	return n, nil
+}
+
+func sleepErr(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (p *peerCalls) Renew(ctx context.Context, peer, session string, version uint64, value []byte) (uint64, error) {
+	n, err := p.reach(ctx, peer)
+	if err != nil {
+		return 0, err
+	}
+	v, err := n.session.RelayRenewal(ctx, session, version, value)
+	p.link.pause()
+	return v, err
+}
+
+func (p *peerCalls) Promise(ctx context.Context, peer, session string, d time.Duration) (time.Duration, bool, error) {
+	n, err := p.reach(ctx, peer)
+	if err != nil {
+		return 0, false, err
+	}
+	left, ok := n.session.GivePromise(session, d)
+	p.link.pause()
+	return left, ok, nil
+}
+
+// inspect checks, at one instant, who may act for which shard.
+func (c *cluster) inspect() {
+	now := time.Now()
+	holders := map[string][]holder{}
+	for _, n := range c.nodes {
+		if n.dead || !n.session.Valid(now) {
+			continue
+		}
+		for _, g := range n.shards.Held() {
+			holders[g.Shard] = append(holders[g.Shard], holder{n, g})
+		}
+	}
+	for shard, hs := range holders {
+		slices.SortFunc(hs, func(a, b holder) int { return int(a.grant.Epoch) - int(b.grant.Epoch) })
+		for i, h := range hs[1:] {
+			// Without peers only a process that has no witness outlives its deadline.
+			exclusive := c.noPeers && hs[i].node.session.hasWitnesses()
+			if exclusive || h.grant.WaitOut.Allowed || hs[i].grant.Epoch == h.grant.Epoch {
+				c.problems = append(c.problems, fmt.Sprintf("%v: shard %s held by %s epoch %d and %s epoch %d, wait-out %v",
+					now.Format("05.000"), shard, hs[i].node.session.ID(), hs[i].grant.Epoch,
+					h.node.session.ID(), h.grant.Epoch, h.grant.WaitOut))
+			}
+		}
+	}
+}
+
+func (s *Session) hasWitnesses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.witnesses) > 0
+}
+
+type holder struct {
+	node  *node
+	grant Grant
+}
+
+// watch inspects every 50 ms for d.
+func (c *cluster) watch(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+		c.inspect()
+	}
+}
+
+// unowned returns the shards that no process that may act holds.
+func (c *cluster) unowned() []string {
+	owned := map[string]bool{}
+	for _, n := range c.nodes {
+		if n.dead || !n.session.Valid(time.Now()) {
+			continue
+		}
+		for _, g := range n.shards.Held() {
+			owned[g.Shard] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(c.names), func(s string) bool { return owned[s] })
+}
--- a/ownership/renewal.go
+++ b/ownership/renewal.go
@@ -19,9 +19,12 @@
 		return err
 	}
 	defer s.unlock()
+	if s.hasEnded() {
+		return nil
+	}
 	key := sessionPrefix + s.Process
 	row := sessionRow{
-		Process: s.Process, DataCentre: s.DataCentre, State: Live, Incarnation: 1, Sequence: 1,
+		Process: s.Process, Nonce: s.nonce, DataCentre: s.DataCentre, State: Live, Incarnation: 1, Sequence: 1,
 		RelayAddress: s.RelayAddress, CallerAddress: s.CallerAddress,
 	}
 	current, err := s.tableGet(ctx, key)
@@ -31,12 +34,14 @@
 		if err != nil {
 			return err
 		}
+		if s.wasRegistered() && old.Nonce != s.nonce {
+			return s.replacedBy(old)
+		}
 		row.Incarnation, row.Previous = old.Incarnation+1, old.past()
 	case !errors.Is(err, platform.ErrNotFound):
 		return fmt.Errorf("register session of %q: %w", s.Process, err)
 	}
 	s.mu.Lock()
-	row.Nonce = s.Rand.Uint64()
 	row.Witnesses = s.witnessesNow(time.Now())
 	s.self, s.version = row, current.Version
 	s.sent, s.witnesses = map[uint64]time.Time{}, map[string]bool{}
@@ -54,16 +59,15 @@
 		return err
 	}
 	defer s.unlock()
-	row, version := s.next()
-	err := s.put(ctx, row, version)
-	if current := s.rowVersion(); err != nil && current != version {
-		version = current // an earlier renewal had taken effect
-		err = s.put(ctx, row, version)
+	if s.hasEnded() {
+		return nil
 	}
-	if err == nil || errors.Is(err, errLost) {
+	row, version := s.next()
+	err := s.putOver(ctx, row, version)
+	if err == nil || errors.Is(err, errLost) || errors.Is(err, ErrReplaced) {
 		return err
 	}
-	if relayed := s.relay(ctx, row, version); relayed == nil {
+	if relayed := s.relay(ctx, row, s.rowVersion()); relayed == nil {
 		return nil
 	}
 	if s.gatherPromises(ctx) {
@@ -100,6 +104,16 @@
 	return ids
 }
 
+// putOver writes the row, and once more over an earlier renewal of this session
+// that turns out to have taken effect.
+func (s *Session) putOver(ctx context.Context, row sessionRow, version uint64) error {
+	err := s.put(ctx, row, version)
+	if current := s.rowVersion(); err != nil && current != version {
+		return s.put(ctx, row, current)
+	}
+	return err
+}
+
 // put writes the row over version and resolves a conflict or a lost answer by
 // reading the row back.
 func (s *Session) put(ctx context.Context, row sessionRow, version uint64) error {
@@ -141,9 +155,23 @@
 	if current.Version == version {
 		return cause // not applied; a late write conflicts with the next one
 	}
+	if s.wasRegistered() && found.Nonce != s.nonce {
+		return s.replacedBy(found)
+	}
 	return fmt.Errorf("row %q now belongs to %s (%s): %w", current.Key, found.id(), found.State, errLost)
 }
 
+func (s *Session) wasRegistered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.before
+}
+
+func (s *Session) replacedBy(row *sessionRow) error {
+	return fmt.Errorf("%w: row %q belongs to incarnation %d; stop this start, or give one of the two another name",
+		ErrReplaced, sessionPrefix+s.Process, row.Incarnation)
+}
+
 // noteSent records that row may become the durable one.
 func (s *Session) noteSent(row sessionRow) {
 	s.mu.Lock()
@@ -160,7 +188,7 @@
 func (s *Session) confirm(row sessionRow, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version, s.registered = version, true
+	s.version, s.registered, s.before = version, true, true
 	sent, ok := s.sent[row.Sequence]
 	if !ok {
 		return
--- /dev/null
+++ b/ownership/schedule_test.go
@@ -0,0 +1,134 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fault is one event of a schedule.
+type fault struct {
+	After   time.Duration
+	Kind    string
+	Process int
+	Peer    int
+	For     time.Duration
+}
+
+var faultKinds = []string{
+	"cut", "cut", "cut-all", "split", "isolate", "pause", "lose", "slow", "kill", "restart", "twin", "end",
+}
+
+func drawFaults(t *rapid.T, processes int) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			After:   time.Duration(rapid.IntRange(0, 60).Draw(t, "after")) * 100 * time.Millisecond,
+			Kind:    rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Process: rapid.IntRange(0, processes-1).Draw(t, "process"),
+			Peer:    rapid.IntRange(0, processes-1).Draw(t, "peer"),
+			For:     time.Duration(rapid.IntRange(1, 250).Draw(t, "for")) * 100 * time.Millisecond,
+		}
+	}), 1, 14).Draw(t, "faults")
+}
+
+func process(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+// inject makes the fault happen now.
+func (c *cluster) inject(f fault, processes int) {
+	n := c.current[process(f.Process)]
+	until := time.Now().Add(f.For)
+	set := func(l *link, at *time.Time) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		*at = until
+	}
+	switch f.Kind {
+	case "cut":
+		set(n.link, &n.link.cutUntil)
+	case "cut-all":
+		for _, n := range c.current {
+			set(n.link, &n.link.cutUntil)
+		}
+	case "split":
+		c.splitPair(f.Process, f.Peer, until)
+	case "isolate":
+		for i := range processes {
+			c.splitPair(f.Process, i, until)
+		}
+	case "pause":
+		set(n.link, &n.link.pauseUntil)
+	case "lose":
+		set(n.link, &n.link.loseUntil)
+	case "slow":
+		set(n.link, &n.link.slowUntil)
+	case "kill":
+		c.kill(n)
+	case "restart":
+		c.kill(n)
+		c.start(process(f.Process))
+	case "twin":
+		c.start(process(f.Process))
+	case "end":
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = n.session.End(ctx)
+	}
+}
+
+func (c *cluster) splitPair(i, j int, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.split[[2]string{min(process(i), process(j)), max(process(i), process(j))}] = until
+}
+
+// run plays the schedule, ends all faults and returns what went wrong.
+func (c *cluster) run(faults []fault, processes int) []string {
+	for i := range processes {
+		c.start(process(i))
+	}
+	c.watch(5 * time.Second)
+	for _, f := range faults {
+		c.watch(f.After)
+		c.inject(f, processes)
+	}
+	c.watch(30 * time.Second) // the longest fault is 25 s
+	for i := range processes {
+		if n := c.current[process(i)]; n.dead || n.session.hasEnded() {
+			c.start(process(i))
+		}
+	}
+	c.watch(60 * time.Second)
+	if left := c.unowned(); len(left) > 0 {
+		c.problems = append(c.problems, fmt.Sprintf("not owned 60 s after the faults: %v", left))
+	}
+	c.stop()
+	if c.table.violation != "" {
+		c.problems = append(c.problems, c.table.violation)
+	}
+	return c.problems
+}
+
+func checkSchedules(t *testing.T, noPeers bool) {
+	rapid.Check(t, func(rt *rapid.T) {
+		processes := rapid.IntRange(1, 4).Draw(rt, "processes")
+		faults := drawFaults(rt, processes)
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var problems []string
+		synctest.Test(t, func(*testing.T) {
+			c := newCluster(seed, 6)
+			c.noPeers = noPeers
+			problems = c.run(faults, processes)
+		})
+		if len(problems) > 0 {
+			rt.Fatalf("%d problems, first: %s", len(problems), problems[0])
+		}
+	})
+}
+
+func TestSchedulesWithWitnesses(t *testing.T) { checkSchedules(t, false) }
+
+func TestSchedulesWithoutPeersHaveOneHolder(t *testing.T) { checkSchedules(t, true) }
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -14,6 +14,11 @@
 // errLost tells that the session row belongs to another start or has expired.
 var errLost = errors.New("session lost")
 
+// ErrReplaced is returned by Session.Run when a later start of the same process
+// has registered. The earlier start must exit: two that both registered anew
+// would take the row from each other for ever.
+var ErrReplaced = errors.New("session replaced by a later start of the process")
+
 // Session is this process's registration, one per process start. The exported
 // fields are set before Run and not changed after.
 type Session struct {
@@ -27,12 +32,14 @@
 	OnError                     func(err error) // failures that are retried
 
 	once  sync.Once
+	nonce uint64        // of this process start
 	write chan struct{} // held by the one call that changes the session row or relies on its version
 
 	mu         sync.Mutex
 	self       sessionRow // as last sent
 	version    uint64     // of the row, as last known
 	registered bool
+	before     bool // registered at least once
 	ended      bool
 	deadline   time.Time            // Valid until then
 	sent       map[uint64]time.Time // sequence to send time, since the last durable row
@@ -56,6 +63,7 @@
 		if s.Rand == nil {
 			s.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		}
+		s.nonce = s.Rand.Uint64()
 		s.write = make(chan struct{}, 1)
 		s.members = map[string]*seen{}
 		s.promised = map[string]time.Time{}
@@ -72,7 +80,8 @@
 }
 
 // Run registers and renews the session until ctx ends or End has succeeded. A
-// lost session is registered anew under a higher incarnation. Run does not end
+// lost session is registered anew under a higher incarnation; ErrReplaced is
+// returned if another start of the process has registered since. Run does not end
 // the session when ctx ends; call End for a graceful shutdown.
 func (s *Session) Run(ctx context.Context) error {
 	s.init()
@@ -82,6 +91,9 @@
 		if s.hasEnded() {
 			return nil
 		}
+		if errors.Is(err, ErrReplaced) {
+			return err
+		}
 		if err != nil && ctx.Err() == nil {
 			s.report(err)
 		}
@@ -99,7 +111,7 @@
 	} else {
 		err = s.register(ctx)
 	}
-	if errors.Is(err, errLost) {
+	if errors.Is(err, errLost) || errors.Is(err, ErrReplaced) {
 		s.lose()
 		return err
 	}
@@ -145,27 +157,29 @@
 	return !s.cutOff
 }
 
-// End stops acting and marks the row ended, so that others take its shards
+// End stops acting for good and marks the row ended, so that others take its shards
 // without waiting. An error means that they will wait for its expiry.
 func (s *Session) End(ctx context.Context) error {
 	s.init()
 	s.mu.Lock()
 	s.ended = true
-	registered := s.registered
 	s.mu.Unlock()
-	if !registered {
-		return nil
-	}
 	if err := s.lock(ctx); err != nil {
 		return err
 	}
 	defer s.unlock()
+	if !s.isRegistered() {
+		return nil
+	}
 	row, version := s.next()
 	row.State = Ended
-	err := s.put(ctx, row, version)
-	if err != nil && !errors.Is(err, errLost) {
+	err := s.putOver(ctx, row, version)
+	if err != nil && !errors.Is(err, errLost) && !errors.Is(err, ErrReplaced) {
 		return fmt.Errorf("end session %q: %w; its shards move after %v", row.id(), err, s.observation())
 	}
+	s.mu.Lock()
+	s.registered = false
+	s.mu.Unlock()
 	return nil
 }
 
