--- a/ownership/member.go
+++ b/ownership/member.go
@@ -167,6 +167,9 @@
 	if e.row.id() == id {
 		return e.row.State != Live
 	}
+	if e.row.Incarnation < incarnationOf(id) {
+		return false // the session registered after the last observation
+	}
 	if p := e.row.Previous; p != nil && sessionID(e.row.Process, p.Incarnation) == id && p.State != Live {
 		return true
 	}
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"persimmonworks.example/persimmonworks/platform"
@@ -60,6 +61,16 @@
 	return fmt.Sprintf("%s@%d", process, incarnation)
 }
 
+// incarnationOf returns the start number in a session's name, 0 if it has none.
+func incarnationOf(session string) uint64 {
+	_, digits, _ := strings.Cut(session, "@")
+	n, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func processOf(session string) string {
 	process, _, _ := strings.Cut(session, "@")
 	return process
