--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,349 @@
+// Package queue decides which waiting task starts next.
+//
+// A Queue holds the waiting tasks of every organisation. Next returns, among
+// the tasks that fit somewhere now, the one that the policy prefers:
+//
+//   - the more urgent class goes first;
+//   - within a class, the organisation whose weighted dominant share, decayed
+//     over time, is lowest goes first;
+//   - within an organisation, the higher priority goes first, then the older;
+//   - a task that has waited for the age limit of its class is overdue, and
+//     one start in AgedEvery goes to the task that has been due longest. So an
+//     overdue task that fits starts after at most AgedEvery*(n+1) starts, where
+//     n is the number of tasks due before it, and overdue work delays urgent
+//     work by no more than one start in AgedEvery.
+//
+// Tasks are indexed by organisation, class and demand. A decision costs time
+// in proportion to these, and not to the number of waiting tasks. Removal and
+// the cancellation of a whole group only mark; the memory is swept later in
+// small steps.
+//
+// A Queue is used from one goroutine and reads no clock.
+//
+// Usage:
+//
+//	q := queue.Queue{Pool: pool, HalfLife: 5 * time.Minute}
+//	q.SetShares(map[string]queue.Share{"prado": {Weight: 2}, "returns": {Weight: 1}})
+//	q.Push(item)
+//	next, ok := q.Next(now, func(i queue.Item) bool { return shard.Fits(i.Demand) })
+//	q.Started(next, now)
+//	...
+//	q.Ended(next, now)
+package queue
+
+import (
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+const (
+	defaultHalfLife  = 5 * time.Minute
+	defaultAgedEvery = 8  // starts
+	sweepStep        = 64 // identifiers forgotten by each Push or Next
+)
+
+var defaultAgeLimit = map[class.Class]time.Duration{
+	class.Urgent:      5 * time.Second,
+	class.Interactive: 30 * time.Second,
+	class.Batch:       15 * time.Minute,
+	class.Service:     15 * time.Minute,
+}
+
+// Item is a waiting task. ID must be unique among the waiting tasks.
+type Item struct {
+	ID           string
+	Group        string // job that the task belongs to; may be empty
+	Organisation string
+	Class        class.Class
+	Priority     int // compared only within the organisation; higher goes first
+	Kind         string
+	Demand       resource.Vector
+	Estimate     time.Duration // expected run time; zero if unknown
+	Enqueued     time.Time
+	Deadline     time.Time // zero if none
+}
+
+// Share is the standing claim of an organisation.
+type Share struct {
+	Weight int             // below 1 counts as 1
+	Quota  resource.Vector // upper limit of what runs at once; zero for none
+}
+
+// Queue holds waiting tasks. The zero value is an empty queue with the Fair
+// policy and default limits. Exported fields are set before the first call.
+type Queue struct {
+	Pool      resource.Vector               // capacity that shares are fractions of
+	Shares    map[string]Share              // organisations that are absent weigh 1
+	HalfLife  time.Duration                 // of the memory of past usage
+	AgeLimit  map[class.Class]time.Duration // wait after which a task is overdue
+	AgedEvery int                           // one start in so many goes to overdue tasks first
+	Policy    Policy                        // nil for Fair
+
+	accounts  map[string]*account
+	order     []*account // accounts in the order of creation
+	shapes    map[shapeKey]*shape
+	items     map[string]*entry
+	groups    map[string]*group
+	deadlines line
+	peers     map[string]peerSummary
+	swept     [][]*entry // entries of cancelled groups, still in items
+	expired   []Item
+	live      int
+	sequence  uint64
+	round     uint64 // number of the current call of Next
+	sinceAged int    // starts since an overdue task was last preferred
+	unfit     []*shape
+}
+
+// SetShares replaces the shares of all organisations.
+func (q *Queue) SetShares(s map[string]Share) {
+	q.Shares = s
+	for _, a := range q.order {
+		a.share = s[a.name]
+	}
+}
+
+// SetPool replaces the capacity that dominant shares are fractions of.
+func (q *Queue) SetPool(pool resource.Vector) { q.Pool = pool }
+
+// Len returns the number of waiting tasks.
+func (q *Queue) Len() int { return q.live }
+
+// Waiting returns the number of waiting tasks of a class of an organisation.
+func (q *Queue) Waiting(organisation string, c class.Class) int {
+	a, ok := q.accounts[organisation]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, b := range a.buckets {
+		if b.shape.class == c {
+			n += b.live
+		}
+	}
+	return n
+}
+
+// Push adds a waiting task. A task that already waits under the same ID is
+// replaced.
+func (q *Queue) Push(i Item) {
+	q.sweep()
+	q.Remove(i.ID)
+	q.sequence++
+	e := &entry{item: i, sequence: q.sequence, bucket: q.bucket(i), group: q.group(i.Group)}
+	if q.items == nil {
+		q.items = make(map[string]*entry)
+		q.deadlines.less = byDeadline
+	}
+	q.items[i.ID] = e
+	e.bucket.push(e)
+	if e.group != nil {
+		e.group.add(e)
+	}
+	if !i.Deadline.IsZero() {
+		q.deadlines.push(e, q.live)
+	}
+	q.live++
+}
+
+// Remove takes a task out of the queue, and reports whether it waited.
+func (q *Queue) Remove(id string) bool {
+	e, ok := q.items[id]
+	if !ok || !e.waits() {
+		return false
+	}
+	q.take(e)
+	return true
+}
+
+// CancelGroup takes all tasks of a group out of the queue and returns their
+// number. Its cost grows with the distinct demands of the group only.
+func (q *Queue) CancelGroup(name string) int {
+	g, ok := q.groups[name]
+	if !ok {
+		return 0
+	}
+	delete(q.groups, name)
+	g.cancelled = true
+	n := 0
+	for b, count := range g.counts {
+		b.live -= count
+		n += count
+		q.dropEmpty(b)
+	}
+	q.live -= n
+	q.swept = append(q.swept, g.entries)
+	return n
+}
+
+// Expired drops the tasks whose deadline is at or before now, and returns
+// all tasks dropped since the last call.
+func (q *Queue) Expired(now time.Time) []Item {
+	q.expire(now)
+	dropped := q.expired
+	q.expired = nil
+	return dropped
+}
+
+// Next takes the preferred task among those that fit out of the queue. The
+// answer of fits may depend on the class and the demand of the item only,
+// and a demand that covers one which does not fit must not fit either. Tasks
+// past their deadline are dropped, and reported by Expired.
+func (q *Queue) Next(now time.Time, fits func(Item) bool) (Item, bool) {
+	q.sweep()
+	q.expire(now)
+	q.round++
+	q.unfit = q.unfit[:0]
+	e, overdue := q.choose(now, fits)
+	if e == nil {
+		return Item{}, false
+	}
+	if overdue {
+		q.sinceAged = 0
+	} else {
+		q.sinceAged++
+	}
+	q.take(e)
+	return e.item, true
+}
+
+// Overdue returns the task that has been due longest, also if it does not
+// fit, so that the caller can keep room for it.
+func (q *Queue) Overdue(now time.Time) (Item, bool) {
+	q.expire(now)
+	var oldest *entry
+	for _, a := range q.order {
+		for _, b := range a.buckets {
+			e := b.arrivals.head()
+			if e != nil && !q.due(e.item).After(now) && (oldest == nil || q.dueBefore(e, oldest)) {
+				oldest = e
+			}
+		}
+	}
+	if oldest == nil {
+		return Item{}, false
+	}
+	return oldest.item, true
+}
+
+func (q *Queue) choose(now time.Time, fits func(Item) bool) (best *entry, overdue bool) {
+	policy := q.Policy
+	if policy == nil {
+		policy = Fair{}
+	}
+	agedFirst := q.sinceAged+1 >= q.agedEvery()
+	var chosen Candidate
+	var oldest *entry
+	for _, a := range q.order {
+		if len(a.buckets) == 0 {
+			continue
+		}
+		usage := q.weightedUsage(a, now)
+		for _, b := range a.buckets {
+			if !a.within(b.shape.demand) {
+				continue
+			}
+			if e := b.arrivals.head(); agedFirst && !q.due(e.item).After(now) &&
+				(oldest == nil || q.dueBefore(e, oldest)) && q.fitting(b, e, fits) {
+				oldest = e
+			}
+			e := b.preferred(policy)
+			c := Candidate{Item: e.item, Usage: usage, sequence: e.sequence}
+			if (best == nil || policy.Before(c, chosen)) && q.fitting(b, e, fits) {
+				best, chosen = e, c
+			}
+		}
+	}
+	if oldest != nil {
+		return oldest, true
+	}
+	return best, false
+}
+
+// fitting asks fits at most once for each shape in a call of Next, and not at
+// all for a shape that covers one which did not fit.
+func (q *Queue) fitting(b *bucket, e *entry, fits func(Item) bool) bool {
+	s := b.shape
+	if s.round == q.round {
+		return s.fits
+	}
+	s.round = q.round
+	for _, u := range q.unfit {
+		if u.class == s.class && s.demand.Covers(u.demand) {
+			s.fits = false
+			return false
+		}
+	}
+	s.fits = fits(e.item)
+	if !s.fits && len(q.unfit) < sweepStep {
+		q.unfit = append(q.unfit, s)
+	}
+	return s.fits
+}
+
+func (q *Queue) take(e *entry) {
+	e.taken = true
+	q.live--
+	e.bucket.live--
+	delete(q.items, e.item.ID)
+	if e.group != nil && e.group.remove(e.bucket) {
+		delete(q.groups, e.item.Group)
+	}
+	q.dropEmpty(e.bucket)
+}
+
+func (q *Queue) expire(now time.Time) {
+	for {
+		e := q.deadlines.head()
+		if e == nil || e.item.Deadline.After(now) {
+			return
+		}
+		q.take(e)
+		q.expired = append(q.expired, e.item)
+	}
+}
+
+func (q *Queue) sweep() {
+	for n := 0; n < sweepStep && len(q.swept) > 0; {
+		last := len(q.swept) - 1
+		entries := q.swept[last]
+		k := min(len(entries), sweepStep-n)
+		for _, e := range entries[:k] {
+			if q.items[e.item.ID] == e {
+				delete(q.items, e.item.ID)
+			}
+		}
+		n += k
+		q.swept[last] = entries[k:]
+		if len(entries) == k {
+			q.swept = q.swept[:last]
+			n++
+		}
+	}
+}
+
+func (q *Queue) due(i Item) time.Time { return i.Enqueued.Add(q.ageLimit(i.Class)) }
+
+func (q *Queue) dueBefore(a, b *entry) bool {
+	x, y := q.due(a.item), q.due(b.item)
+	if !x.Equal(y) {
+		return x.Before(y)
+	}
+	return a.sequence < b.sequence
+}
+
+func (q *Queue) ageLimit(c class.Class) time.Duration {
+	if d, ok := q.AgeLimit[c]; ok {
+		return d
+	}
+	return defaultAgeLimit[c]
+}
+
+func (q *Queue) agedEvery() int {
+	if q.AgedEvery < 1 {
+		return defaultAgedEvery
+	}
+	return q.AgedEvery
+}
