--- a/placement/shard.go
+++ b/placement/shard.go
@@ -47,6 +47,9 @@
 	byID     map[string]*host
 	tasks    map[string]placed
 	oversize string // the long task that took a worker's reserve, if any
+
+	marked    *host // kept for the task markedFor, if not nil
+	markedFor string
 }
 
 type host struct {
@@ -236,7 +239,7 @@
 }
 
 func (s *Shard) admits(h *host, t Task) bool {
-	if h.closed != "" || !h.free.Covers(t.Demand) {
+	if h.closed != "" || !h.free.Covers(t.Demand) || s.keeps(h, t) {
 		return false
 	}
 	if !t.Long || s.Reserve <= 0 {
@@ -273,6 +276,7 @@
 		h.spread[t.Spread]++
 	}
 	s.tasks[t.ID] = placed{t, h}
+	s.Unmark(t.ID)
 }
 
 func (s *Shard) refusal(t Task) error {
--- a/queue/account.go
+++ b/queue/account.go
@@ -7,6 +7,10 @@
 	"persimmonworks.example/persimmonworks/resource"
 )
 
+// runningWeight is the part of the usage that is held now; the rest is the
+// decayed past.
+const runningWeight = 0.5
+
 // account is the usage of one organisation and its waiting tasks.
 type account struct {
 	name    string
@@ -90,7 +94,7 @@
 // instant are already shared out.
 func (q *Queue) usage(a *account, now time.Time) float64 {
 	past := a.mean(now, q.halfLife())
-	u := (dominant(past, q.Pool) + a.running.DominantShare(q.Pool)) / 2
+	u := (1-runningWeight)*dominant(past, q.Pool) + runningWeight*a.running.DominantShare(q.Pool)
 	for _, p := range q.peers {
 		if s, ok := p.shares[a.name]; ok {
 			u += s * fade(now.Sub(p.received), q.halfLife())
--- a/queue/bucket.go
+++ b/queue/bucket.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math/bits"
 	"slices"
 
 	"persimmonworks.example/persimmonworks/class"
@@ -22,11 +23,17 @@
 	users  int // buckets of that shape
 }
 
+// maxExactBuckets is the number of distinct demands of an organisation and
+// class that are kept apart. Further demands share a bucket with those of the
+// same power of two, where the first task holds up the others.
+const maxExactBuckets = 64
+
 // bucket holds the waiting tasks of one organisation and shape. It exists
 // only while it holds a waiting task.
 type bucket struct {
 	account  *account
 	shape    *shape
+	coarse   bool // shape is only that of the first task pushed
 	ready    line // by priority
 	arrivals line // by arrival
 	live     int
@@ -48,22 +55,28 @@
 // group is a set of tasks that can be cancelled together.
 type group struct {
 	counts    map[*bucket]int // waiting tasks
-	entries   []*entry
+	live      int             // sum of counts
+	entries   []*entry        // also some that no longer wait
 	cancelled bool
 }
 
 func (g *group) add(e *entry) {
+	if len(g.entries) >= minCompaction && len(g.entries) > 4*g.live {
+		g.entries = slices.DeleteFunc(g.entries, func(x *entry) bool { return x.taken })
+	}
 	g.counts[e.bucket]++
+	g.live++
 	g.entries = append(g.entries, e)
 }
 
 // remove takes one task of the bucket out, and reports whether none is left.
 func (g *group) remove(b *bucket) bool {
+	g.live--
 	g.counts[b]--
 	if g.counts[b] == 0 {
 		delete(g.counts, b)
 	}
-	return len(g.counts) == 0
+	return g.live == 0
 }
 
 func (q *Queue) group(name string) *group {
@@ -83,16 +96,38 @@
 
 func (q *Queue) bucket(i Item) *bucket {
 	a := q.account(i.Organisation)
+	exact := 0
 	for _, b := range a.buckets {
-		if b.shape.class == i.Class && b.shape.demand == i.Demand {
+		if b.shape.class != i.Class {
+			continue
+		}
+		if !b.coarse && b.shape.demand == i.Demand || b.coarse && b.coarseCovers(i.Demand) {
 			return b
 		}
+		if !b.coarse {
+			exact++
+		}
+	}
+	b := &bucket{
+		account:  a,
+		shape:    q.shape(i),
+		coarse:   exact >= maxExactBuckets,
+		ready:    line{less: byPriority},
+		arrivals: line{less: byArrival},
 	}
-	b := &bucket{account: a, shape: q.shape(i), ready: line{less: byPriority}, arrivals: line{less: byArrival}}
 	a.buckets = append(a.buckets, b)
 	return b
 }
 
+// coarseCovers reports whether the demand has the powers of two of the
+// bucket.
+func (b *bucket) coarseCovers(v resource.Vector) bool {
+	w := b.shape.demand
+	return samePower(v.MilliCPU, w.MilliCPU) && samePower(v.MemoryMB, w.MemoryMB) && samePower(v.Accelerators, w.Accelerators)
+}
+
+func samePower(m, n int64) bool { return bits.Len64(uint64(m)) == bits.Len64(uint64(n)) }
+
 func (q *Queue) shape(i Item) *shape {
 	key := shapeKey{i.Class, i.Demand}
 	s, ok := q.shapes[key]
--- a/queue/explain.go
+++ b/queue/explain.go
@@ -66,7 +66,7 @@
 	case !a.within(i.Demand):
 		return fmt.Sprintf("organisation %q runs %v of its quota %v: the task needs %v, and starts when tasks of the organisation end or the quota is raised",
 			a.name, a.running, a.share.Quota, i.Demand)
-	case e.bucket.shape.round > 0 && !e.bucket.shape.fits:
+	case !e.bucket.coarse && e.bucket.shape.round > 0 && !e.bucket.shape.fits:
 		return fmt.Sprintf("no worker had room for %v at the last decision: the task starts when that much is free on one worker", i.Demand)
 	case x.Position > 1:
 		return fmt.Sprintf("%d tasks of organisation %q and class %q go first, by priority and age", x.Position-1, a.name, i.Class)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,6 +42,7 @@
 	defaultHalfLife  = 5 * time.Minute
 	defaultAgedEvery = 8  // starts
 	sweepStep        = 64 // identifiers forgotten by each Push or Next
+	maxUnfit         = 16 // shapes that did not fit, compared with the others
 )
 
 var defaultAgeLimit = map[class.Class]time.Duration{
@@ -240,17 +241,17 @@
 		if len(a.buckets) == 0 {
 			continue
 		}
-		usage := q.weightedUsage(a, now)
+		usage, weight := q.usage(a, now), float64(max(1, a.share.Weight))
 		for _, b := range a.buckets {
-			if !a.within(b.shape.demand) {
-				continue
-			}
 			if e := b.arrivals.head(); agedFirst && !q.due(e.item).After(now) &&
 				(oldest == nil || q.dueBefore(e, oldest)) && q.fitting(b, e, fits) {
 				oldest = e
 			}
 			e := b.preferred(policy)
-			c := Candidate{Item: e.item, Usage: usage, sequence: e.sequence}
+			// The usage midway through the start: without its half of the
+			// demand, organisations with large tasks would get more.
+			midway := usage + runningWeight/2*e.item.Demand.DominantShare(q.Pool)
+			c := Candidate{Item: e.item, Usage: midway / weight, sequence: e.sequence}
 			if (best == nil || policy.Before(c, chosen)) && q.fitting(b, e, fits) {
 				best, chosen = e, c
 			}
@@ -265,7 +266,13 @@
 // fitting asks fits at most once for each shape in a call of Next, and not at
 // all for a shape that covers one which did not fit.
 func (q *Queue) fitting(b *bucket, e *entry, fits func(Item) bool) bool {
+	if !b.account.within(e.item.Demand) {
+		return false
+	}
 	s := b.shape
+	if b.coarse {
+		s = &shape{class: s.class, demand: e.item.Demand}
+	}
 	if s.round == q.round {
 		return s.fits
 	}
@@ -277,7 +284,7 @@
 		}
 	}
 	s.fits = fits(e.item)
-	if !s.fits && len(q.unfit) < sweepStep {
+	if !s.fits && len(q.unfit) < maxUnfit {
 		q.unfit = append(q.unfit, s)
 	}
 	return s.fits
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,332 @@
+package queue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func anyFits(Item) bool { return true }
+
+func cores(n int64) resource.Vector {
+	return resource.Vector{MilliCPU: n * resource.MilliPerCore, MemoryMB: n * 2048}
+}
+
+func drain(q *Queue, now time.Time) []string {
+	var order []string
+	for {
+		i, ok := q.Next(now, anyFits)
+		if !ok {
+			return order
+		}
+		q.Started(i, now)
+		order = append(order, i.ID)
+	}
+}
+
+// The order of starts follows class, fairness, priority and age, in this
+// order.
+func TestOrder(t *testing.T) {
+	small := cores(1)
+	for _, c := range []struct {
+		failure string // what a wrong order would mean
+		shares  map[string]Share
+		items   []Item
+		want    string
+	}{
+		{"a pigment check waits behind a batch", nil, []Item{
+			{ID: "render", Organisation: "a", Class: class.Batch, Demand: small},
+			{ID: "check", Organisation: "a", Class: class.Urgent, Demand: small},
+		}, "[check render]"},
+		{"priority is ignored within an organisation", nil, []Item{
+			{ID: "low", Organisation: "a", Class: class.Batch, Demand: small},
+			{ID: "high", Organisation: "a", Class: class.Batch, Priority: 5, Demand: small},
+		}, "[high low]"},
+		{"priority buys a place before another organisation", nil, []Item{
+			{ID: "a1", Organisation: "a", Class: class.Batch, Priority: 9, Demand: small},
+			{ID: "a2", Organisation: "a", Class: class.Batch, Priority: 9, Demand: small},
+			{ID: "b1", Organisation: "b", Class: class.Batch, Demand: small},
+		}, "[a1 b1 a2]"},
+		{"weight is ignored", map[string]Share{"a": {Weight: 1}, "b": {Weight: 3}}, []Item{
+			{ID: "a1", Organisation: "a", Class: class.Batch, Demand: small},
+			{ID: "a2", Organisation: "a", Class: class.Batch, Demand: small},
+			{ID: "b1", Organisation: "b", Class: class.Batch, Demand: small},
+			{ID: "b2", Organisation: "b", Class: class.Batch, Demand: small},
+			{ID: "b3", Organisation: "b", Class: class.Batch, Demand: small},
+		}, "[b1 a1 b2 b3 a2]"},
+		{"a quota is exceeded", map[string]Share{"a": {Quota: cores(1)}}, []Item{
+			{ID: "a1", Organisation: "a", Class: class.Batch, Demand: small},
+			{ID: "a2", Organisation: "a", Class: class.Batch, Demand: small},
+		}, "[a1]"},
+		{"work that nobody waits for any more is started", nil, []Item{
+			{ID: "late", Organisation: "a", Class: class.Urgent, Demand: small, Deadline: start},
+			{ID: "timely", Organisation: "a", Class: class.Urgent, Demand: small, Deadline: start.Add(time.Second)},
+		}, "[timely]"},
+	} {
+		q := Queue{Pool: cores(100), Shares: c.shares}
+		for _, i := range c.items {
+			i.Enqueued = start
+			q.Push(i)
+		}
+		if got := fmt.Sprint(drain(&q, start)); got != c.want {
+			t.Errorf("%s: starts in the order %v, want %v", c.failure, got, c.want)
+		}
+	}
+}
+
+// A queue agrees with a plain list on what waits, whatever is pushed, taken,
+// removed, cancelled or expired in between; and each task leaves once.
+func TestNothingLostOrDoubled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Queue{Pool: cores(100)}
+		waiting := map[string]Item{}
+		now := start
+		ids := rapid.IntRange(0, 40)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				i := Item{
+					ID:           fmt.Sprint("t", ids.Draw(t, "id")),
+					Group:        rapid.SampledFrom([]string{"", "g1", "g2"}).Draw(t, "group"),
+					Organisation: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
+					Class:        rapid.SampledFrom(class.All).Draw(t, "class"),
+					Priority:     rapid.IntRange(0, 2).Draw(t, "priority"),
+					Demand:       cores(rapid.Int64Range(1, 90).Draw(t, "cores")),
+					Enqueued:     now.Add(-time.Duration(rapid.IntRange(0, 9).Draw(t, "age")) * time.Second),
+				}
+				if rapid.Bool().Draw(t, "has-deadline") {
+					i.Deadline = now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "deadline")) * time.Second)
+				}
+				q.Push(i)
+				waiting[i.ID] = i
+			},
+			"next": func(t *rapid.T) {
+				room := cores(rapid.Int64Range(0, 90).Draw(t, "room"))
+				i, ok := q.Next(now, func(i Item) bool { return room.Covers(i.Demand) })
+				if ok {
+					if waiting[i.ID] != i || !room.Covers(i.Demand) {
+						t.Fatalf("took %v, which does not wait or does not fit into %v", i, room)
+					}
+					delete(waiting, i.ID)
+					return
+				}
+				for _, w := range waiting {
+					if room.Covers(w.Demand) && (w.Deadline.IsZero() || w.Deadline.After(now)) {
+						t.Fatalf("nothing taken, but %v waits and fits into %v", w, room)
+					}
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := fmt.Sprint("t", ids.Draw(t, "id"))
+				if _, ok := waiting[id]; ok != q.Remove(id) {
+					t.Fatalf("task %s waits: %v, but Remove says otherwise", id, ok)
+				}
+				delete(waiting, id)
+			},
+			"cancel": func(t *rapid.T) {
+				name := rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "group")
+				n := 0
+				for id, w := range waiting {
+					if w.Group == name {
+						delete(waiting, id)
+						n++
+					}
+				}
+				if got := q.CancelGroup(name); got != n {
+					t.Fatalf("cancelled %d tasks of %s, want %d", got, name, n)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "seconds")) * time.Second)
+				for _, i := range q.Expired(now) {
+					if waiting[i.ID] != i || i.Deadline.After(now) {
+						t.Fatalf("%v was dropped at %v", i, now)
+					}
+					delete(waiting, i.ID)
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, i := range q.Expired(now) {
+					delete(waiting, i.ID)
+				}
+				if q.Len() != len(waiting) {
+					t.Fatalf("%d tasks wait, want %d", q.Len(), len(waiting))
+				}
+				for id := range waiting {
+					if x, ok := q.Explain(id, now); !ok || x.Reason == "" || x.Position < 1 {
+						t.Fatalf("no explanation for %s: %v", id, x)
+					}
+				}
+			},
+		})
+	})
+}
+
+// cell is a pool that runs tasks for their estimate.
+type cell struct {
+	free    resource.Vector
+	running []Item
+	ends    []time.Time
+}
+
+func (c *cell) step(q *Queue, now time.Time) (started []Item) {
+	for n := len(c.running) - 1; n >= 0; n-- {
+		if c.ends[n].After(now) {
+			continue
+		}
+		q.Ended(c.running[n], now)
+		c.free = c.free.Add(c.running[n].Demand)
+		c.running = append(c.running[:n], c.running[n+1:]...)
+		c.ends = append(c.ends[:n], c.ends[n+1:]...)
+	}
+	for {
+		i, ok := q.Next(now, func(i Item) bool { return c.free.Covers(i.Demand) })
+		if !ok {
+			return started
+		}
+		q.Started(i, now)
+		c.free = c.free.Sub(i.Demand)
+		c.running = append(c.running, i)
+		c.ends = append(c.ends, now.Add(i.Estimate))
+		started = append(started, i)
+	}
+}
+
+// Over time each backlogged organisation gets its weighted share of what is
+// used, within 5 %, whatever the sizes and run times of its tasks.
+func TestFairShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 4), 2, 4).Draw(t, "weights")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		q := Queue{Pool: cores(150), Shares: map[string]Share{}, HalfLife: 2 * time.Minute}
+		total := 0
+		for n, w := range weights {
+			q.Shares[fmt.Sprint("o", n)] = Share{Weight: w}
+			total += w
+		}
+		c := cell{free: q.Pool}
+		used := make([]float64, len(weights))
+		sum, id := 0.0, 0
+		for now := start; now.Before(start.Add(80 * time.Minute)); now = now.Add(4 * time.Second) {
+			for n := range weights {
+				name := fmt.Sprint("o", n)
+				for q.Waiting(name, class.Batch) < 60 {
+					id++
+					q.Push(Item{
+						ID: fmt.Sprint(id), Organisation: name, Class: class.Batch, Demand: cores(1 + int64(n)%3), Enqueued: now,
+						Estimate: time.Duration((n+1)*(10+rng.IntN(20))) * time.Second,
+					})
+				}
+			}
+			c.step(&q, now)
+			if now.Sub(start) < 20*time.Minute {
+				continue
+			}
+			for n := range weights {
+				u := float64(q.Running(fmt.Sprint("o", n)).MilliCPU)
+				used[n] += u
+				sum += u
+			}
+		}
+		for n, w := range weights {
+			got, want := used[n]/sum, float64(w)/float64(total)
+			if got < 0.95*want || got > 1.05*want {
+				t.Errorf("organisation %d used %.4f, its share is %.4f (weights %v)", n, got, want, weights)
+			}
+		}
+	})
+}
+
+// An overdue task that fits starts after at most AgedEvery*(n+1) starts, n
+// being the tasks due before it, against any flood of urgent work.
+func TestAgeingBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Queue{Pool: cores(100), AgedEvery: rapid.IntRange(1, 10).Draw(t, "aged-every"), HalfLife: time.Minute}
+		overdue := rapid.IntRange(1, 20).Draw(t, "overdue")
+		for n := range overdue {
+			q.Push(Item{
+				ID: fmt.Sprint("batch", n), Organisation: "a", Class: class.Batch, Demand: cores(1), Priority: -n,
+				Enqueued: start.Add(-time.Hour + time.Duration(n)*time.Second),
+			})
+		}
+		left, batches := overdue, 0
+		for n := 1; left > 0; n++ {
+			q.Push(Item{ID: fmt.Sprint("urgent", n), Organisation: "b", Class: class.Urgent, Demand: cores(1), Enqueued: start})
+			i, _ := q.Next(start, anyFits)
+			if i.Class == class.Batch {
+				if want := fmt.Sprint("batch", batches); i.ID != want {
+					t.Fatalf("%s starts before the older %s", i.ID, want)
+				}
+				batches++
+				left--
+			}
+			if n >= q.AgedEvery*(batches+1) {
+				t.Fatalf("only %d overdue tasks among %d starts, want one in %d", batches, n, q.AgedEvery)
+			}
+		}
+	})
+}
+
+// Cancelling ten thousand tasks only marks them: it touches one counter, and
+// the memory comes back in small steps afterwards.
+func TestCancelGroupOnlyMarks(t *testing.T) {
+	const tasks = 10_000
+	q := Queue{Pool: cores(100)}
+	for n := range tasks {
+		q.Push(Item{ID: fmt.Sprint(n), Group: "job", Organisation: "a", Class: class.Batch, Demand: cores(1), Enqueued: start})
+	}
+	g := q.groups["job"]
+	if touched := len(g.counts); touched != 1 {
+		t.Errorf("the cancellation touches %d counters, want 1", touched)
+	}
+	if n := q.CancelGroup("job"); n != tasks {
+		t.Errorf("cancelled %d tasks, want %d", n, tasks)
+	}
+	if q.Len() != 0 || len(q.items) != tasks {
+		t.Errorf("after the mark %d tasks wait and %d are remembered, want 0 and %d", q.Len(), len(q.items), tasks)
+	}
+	for n := 0; len(q.items) > 0; n++ {
+		before := len(q.items)
+		if _, ok := q.Next(start, anyFits); ok {
+			t.Fatal("a cancelled task starts")
+		}
+		if before-len(q.items) > sweepStep || n > tasks/sweepStep+1 {
+			t.Fatalf("step %d forgets %d tasks, %d are left", n, before-len(q.items), len(q.items))
+		}
+	}
+}
+
+// Next asks for a fit once for each distinct demand, however many wait, and
+// not for demands that cover one that did not fit.
+func TestNextAsksOncePerDemand(t *testing.T) {
+	q := Queue{Pool: cores(100)}
+	for n := range 10_000 {
+		q.Push(Item{
+			ID: fmt.Sprint(n), Organisation: fmt.Sprint("o", n%7), Class: class.Batch,
+			Demand: cores(int64(1 + n%5)), Enqueued: start,
+		})
+	}
+	asked := 0
+	if i, ok := q.Next(start, func(Item) bool { asked++; return false }); ok || asked > 5 {
+		t.Errorf("took %v: %v, after asking %d times for 5 demands", i, ok, asked)
+	}
+}
+
+// Late summaries of peers count until they fade, and are replaced, not added.
+func TestPeerUsage(t *testing.T) {
+	q := Queue{Pool: cores(100), HalfLife: time.Minute}
+	q.PeerUsage("p", map[string]float64{"a": 0.5}, start)
+	q.PeerUsage("p", map[string]float64{"a": 0.4}, start)
+	for after, want := range map[time.Duration]float64{0: 0.4, time.Minute: 0.2} {
+		if got := q.Usage("a", start.Add(after)); got < want-1e-9 || got > want+1e-9 {
+			t.Errorf("after %v the usage is %v, want %v", after, got, want)
+		}
+	}
+}
