--- /dev/null
+++ b/queue/bucket.go
@@ -0,0 +1,154 @@
+package queue
+
+import (
+	"math/bits"
+	"slices"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+type shapeKey struct {
+	class  class.Class
+	demand resource.Vector
+}
+
+// shape is a distinct demand of a class, with the answer of fits in the
+// current call of Next.
+type shape struct {
+	class  class.Class
+	demand resource.Vector
+	round  uint64
+	fits   bool
+	users  int // buckets of that shape
+}
+
+// maxExactBuckets is the number of distinct demands of an organisation and
+// class that are kept apart. Further demands share a bucket with those of the
+// same power of two, where the first task holds up the others.
+const maxExactBuckets = 64
+
+// bucket holds the waiting tasks of one organisation and shape. It exists
+// only while it holds a waiting task.
+type bucket struct {
+	account  *account
+	shape    *shape
+	coarse   bool // shape is only that of the first task pushed
+	ready    line // by priority
+	arrivals line // by arrival
+	live     int
+}
+
+func (b *bucket) push(e *entry) {
+	b.ready.push(e, b.live)
+	b.arrivals.push(e, b.live)
+	b.live++
+}
+
+func (b *bucket) preferred(p Policy) *entry {
+	if p.ByArrival() {
+		return b.arrivals.head()
+	}
+	return b.ready.head()
+}
+
+// group is a set of tasks that can be cancelled together.
+type group struct {
+	counts    map[*bucket]int // waiting tasks
+	live      int             // sum of counts
+	entries   []*entry        // also some that no longer wait
+	cancelled bool
+}
+
+func (g *group) add(e *entry) {
+	if len(g.entries) >= minCompaction && len(g.entries) > 4*g.live {
+		g.entries = slices.DeleteFunc(g.entries, func(x *entry) bool { return x.taken })
+	}
+	g.counts[e.bucket]++
+	g.live++
+	g.entries = append(g.entries, e)
+}
+
+// remove takes one task of the bucket out, and reports whether none is left.
+func (g *group) remove(b *bucket) bool {
+	g.live--
+	g.counts[b]--
+	if g.counts[b] == 0 {
+		delete(g.counts, b)
+	}
+	return g.live == 0
+}
+
+func (q *Queue) group(name string) *group {
+	if name == "" {
+		return nil
+	}
+	if g, ok := q.groups[name]; ok {
+		return g
+	}
+	if q.groups == nil {
+		q.groups = make(map[string]*group)
+	}
+	g := &group{counts: make(map[*bucket]int)}
+	q.groups[name] = g
+	return g
+}
+
+func (q *Queue) bucket(i Item) *bucket {
+	a := q.account(i.Organisation)
+	exact := 0
+	for _, b := range a.buckets {
+		if b.shape.class != i.Class {
+			continue
+		}
+		if !b.coarse && b.shape.demand == i.Demand || b.coarse && b.coarseCovers(i.Demand) {
+			return b
+		}
+		if !b.coarse {
+			exact++
+		}
+	}
+	b := &bucket{
+		account:  a,
+		shape:    q.shape(i),
+		coarse:   exact >= maxExactBuckets,
+		ready:    line{less: byPriority},
+		arrivals: line{less: byArrival},
+	}
+	a.buckets = append(a.buckets, b)
+	return b
+}
+
+// coarseCovers reports whether the demand has the powers of two of the
+// bucket.
+func (b *bucket) coarseCovers(v resource.Vector) bool {
+	w := b.shape.demand
+	return samePower(v.MilliCPU, w.MilliCPU) && samePower(v.MemoryMB, w.MemoryMB) && samePower(v.Accelerators, w.Accelerators)
+}
+
+func samePower(m, n int64) bool { return bits.Len64(uint64(m)) == bits.Len64(uint64(n)) }
+
+func (q *Queue) shape(i Item) *shape {
+	key := shapeKey{i.Class, i.Demand}
+	s, ok := q.shapes[key]
+	if !ok {
+		if q.shapes == nil {
+			q.shapes = make(map[shapeKey]*shape)
+		}
+		s = &shape{class: i.Class, demand: i.Demand}
+		q.shapes[key] = s
+	}
+	s.users++
+	return s
+}
+
+func (q *Queue) dropEmpty(b *bucket) {
+	if b.live > 0 {
+		return
+	}
+	b.account.buckets = slices.DeleteFunc(b.account.buckets, func(x *bucket) bool { return x == b })
+	b.shape.users--
+	if b.shape.users == 0 {
+		delete(q.shapes, shapeKey{b.shape.class, b.shape.demand})
+	}
+}
