--- /dev/null
+++ b/relay/node_test.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/keys"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// echo answers a Status call with the caller's own process name, sequence and
+// request, and a Forward with the request's body.
+type echo struct {
+	hold  chan struct{} // when set, calls wait until it is closed
+	begun chan struct{} // when set, receives once per call
+}
+
+func (e *echo) wait(ctx context.Context) {
+	if e.begun != nil {
+		e.begun <- struct{}{}
+	}
+	if e.hold != nil {
+		select {
+		case <-e.hold:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *echo) Handle(ctx context.Context, peer string, c *wire.Call) *wire.Reply {
+	e.wait(ctx)
+	s := &wire.Status{Process: peer, Address: c.GetRequest(), Sequence: c.GetStatus().GetSequence()}
+	return &wire.Reply{Body: &wire.Reply_Status{Status: s}}
+}
+
+func (e *echo) Forward(ctx context.Context, _ string, c *wire.Call, body io.Reader, w AnswerWriter) error {
+	e.wait(ctx)
+	switch c.GetForward().GetPath() {
+	case "/refuse":
+		return w.Refuse(&wire.Refusal{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: "full", RetryAfterMs: 7})
+	case "/not-sent":
+		return fmt.Errorf("runner away: %w", ErrNotSent)
+	}
+	if err := w.Head(&wire.Head{Status: 200, Runner: c.GetRequest()}); err != nil {
+		return err
+	}
+	if _, err := io.Copy(w, body); err != nil {
+		return err
+	}
+	if c.GetForward().GetPath() == "/cut" {
+		return errors.New("the upstream closed its connection")
+	}
+	return nil
+}
+
+var (
+	_ Handler   = (*echo)(nil)
+	_ Forwarder = (*echo)(nil)
+)
+
+// pair is a caller and a callee that run until the test ends.
+type pair struct {
+	caller, callee *Node
+	kill           context.CancelFunc // ends the callee
+	gone           chan struct{}      // closed when the callee has ended
+}
+
+func newPair(t testing.TB, e *echo, change func(caller, callee *Node)) *pair {
+	t.Helper()
+	bed, err := keys.Ephemeral([]string{"caller", "callee"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pair{gone: make(chan struct{})}
+	p.caller = &Node{Process: "caller", Incarnation: 1, Address: "127.0.0.1:0", Keys: bed.Store("caller")}
+	p.callee = &Node{Process: "callee", Incarnation: 1, Address: "127.0.0.1:0", Keys: bed.Store("callee"), Handler: e, Forwarder: e}
+	if change != nil {
+		change(p.caller, p.callee)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var killed context.Context
+	killed, p.kill = context.WithCancel(ctx)
+	var g errgroup.Group
+	if err := errors.Join(p.caller.Listen(), p.callee.Listen()); err != nil {
+		t.Fatal(err)
+	}
+	ready := make(chan struct{})
+	g.Go(func() error { close(ready); return p.caller.Run(ctx) })
+	g.Go(func() error { defer close(p.gone); return p.callee.Run(killed) })
+	<-ready
+	t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	p.settle(t)
+	return p
+}
+
+// settle waits until the caller runs.
+func (p *pair) settle(t testing.TB) {
+	t.Helper()
+	for range 1000 {
+		if _, err := p.caller.peer("127.0.0.1:1"); err == nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the caller does not run")
+}
+
+func (p *pair) forward(ctx context.Context, request, path string, body io.Reader) (*Answer, error) {
+	c := &wire.Call{Request: request, Body: &wire.Call_Forward{Forward: &wire.Forward{Path: path}}}
+	return p.caller.Forward(ctx, p.callee.Addr(), c, body)
+}
+
+func status(request string, sequence uint64) *wire.Call {
+	return &wire.Call{Request: request, Body: &wire.Call_Status{Status: &wire.Status{Sequence: sequence}}}
+}
+
+// Every one of many concurrent calls and forwards gets the answer to its own
+// request, whole.
+func TestAnswersReachTheirOwnRequests(t *testing.T) {
+	p := newPair(t, &echo{}, nil)
+	var g errgroup.Group
+	g.SetLimit(64)
+	for i := range 300 {
+		request := fmt.Sprintf("request-%d", i)
+		g.Go(func() error {
+			r, err := p.caller.Call(t.Context(), p.callee.Addr(), status(request, uint64(i)))
+			if err != nil {
+				return err
+			}
+			if s := r.GetStatus(); s.GetProcess() != "caller" || s.GetAddress() != request || s.GetSequence() != uint64(i) {
+				return fmt.Errorf("request %q got %v", request, s)
+			}
+			return nil
+		})
+		g.Go(func() error {
+			want := bytes.Repeat([]byte(request+"."), i*37)
+			a, err := p.forward(t.Context(), request, "/", bytes.NewReader(want))
+			if err != nil {
+				return err
+			}
+			defer a.Body.Close()
+			got, err := io.ReadAll(a.Body)
+			if err != nil {
+				return err
+			}
+			if a.Head.GetRunner() != request || !bytes.Equal(got, want) {
+				return fmt.Errorf("request %q got head %v and %d of %d bytes", request, a.Head, len(got), len(want))
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A refusal arrives with its outcome, also while the request's body is still
+// being sent.
+func TestRefusals(t *testing.T) {
+	p := newPair(t, &echo{}, nil)
+	for path, outcome := range map[string]wire.Outcome{
+		"/refuse": wire.Outcome_OUTCOME_NOT_RUN, "/not-sent": wire.Outcome_OUTCOME_NOT_RUN,
+	} {
+		a, err := p.forward(t.Context(), "r", path, strings.NewReader(strings.Repeat("x", 4<<20)))
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if got := a.Head.GetRefusal().GetOutcome(); got != outcome {
+			t.Errorf("%s: outcome %v, want %v", path, got, outcome)
+		}
+		if b, err := io.ReadAll(a.Body); len(b) > 0 || err != nil {
+			t.Errorf("%s: body %q, error %v", path, b, err)
+		}
+	}
+}
+
+// An answer that its forwarder could not complete is an error at the reader,
+// and so is a request body that the caller could not complete.
+func TestCutBodiesAreErrors(t *testing.T) {
+	p := newPair(t, &echo{}, nil)
+	a, err := p.forward(t.Context(), "r", "/cut", strings.NewReader("some"))
+	if err == nil {
+		defer a.Body.Close()
+		_, err = io.ReadAll(a.Body)
+	}
+	if err == nil {
+		t.Error("an answer without its end was read as whole")
+	}
+	a, err = p.forward(t.Context(), "r", "/", io.MultiReader(strings.NewReader("some"), failingReader{}))
+	if err == nil {
+		defer a.Body.Close()
+		_, err = io.ReadAll(a.Body)
+	}
+	if err == nil {
+		t.Error("a request body without its end was answered as whole")
+	}
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.New("the caller went away") }
+
+// A call to nobody, with a wrong certificate, or that is too large is not
+// sent; one whose callee dies under it is unknown.
+func TestNotSentAndUnknown(t *testing.T) {
+	e := &echo{hold: make(chan struct{}), begun: make(chan struct{}, 1)}
+	p := newPair(t, e, func(caller, _ *Node) { caller.Idle = 500 * time.Millisecond })
+	if _, err := p.caller.Call(t.Context(), "127.0.0.1:9", status("r", 1)); !errors.Is(err, ErrNotSent) {
+		t.Errorf("call to nobody: %v", err)
+	}
+	large := status(strings.Repeat("r", defaultMaxMessage), 1)
+	if _, err := p.caller.Call(t.Context(), p.callee.Addr(), large); !errors.Is(err, ErrNotSent) {
+		t.Errorf("large call: %v", err)
+	}
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := p.caller.Call(t.Context(), p.callee.Addr(), status("r", 1))
+		if !errors.Is(err, ErrUnknown) || errors.Is(err, ErrNotSent) {
+			return fmt.Errorf("call to a callee that died: %w", err)
+		}
+		return nil
+	})
+	<-e.begun
+	p.kill()
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A process of another authority, or one that calls itself by another name
+// than its certificate, gets nothing run.
+func TestStrangersAreRefused(t *testing.T) {
+	e := &echo{begun: make(chan struct{}, 10)}
+	other, err := keys.Ephemeral([]string{"caller"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPair(t, e, func(caller, _ *Node) { caller.Keys = other.Store("caller") })
+	if _, err := p.caller.Call(t.Context(), p.callee.Addr(), status("r", 1)); !errors.Is(err, ErrNotSent) {
+		t.Errorf("call with a certificate of another authority: %v", err)
+	}
+	q := newPair(t, e, func(caller, _ *Node) { caller.Process = "callee" })
+	r, err := q.caller.Call(t.Context(), q.callee.Addr(), status("r", 1))
+	if err != nil || r.GetRefusal().GetOutcome() != wire.Outcome_OUTCOME_NOT_RUN {
+		t.Errorf("call under a false name: %v, %v", r, err)
+	}
+	if len(e.begun) > 0 {
+		t.Error("a stranger's call was run")
+	}
+}
+
+// A shutdown refuses new calls as not-run and lets those in flight finish,
+// their answers whole at the caller although the node then ends at once.
+func TestShutdownFinishesCallsInFlight(t *testing.T) {
+	e := &echo{hold: make(chan struct{}), begun: make(chan struct{}, 1)}
+	p := newPair(t, e, nil)
+	want := bytes.Repeat([]byte("answer"), 300_000)
+	var g errgroup.Group
+	g.Go(func() error {
+		a, err := p.forward(t.Context(), "r", "/", bytes.NewReader(want))
+		if err != nil {
+			return err
+		}
+		defer a.Body.Close()
+		if got, err := io.ReadAll(a.Body); err != nil || !bytes.Equal(got, want) {
+			return fmt.Errorf("%d of %d bytes, error %w", len(got), len(want), err)
+		}
+		return nil
+	})
+	<-e.begun
+	short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	if err := p.callee.Shutdown(short); err == nil {
+		t.Error("shutdown did not wait for the call in flight")
+	}
+	r, err := p.caller.Call(t.Context(), p.callee.Addr(), status("late", 1))
+	if err != nil || r.GetRefusal().GetOutcome() != wire.Outcome_OUTCOME_NOT_RUN {
+		t.Errorf("call during a shutdown: %v, %v", r, err)
+	}
+	close(e.hold)
+	if err := p.callee.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	p.kill()
+	<-p.gone
+	if err := g.Wait(); err != nil {
+		t.Errorf("call in flight at the shutdown: %v", err)
+	}
+}
+
+// Answers that nobody reads do not block other calls on the connection.
+func TestStalledBodiesDoNotBlockOthers(t *testing.T) {
+	p := newPair(t, &echo{}, nil)
+	for i := range 100 {
+		a, err := p.forward(t.Context(), fmt.Sprint(i), "/", strings.NewReader(strings.Repeat("x", 1<<20)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if _, err := p.caller.Call(ctx, p.callee.Addr(), status("r", 1)); err != nil {
+		t.Error(err)
+	}
+}
