finding, settings, event, meter: what the entry process needs to start

Cause: the entry process cannot be composed without settings, log events and metrics. Ruled out: reading lines from the INI library (it has none; the scanner gives it only lines that it accepted, so that both agree); a global metrics registry (several processes live in one test binary).

--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,97 @@
+package event
+
+// Process.
+var (
+	ProcessStarting = define(1001, Info, "process-starting", "The process has read its settings.", "none")
+	ProcessReady    = define(1002, Info, "process-ready", "The process accepts callers.", "none")
+	ProcessStopped  = define(1003, Info, "process-stopped", "The process has left; nothing was cut off.", "none")
+	ProcessFailed   = define(1004, Error, "process-failed", "The process ends because a part of it failed.", "Read `error`; the platform starts another process.")
+	StartRefused    = define(1005, Error, "start-refused", "Neither the platform nor a peer answers, so nothing can be served.", "Check `[platform] address` and `[peers] seeds`, then the network.")
+	ShutdownBegun   = define(1010, Info, "shutdown-begun", "The process takes no new callers.", "none")
+	ShutdownHanding = define(1011, Info, "shutdown-handing-over", "The process hands its shards to peers.", "none")
+	ShutdownWaiting = define(1012, Info, "shutdown-waiting", "Requests in flight are being finished.", "Wait; a second signal lists what would be cut off.")
+	ShutdownForced  = define(1013, Warn, "shutdown-forced", "A second signal came; `requests` are still in flight.", "Send a third signal only if these may be cut off.")
+	LoopSlow        = define(1014, Warn, "control-loop-slow", "One step of the control loop took long.", "Look for a busy host; compare `persimmonworks_control_loop_busy_seconds_total`.")
+)
+
+// Sessions.
+var (
+	SessionRegistered   = define(1101, Info, "session-registered", "The process has a session.", "none")
+	SessionLate         = define(1102, Warn, "session-late", "A renewal of the session was late or failed.", "Check the platform; nothing is lost before `session-lost`.")
+	SessionLost         = define(1103, Error, "session-lost", "The session ended; the process has stopped acting for its shards.", "Check for pauses of the host and for the platform.")
+	SessionExpiredOther = define(1104, Warn, "session-expired-other", "This process ended the session of one that was silent.", "Check the host of `process`.")
+	SessionRelayed      = define(1105, Warn, "session-relayed", "A peer passed the renewal on to the platform.", "Check the path from this host to the platform.")
+	SessionPromised     = define(1106, Warn, "session-promised", "All witnesses promised not to expire the session; work goes on without the platform.", "Bring the platform back.")
+)
+
+// Shards.
+var (
+	ShardTaken    = define(1201, Info, "shard-taken", "This process owns the shard at `epoch`.", "none")
+	ShardReleased = define(1202, Info, "shard-released", "The shard was handed over.", "none")
+	ShardLost     = define(1203, Warn, "shard-lost", "Another process took the shard.", "Look for `session-lost` of this process.")
+	ShardStale    = define(1204, Warn, "shard-stale-epoch", "A message with an older epoch was refused.", "none; fencing worked. If it goes on, look for a paused process.")
+)
+
+// Workers.
+var (
+	WorkerClosed      = define(1301, Warn, "worker-closed", "A worker gets no starts until its inventory is known.", "If it stays closed, check the host or declare it lost.")
+	WorkerOpened      = define(1302, Info, "worker-opened", "A worker gets starts again.", "none")
+	WorkerQuarantined = define(1303, Warn, "worker-quarantined", "A worker fails what succeeds elsewhere.", "Check the host; `undrain` puts it back.")
+	QuarantineCapped  = define(1304, Error, "quarantine-capped", "More workers fail than may be quarantined at once.", "Suspect a bad job or a shared fault before the hosts.")
+	WorkerRefused     = define(1305, Warn, "worker-refused-start", "A worker refused a start for want of capacity.", "Compare its capacity with the host list.")
+	WorkerLost        = define(1306, Warn, "worker-lost", "The leases of an unreachable worker have certainly lapsed.", "Check the host.")
+)
+
+// Jobs and attempts.
+var (
+	JobAccepted    = define(1401, Info, "job-accepted", "A job is durable.", "none")
+	JobRefused     = define(1402, Info, "job-refused", "A job was refused; nothing of it ran.", "Read `reason`.")
+	JobFinished    = define(1403, Info, "job-finished", "All tasks of a job have ended.", "none")
+	JobParked      = define(1404, Warn, "job-parked", "Tasks were parked after their last attempt.", "Read `reason` and ask the organisation.")
+	JobCancelled   = define(1405, Info, "job-cancelled", "A caller cancelled a job.", "none")
+	AttemptLost    = define(1406, Warn, "attempt-lost", "An attempt ended without a known result.", "none; an idempotent task gets another attempt.")
+	AttemptUnknown = define(1407, Warn, "attempt-unknown", "A non-idempotent task may have run; it is not tried again.", "Tell the organisation; it decides.")
+	JobRebuilt     = define(1408, Info, "job-shard-rebuilt", "A new owner has read the records of a job shard.", "none")
+	JournalFailed  = define(1409, Error, "journal-failed", "A group commit of task transitions failed; it is repeated.", "Check the platform.")
+)
+
+// Platform and peers.
+var (
+	PlatformAway    = define(1501, Error, "platform-away", "The platform does not answer; granted work goes on, new jobs are refused.", "Bring the platform back.")
+	PlatformBack    = define(1502, Info, "platform-back", "The platform answers again.", "none")
+	PlatformUnknown = define(1503, Warn, "platform-answer-lost", "The answer to a write was lost; the row is read back.", "none")
+	HostListStale   = define(1504, Warn, "host-list-stale", "The list of hosts has not been read for long.", "Check the platform; probes decide meanwhile.")
+	PeerLost        = define(1601, Warn, "peer-lost", "A peer does not answer.", "Check its host and the network between data centres.")
+	PeerBack        = define(1602, Info, "peer-back", "A peer answers again.", "none")
+	PeerRefused     = define(1603, Warn, "peer-refused", "A peer's certificate was refused.", "Check the authority and the dates of its certificate.")
+)
+
+// Configuration and intents.
+var (
+	ConfigApplied  = define(1701, Info, "config-applied", "Configuration `number` is in force here.", "none")
+	ConfigRefused  = define(1702, Error, "config-refused", "A configuration of the chain could not be read; the one before stays in force.", "Undo it, or update this process.")
+	ConfigBehind   = define(1703, Warn, "config-behind", "Peers have a higher configuration that this process cannot get.", "Check its path to platform and peers.")
+	IntentProposed = define(1710, Info, "intent-proposed", "A plan was made; nothing changed.", "none")
+	IntentRefused  = define(1711, Info, "intent-refused", "A plan was stale or another operator was first.", "Make the plan again.")
+	IntentInForce  = define(1712, Info, "intent-in-force", "A confirmed plan is in the configuration chain.", "none")
+)
+
+// Requests and upstreams.
+var (
+	RequestRefused  = define(1801, Debug, "request-refused", "A request was refused as not run.", "If frequent, compare the queue with its limit.")
+	RequestUnknown  = define(1802, Warn, "request-unknown", "A request may have run; its outcome is unknown.", "The caller decides; look at the runner.")
+	RequestStray    = define(1803, Warn, "answer-stray", "An answer came for a request that is gone.", "none")
+	BadInput        = define(1804, Info, "bad-input", "A caller's input broke a limit or a rule.", "none; if frequent, tell the organisation.")
+	AccessRefused   = define(1805, Warn, "access-refused", "A caller or operator had no valid identity or role.", "If frequent, look for a leaked or expired token.")
+	OverloadBegun   = define(1806, Warn, "overload-begun", "Admission refuses work to keep waiting times.", "See the burn report; add capacity if it lasts.")
+	OverloadEnded   = define(1807, Info, "overload-ended", "Admission accepts everything again.", "none")
+	DrainNotice     = define(1901, Info, "drain-notice", "A host is leaving and gets nothing new.", "none")
+	DrainDone       = define(1902, Info, "drain-done", "Nothing runs on the leaving host any more.", "none; the host may go.")
+	CircuitOpened   = define(1903, Warn, "circuit-opened", "A runner failed repeatedly and is tried rarely.", "Check the runner.")
+	CircuitClosed   = define(1904, Info, "circuit-closed", "A runner answers again.", "none")
+	KeysReloaded    = define(2001, Info, "keys-reloaded", "New keys are in use for new connections.", "none")
+	KeysRefused     = define(2002, Error, "keys-refused", "The key files could not be used; the old keys stay.", "Read `error`; mend the files before the old ones expire.")
+	KeysExpiring    = define(2003, Warn, "keys-expiring", "The certificate expires soon.", "Renew the certificate file.")
+	AccountsClosed  = define(2101, Info, "accounts-closed", "A period of the accounts is durable.", "none")
+	AccountsDelayed = define(2102, Warn, "accounts-delayed", "A period of the accounts could not be written; it is kept and repeated.", "Check the object store.")
+)
