chain, pool: the numbered configuration chain and what it numbers

Cause: an accepted configuration must be in force everywhere within seconds and never revert, with lost answers and racing operators. Ruled out: deltas (a process that was away would need every row); repeating a lost commit without a nonce (the second copy's conflict would look like a lost race).

--- /dev/null
+++ b/chain/chain_test.go
@@ -0,0 +1,226 @@
+package chain
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/pool"
+)
+
+func withWeight(weight int) Configuration {
+	return Configuration{Organisations: []pool.Organisation{{Name: "prado", Weight: weight}}}
+}
+
+var faults = []chaintest.Fault{
+	chaintest.None, chaintest.None, chaintest.None, chaintest.Unavailable,
+	chaintest.LostBefore, chaintest.LostAfter, chaintest.Late,
+}
+
+// peerSet answers with the newest entry of some followers.
+type peerSet []*Follower
+
+var _ Peers = peerSet(nil)
+
+func (p peerSet) Newest(_ context.Context, above uint64) (*Entry, error) {
+	var best *Entry
+	for _, f := range p {
+		if e := f.Current(); e.Number > above && (best == nil || e.Number > best.Number) {
+			best = e
+		}
+	}
+	return best, nil
+}
+
+// TestChainNeverReverts publishes and follows in random order with failing,
+// lost and late commits, and checks each answer against the final chain.
+func TestChainNeverReverts(t *testing.T) {
+	rapid.Check(t, checkChain)
+}
+
+func checkChain(t *rapid.T) {
+	table := chaintest.Table{Fault: func(string) chaintest.Fault { return rapid.SampledFrom(faults).Draw(t, "fault") }}
+	a, b := &Follower{Reader: &table}, &Follower{Reader: &table}
+	a.Peers, b.Peers = peerSet{b}, peerSet{a}
+	answers := make(map[string]error) // by nonce
+	numbers := make(map[string]uint64)
+	steps := rapid.IntRange(1, 30).Draw(t, "steps")
+	for i := range steps {
+		f := rapid.SampledFrom([]*Follower{a, b}).Draw(t, "follower")
+		before := f.Number()
+		switch rapid.IntRange(0, 3).Draw(t, "step") {
+		case 0, 1:
+			nonce := fmt.Sprint("n", i)
+			p := Publisher{Table: &table, Nonce: func() string { return nonce }, Pause: time.Nanosecond}
+			base := before + uint64(rapid.IntRange(0, 1).Draw(t, "ahead"))
+			numbers[nonce], answers[nonce] = p.Publish(t.Context(), base, withWeight(i+1), nonce, "test")
+		case 2:
+			_ = f.Poll(t.Context())
+		case 3:
+			if e, _ := f.Peers.Newest(t.Context(), 0); e != nil {
+				_, _ = f.Apply(e)
+			}
+		}
+		if f.Number() < before {
+			t.Fatalf("reverted from %d to %d", before, f.Number())
+		}
+	}
+	table.Fault = nil
+	table.Land()
+	checkAnswers(t, &table, numbers, answers)
+	for _, f := range []*Follower{a, b} {
+		if f.Number() == 0 {
+			continue
+		}
+		e, err := Find(t.Context(), &table, f.Number())
+		if err != nil || e.Nonce != f.Current().Nonce {
+			t.Fatalf("in force %+v, in the chain %+v, %v", f.Current(), e, err)
+		}
+	}
+}
+
+func checkAnswers(t *rapid.T, table *chaintest.Table, numbers map[string]uint64, answers map[string]error) {
+	entries, err := History(t.Context(), table, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	landed := make(map[string]uint64)
+	for i, e := range entries {
+		landed[e.Nonce] = e.Number
+		if want := uint64(len(entries) - i); e.Number != want {
+			t.Fatalf("entry %d stands where %d should", e.Number, want)
+		}
+	}
+	for nonce, err := range answers {
+		switch {
+		case err == nil && landed[nonce] != numbers[nonce]:
+			t.Fatalf("%s was told %d, the chain has it as %d", nonce, numbers[nonce], landed[nonce])
+		case err != nil && !errors.Is(err, platform.ErrUnknown) && landed[nonce] != 0:
+			t.Fatalf("%s was refused with %v but is %d", nonce, err, landed[nonce])
+		}
+	}
+}
+
+func TestOneOfRacingPublishersWins(t *testing.T) {
+	var table chaintest.Table
+	p := Publisher{Table: &table}
+	var g errgroup.Group
+	results := make([]error, 8)
+	for i := range results {
+		g.Go(func() error {
+			_, results[i] = p.Publish(t.Context(), 0, withWeight(i+1), fmt.Sprint("operator-", i), "race")
+			return nil
+		})
+	}
+	_ = g.Wait()
+	winner := ""
+	for i, err := range results {
+		if err == nil {
+			if winner != "" {
+				t.Fatalf("both %s and operator-%d won", winner, i)
+			}
+			winner = fmt.Sprint("operator-", i)
+		}
+	}
+	for i, err := range results {
+		var lost *RaceError
+		if err != nil && (!errors.As(err, &lost) || lost.By != winner || !errors.Is(err, ErrRaced)) {
+			t.Errorf("operator-%d: %v, the winner is %q", i, err, winner)
+		}
+	}
+}
+
+func TestRunAppliesWithinSecondsAndSurvivesOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var away atomic.Bool
+		table := chaintest.Table{}
+		table.Fault = func(string) chaintest.Fault {
+			if away.Load() {
+				return chaintest.Unavailable
+			}
+			return chaintest.None
+		}
+		p := Publisher{Table: &table}
+		first, second := Follower{Reader: &table}, Follower{Reader: &table}
+		second.Peers = peerSet{&first}
+		var seen []uint64
+		first.Subscribe(func(e *Entry) { seen = append(seen, e.Number) })
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return first.Run(ctx) })
+		if _, err := p.Publish(t.Context(), 0, withWeight(1), "ivana", "first"); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(2 * time.Second)
+		away.Store(true)
+		if err := second.Start(ctx); err != nil || second.Number() != 1 {
+			t.Errorf("start from a peer: number %d, %v", second.Number(), err)
+		}
+		lone := Follower{Reader: &table}
+		short, stop := context.WithTimeout(ctx, 3*time.Second)
+		defer stop()
+		if err := lone.Start(short); !errors.Is(err, ErrNone) {
+			t.Errorf("start with neither platform nor peer: %v", err)
+		}
+		away.Store(false)
+		if _, err := p.Publish(t.Context(), 1, withWeight(2), "ivana", "second"); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		_ = g.Wait()
+		if fmt.Sprint(seen) != "[1 2]" || first.Current().Configuration.Organisation("prado").Weight != 2 {
+			t.Errorf("seen %v, in force %+v", seen, first.Current())
+		}
+	})
+}
+
+func TestFloorAndFaultyEntriesAreRefused(t *testing.T) {
+	var f Follower
+	f.SetFloor(5)
+	if applied, err := f.Apply(&Entry{Number: 4, Configuration: withWeight(1)}); applied || err != nil {
+		t.Errorf("below the floor: %v, %v", applied, err)
+	}
+	if applied, err := f.Apply(&Entry{Number: 6, Configuration: withWeight(0)}); applied || err == nil {
+		t.Errorf("a faulty entry: %v, %v", applied, err)
+	}
+	if applied, err := f.Apply(&Entry{Number: 5, Configuration: withWeight(1)}); !applied || err != nil {
+		t.Errorf("at the floor: %v, %v", applied, err)
+	}
+	f.Heard(9)
+	if number, behind := f.Behind(); number != 9 || !behind {
+		t.Errorf("Behind = %d, %v", number, behind)
+	}
+}
+
+func TestCompactKeepsTheNewest(t *testing.T) {
+	var table chaintest.Table
+	p := Publisher{Table: &table}
+	for i := range uint64(MinKept + 20) {
+		if _, err := p.Publish(t.Context(), i, withWeight(1), "ivana", "again"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n, err := p.Compact(t.Context(), 1); n != 20 || err != nil {
+		t.Errorf("Compact = %d, %v", n, err)
+	}
+	if _, err := Find(t.Context(), &table, 20); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("entry 20: %v", err)
+	}
+	if e, err := Newest(t.Context(), &table); err != nil || e.Number != MinKept+20 {
+		t.Errorf("newest %v, %v", e, err)
+	}
+	entries, err := History(t.Context(), &table, 3)
+	if err != nil || len(entries) != 3 || entries[2].Number != MinKept+18 {
+		t.Errorf("history %v, %v", entries, err)
+	}
+}
--- /dev/null
+++ b/chain/chaintest/table.go
@@ -0,0 +1,146 @@
+// Package chaintest holds a fake of the platform's table for tests, with the
+// failures that the platform package names, a lost answer above all.
+//
+// Usage:
+//
+//	t := chaintest.Table{Fault: func(call string) chaintest.Fault { return chaintest.LostAfter }}
+//	_, err := t.Commit(ctx, platform.Create("a", nil)) // ErrUnknown, but applied
+package chaintest
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// Fault is what goes wrong with one call.
+type Fault int
+
+// Faults. Those from LostBefore on concern only Commit; reads succeed with
+// them.
+const (
+	None        Fault = iota
+	Unavailable       // refused, not applied
+	LostBefore        // ErrUnknown, not applied
+	LostAfter         // ErrUnknown, applied
+	Late              // ErrUnknown, applied just before the answer of a later call
+)
+
+// Table is an in-memory table. The zero value is empty and has no faults. It
+// may be used from any goroutine.
+type Table struct {
+	// Fault chooses the fault of a call: get, range or commit. It is called
+	// with the table locked.
+	Fault func(call string) Fault
+
+	mu   sync.Mutex
+	rows map[string]platform.Row
+	last uint64 // version of the last change
+	late [][]platform.Op
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// Get returns a row.
+func (t *Table) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fault("get") == Unavailable {
+		return platform.Row{}, fmt.Errorf("get %q: %w", key, platform.ErrUnavailable)
+	}
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+	}
+	return row, nil
+}
+
+// Range returns rows in order of their keys.
+func (t *Table) Range(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fault("range") == Unavailable {
+		return nil, fmt.Errorf("range %q: %w", prefix, platform.ErrUnavailable)
+	}
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
+			rows = append(rows, t.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+// Commit applies all ops or none.
+func (t *Table) Commit(_ context.Context, ops ...platform.Op) ([]uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fault := t.fault("commit")
+	if fault != Late {
+		t.land()
+	}
+	switch fault {
+	case Unavailable:
+		return nil, fmt.Errorf("commit: %w", platform.ErrUnavailable)
+	case LostBefore:
+		return nil, fmt.Errorf("commit: %w", platform.ErrUnknown)
+	case LostAfter:
+		_, _ = t.apply(ops)
+		return nil, fmt.Errorf("commit: %w", platform.ErrUnknown)
+	case Late:
+		t.late = append(t.late, slices.Clone(ops))
+		return nil, fmt.Errorf("commit: %w", platform.ErrUnknown)
+	}
+	return t.apply(ops)
+}
+
+// Land applies the commits that are still on their way.
+func (t *Table) Land() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.land()
+}
+
+func (t *Table) land() {
+	for _, ops := range t.late {
+		_, _ = t.apply(ops)
+	}
+	t.late = nil
+}
+
+func (t *Table) fault(call string) Fault {
+	if t.Fault == nil {
+		return None
+	}
+	return t.Fault(call)
+}
+
+func (t *Table) apply(ops []platform.Op) ([]uint64, error) {
+	if t.rows == nil {
+		t.rows = make(map[string]platform.Row)
+	}
+	for _, op := range ops {
+		if t.rows[op.Key].Version != op.Expect {
+			return nil, fmt.Errorf("commit row %q: %w", op.Key, platform.ErrConflict)
+		}
+	}
+	versions := make([]uint64, len(ops))
+	for i, op := range ops {
+		switch {
+		case op.Check:
+			versions[i] = op.Expect
+		case op.Delete:
+			delete(t.rows, op.Key)
+		default:
+			t.last++
+			versions[i] = t.last
+			t.rows[op.Key] = platform.Row{Key: op.Key, Value: slices.Clone(op.Value), Version: t.last}
+		}
+	}
+	return versions, nil
+}
--- /dev/null
+++ b/chain/linearizable_test.go
@@ -0,0 +1,168 @@
+package chain
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// call is a publication on base, or a read if nonce is empty.
+type call struct {
+	base  uint64
+	nonce string
+}
+
+type result string
+
+const (
+	won     result = "won"
+	refused result = "refused" // certainly not published
+	unknown result = "unknown"
+)
+
+// answer is the result of a publication, or what a read found.
+type answer struct {
+	result result
+	number uint64
+	nonce  string
+}
+
+// top is the newest entry.
+type top struct {
+	number uint64
+	nonce  string
+}
+
+// headModel is the chain's head as one register that is advanced by
+// compare-and-swap.
+var headModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{top{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(top), input.(call), output.(answer)
+		after := top{in.base + 1, in.nonce}
+		switch {
+		case in.nonce == "":
+			if out.number == s.number && out.nonce == s.nonce {
+				return []any{s}
+			}
+		case out.result == won:
+			if s.number == in.base {
+				return []any{after}
+			}
+		case out.result == refused:
+			return []any{s}
+		case s.number == in.base:
+			return []any{s, after}
+		default:
+			return []any{s}
+		}
+		return nil
+	},
+}
+
+// history records calls with a logical clock.
+type history struct {
+	mu    sync.Mutex
+	clock int64
+	ops   []porcupine.Operation
+}
+
+func (h *history) tick() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock++
+	return h.clock
+}
+
+func (h *history) add(client int, at int64, in call, out answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock++
+	op := porcupine.Operation{ClientId: client, Input: in, Call: at, Output: out, Return: h.clock}
+	if out.result == unknown {
+		op.Return = math.MaxInt64 // it may take effect at any later time
+	}
+	h.ops = append(h.ops, op)
+}
+
+func (h *history) client(t *testing.T, table platform.Table, id, calls int, seed uint64) error {
+	r := rand.New(rand.NewPCG(seed, uint64(id)))
+	for i := range calls {
+		at := h.tick()
+		newest, err := Newest(t.Context(), table)
+		if err != nil {
+			continue
+		}
+		h.add(id, at, call{}, answer{number: newest.Number, nonce: newest.Nonce})
+		nonce := fmt.Sprintf("%d-%d", id, i)
+		in := call{base: newest.Number - min(newest.Number, r.Uint64N(2)), nonce: nonce}
+		p := Publisher{Table: table, Nonce: func() string { return nonce }, Pause: time.Nanosecond}
+		at = h.tick()
+		_, err = p.Publish(t.Context(), in.base, withWeight(1), nonce, "test")
+		out := answer{result: refused}
+		switch {
+		case err == nil:
+			out.result = won
+		case errors.Is(err, platform.ErrUnknown):
+			out.result = unknown
+		}
+		h.add(id, at, in, out)
+	}
+	return nil
+}
+
+func TestHeadIsLinearizable(t *testing.T) {
+	const seeds, clients, calls = 40, 4, 8
+	counts := make(map[result]int)
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 20261204))
+		mix := faults
+		if seed%2 == 1 {
+			mix = faults[2:] // fewer good calls
+		}
+		table := chaintest.Table{Fault: func(string) chaintest.Fault { return mix[r.IntN(len(mix))] }}
+		var h history
+		var g errgroup.Group
+		for id := range clients {
+			g.Go(func() error { return h.client(t, &table, id, calls, seed) })
+		}
+		_ = g.Wait()
+		for _, op := range h.ops {
+			counts[op.Output.(answer).result]++
+		}
+		if !porcupine.CheckOperations(headModel.ToModel(), h.ops) {
+			t.Fatalf("seed %d: not linearizable: %+v", seed, h.ops)
+		}
+	}
+	if counts[won] == 0 || counts[refused] == 0 || counts[unknown] == 0 {
+		t.Errorf("the histories lack a result: %v", counts)
+	}
+	t.Logf("results %v", counts)
+}
+
+// TestModelRefusesBrokenHistories shows that the check can fail.
+func TestModelRefusesBrokenHistories(t *testing.T) {
+	twice := []porcupine.Operation{
+		{ClientId: 0, Input: call{0, "a"}, Call: 1, Output: answer{result: won, number: 1}, Return: 2},
+		{ClientId: 1, Input: call{0, "b"}, Call: 3, Output: answer{result: won, number: 1}, Return: 4},
+	}
+	reverted := []porcupine.Operation{
+		{ClientId: 0, Input: call{0, "a"}, Call: 1, Output: answer{result: won, number: 1}, Return: 2},
+		{ClientId: 1, Input: call{}, Call: 3, Output: answer{}, Return: 4},
+	}
+	for name, ops := range map[string][]porcupine.Operation{"two winners": twice, "reverted read": reverted} {
+		if porcupine.CheckOperations(headModel.ToModel(), ops) {
+			t.Errorf("%s: taken for linearizable", name)
+		}
+	}
+}
--- /dev/null
+++ b/chain/publisher.go
@@ -0,0 +1,229 @@
+package chain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/pool"
+)
+
+const (
+	headKey     = "chain-head"
+	entryPrefix = "chain/"
+
+	publishAttempts = 5
+	publishPause    = 200 * time.Millisecond // between attempts after a lost answer
+
+	// MinKept is the least number of entries that Compact keeps. A publisher
+	// resolves a lost answer by reading its entry, so entries must outlive any
+	// call.
+	MinKept = 100
+)
+
+// ErrRaced marks a RaceError; compare with errors.Is.
+var ErrRaced = errors.New("another configuration was first")
+
+// RaceError tells the loser of a race who won.
+type RaceError struct {
+	Base   uint64 // number that the loser built upon
+	Number uint64 // highest number of the chain
+	By     string // who published Base + 1
+	Why    string
+}
+
+// Error names the winner.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("configuration %d is no longer the newest: %s was first with %q, the newest is %d; make the plan again",
+		e.Base, e.By, e.Why, e.Number)
+}
+
+// Unwrap returns ErrRaced.
+func (e *RaceError) Unwrap() error { return ErrRaced }
+
+// Publisher adds configurations to the chain. It holds no state between calls
+// and may be used from any goroutine.
+type Publisher struct {
+	Table platform.Table
+	Now   func() time.Time // nil is time.Now
+	Nonce func() string    // nil is a random UUID
+	Pause time.Duration    // between attempts after a lost answer; 0 is 200 ms
+}
+
+// head is the value of the row chain-head.
+type head struct {
+	Number uint64 `json:"number"`
+	Nonce  string `json:"nonce"`
+}
+
+func entryKey(number uint64) string { return fmt.Sprintf("%s%020d", entryPrefix, number) }
+
+// Publish adds c as number base + 1 and returns that number. The further ops
+// belong to the same Commit; they must make it fail if they were applied
+// before. Errors: a finding.List for a faulty configuration; a *RaceError if
+// base is no longer the newest; ErrConflict if one of ops failed; ErrUnknown
+// if neither success nor failure could be read back, after which the caller
+// compares the chain with Find.
+func (p *Publisher) Publish(ctx context.Context, base uint64, c Configuration, by, why string, ops ...platform.Op) (uint64, error) {
+	if err := pool.Check(&c).Err(); err != nil {
+		return 0, fmt.Errorf("publish on configuration %d: %w", base, err)
+	}
+	row, at, err := readHead(ctx, p.Table)
+	if err != nil {
+		return 0, fmt.Errorf("publish on configuration %d: %w", base, notSent(err))
+	}
+	if at.Number != base {
+		return 0, p.lost(ctx, base, at.Number)
+	}
+	entry := Entry{Number: base + 1, Nonce: p.nonce(), By: by, Why: why, At: p.now(), Configuration: c}
+	all, err := publishOps(row, entry, ops)
+	if err != nil {
+		return 0, fmt.Errorf("publish configuration %d: %w", entry.Number, err)
+	}
+	return p.commit(ctx, entry, all)
+}
+
+func publishOps(row platform.Row, entry Entry, ops []platform.Op) ([]platform.Op, error) {
+	body, err := json.Marshal(entry)
+	if err != nil {
+		return nil, fmt.Errorf("encode entry: %w", err)
+	}
+	top, err := json.Marshal(head{Number: entry.Number, Nonce: entry.Nonce})
+	if err != nil {
+		return nil, fmt.Errorf("encode head: %w", err)
+	}
+	all := []platform.Op{platform.Create(entryKey(entry.Number), body), platform.Update(headKey, top, row.Version)}
+	return append(all, ops...), nil
+}
+
+// commit sends the ops until an answer or a read-back decides. Once a send may
+// have taken effect, no later failure alone may deny it.
+func (p *Publisher) commit(ctx context.Context, entry Entry, ops []platform.Op) (uint64, error) {
+	sent := false
+	var err error
+	for attempt := range publishAttempts {
+		if attempt > 0 && !p.wait(ctx) {
+			break
+		}
+		_, err = p.Table.Commit(ctx, ops...)
+		if err == nil {
+			return entry.Number, nil
+		}
+		if errors.Is(err, platform.ErrUnavailable) && !sent {
+			return 0, fmt.Errorf("publish configuration %d: %w", entry.Number, err)
+		}
+		conflict := errors.Is(err, platform.ErrConflict)
+		sent = sent || !(conflict || errors.Is(err, platform.ErrUnavailable))
+		decided, number, failure := p.resolve(ctx, entry, conflict)
+		if decided {
+			return number, failure
+		}
+	}
+	return 0, fmt.Errorf("publish configuration %d: %w after %v; read the chain before the next intent",
+		entry.Number, platform.ErrUnknown, err)
+}
+
+// resolve reads back what became of entry. It is undecided while the platform
+// does not answer or the Commit may still arrive.
+func (p *Publisher) resolve(ctx context.Context, entry Entry, conflict bool) (decided bool, number uint64, failure error) {
+	_, at, err := readHead(ctx, p.Table)
+	if err != nil {
+		return false, 0, nil
+	}
+	if at.Number < entry.Number {
+		if !conflict {
+			return false, 0, nil
+		}
+		return true, 0, fmt.Errorf("publish configuration %d: another row of the commit changed: %w", entry.Number, platform.ErrConflict)
+	}
+	landed, err := readEntry(ctx, p.Table, entry.Number)
+	if err != nil {
+		return false, 0, nil
+	}
+	if landed.Nonce == entry.Nonce {
+		return true, entry.Number, nil
+	}
+	return true, 0, &RaceError{Base: entry.Number - 1, Number: at.Number, By: landed.By, Why: landed.Why}
+}
+
+// lost describes the winner to one whose base is not the newest.
+func (p *Publisher) lost(ctx context.Context, base, newest uint64) error {
+	e := &RaceError{Base: base, Number: newest, By: "someone", Why: "unknown"}
+	if winner, err := readEntry(ctx, p.Table, base+1); err == nil {
+		e.By, e.Why = winner.By, winner.Why
+	}
+	return e
+}
+
+// Compact deletes entries so that the newest kept remain, at least MinKept. It
+// returns how many were deleted.
+func (p *Publisher) Compact(ctx context.Context, kept uint64) (int, error) {
+	kept = max(kept, MinKept)
+	_, at, err := readHead(ctx, p.Table)
+	if err != nil {
+		return 0, fmt.Errorf("compact the chain: %w", err)
+	}
+	if at.Number <= kept {
+		return 0, nil
+	}
+	rows, err := p.Table.Range(ctx, entryPrefix, "", compactBatch)
+	if err != nil {
+		return 0, fmt.Errorf("compact the chain: %w", err)
+	}
+	deleted := 0
+	for _, row := range rows {
+		if row.Key > entryKey(at.Number-kept) {
+			break
+		}
+		if _, err := p.Table.Commit(ctx, platform.Remove(row.Key, row.Version)); err != nil {
+			return deleted, fmt.Errorf("compact row %q: %w", row.Key, err)
+		}
+		deleted++
+	}
+	return deleted, nil
+}
+
+const compactBatch = 50 // deletions of one call, to spare the platform's write rate
+
+func (p *Publisher) now() time.Time {
+	if p.Now == nil {
+		return time.Now().UTC()
+	}
+	return p.Now()
+}
+
+func (p *Publisher) nonce() string {
+	if p.Nonce == nil {
+		return uuid.NewString()
+	}
+	return p.Nonce()
+}
+
+func (p *Publisher) wait(ctx context.Context) bool {
+	pause := p.Pause
+	if pause == 0 {
+		pause = publishPause
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// notSent turns any failure of a read into one that says that nothing was
+// written.
+func notSent(err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return err
+	}
+	return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+}
--- /dev/null
+++ b/chain/read.go
@@ -0,0 +1,83 @@
+package chain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// readHead returns the head and its row; both are zero for an empty chain.
+func readHead(ctx context.Context, r platform.Reader) (platform.Row, head, error) {
+	row, err := r.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Row{}, head{}, nil
+	}
+	if err != nil {
+		return platform.Row{}, head{}, fmt.Errorf("read row %q: %w", headKey, err)
+	}
+	var h head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return platform.Row{}, head{}, fmt.Errorf("decode row %q: %w", headKey, err)
+	}
+	return row, h, nil
+}
+
+func readEntry(ctx context.Context, r platform.Reader, number uint64) (*Entry, error) {
+	key := entryKey(number)
+	row, err := r.Get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("read row %q: %w", key, err)
+	}
+	return decodeEntry(row)
+}
+
+func decodeEntry(row platform.Row) (*Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(row.Value, &e); err != nil {
+		return nil, fmt.Errorf("decode row %q: %w", row.Key, err)
+	}
+	return &e, nil
+}
+
+// Newest returns the newest entry, with number 0 for an empty chain.
+func Newest(ctx context.Context, r platform.Reader) (*Entry, error) {
+	_, at, err := readHead(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if at.Number == 0 {
+		return &Entry{}, nil
+	}
+	return readEntry(ctx, r, at.Number)
+}
+
+// Find returns the entry of that number, or ErrNotFound if it was never
+// published or is compacted.
+func Find(ctx context.Context, r platform.Reader, number uint64) (*Entry, error) {
+	return readEntry(ctx, r, number)
+}
+
+// History returns at most limit of the newest entries, the newest first.
+func History(ctx context.Context, r platform.Reader, limit int) ([]*Entry, error) {
+	_, at, err := readHead(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	after := entryKey(at.Number - min(at.Number, uint64(max(limit, 0))))
+	rows, err := r.Range(ctx, entryPrefix, after, limit)
+	if err != nil {
+		return nil, fmt.Errorf("read the last %d entries of the chain: %w", limit, err)
+	}
+	entries := make([]*Entry, 0, len(rows))
+	for i := len(rows) - 1; i >= 0; i-- {
+		e, err := decodeEntry(rows[i])
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
