--- a/job/book.go
+++ b/job/book.go
@@ -52,6 +52,8 @@
 		return b.applyForget(e.Job)
 	case EntryCancel:
 		return b.applyCancel(e.Job)
+	case EntryIntent:
+		return b.applyIntent(e)
 	case EntryEnd, EntryRetry:
 		return b.applyEnd(e)
 	default:
@@ -107,6 +109,15 @@
 	return true
 }
 
+func (b *Book) applyIntent(e Entry) bool {
+	_, t, err := b.granted(TaskID(e.Job, e.Task), e.Attempt)
+	if err != nil {
+		return false
+	}
+	t.Intended = true
+	return true
+}
+
 func (b *Book) applyEnd(e Entry) bool {
 	j, ok := b.jobs[e.Job]
 	if !ok || e.Task < 0 || e.Task >= len(j.tasks) {
--- a/job/entry.go
+++ b/job/entry.go
@@ -15,6 +15,9 @@
 	EntryOpen EntryKind = "open"
 	// EntryAccept accepts a job and grants attempt 1 of its tasks.
 	EntryAccept EntryKind = "accept"
+	// EntryIntent records that the attempt of a non-idempotent task is about
+	// to be sent.
+	EntryIntent EntryKind = "intent"
 	// EntryEnd ends a task for good.
 	EntryEnd EntryKind = "end"
 	// EntryRetry ends an attempt and grants the next one.
--- a/job/job.go
+++ b/job/job.go
@@ -104,8 +104,11 @@
 	Reason  string
 	Result  []byte
 	Ran     time.Duration
-	// Target is the process to which the granted attempt was sent.
+	// Target is the rack shard to which the granted attempt was sent.
 	Target string
+	// Intended is set when the intent to send the granted attempt is durable;
+	// only non-idempotent tasks have one.
+	Intended bool
 	// Running is set once a worker has reported the attempt.
 	Running  bool
 	Failures int // attempts that ran and failed
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -29,6 +29,7 @@
 	Ran         time.Duration `json:"ran-ns,omitempty"`
 	Failures    int           `json:"failures,omitempty"`
 	CancelAsked bool          `json:"cancel-asked,omitempty"`
+	Intended    bool          `json:"intended,omitempty"`
 	Checkpoint  []byte        `json:"checkpoint,omitempty"`
 }
 
@@ -42,7 +43,7 @@
 			if !state.Final() {
 				state = Waiting
 			}
-			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.CancelAsked, t.Checkpoint}
+			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.CancelAsked, t.Intended, t.Checkpoint}
 		}
 		images = append(images, image)
 	}
@@ -68,7 +69,8 @@
 		for i, t := range image.Tasks {
 			j.tasks[i] = Task{
 				Index: i, Attempt: t.Attempt, State: Waiting, Worker: t.Worker, Reason: t.Reason, Result: t.Result,
-				Ran: t.Ran, Failures: t.Failures, CancelAsked: t.CancelAsked, Checkpoint: t.Checkpoint,
+				Ran: t.Ran, Failures: t.Failures, CancelAsked: t.CancelAsked, Intended: t.Intended,
+				Checkpoint: t.Checkpoint,
 			}
 			j.setState(&j.tasks[i], t.State)
 		}
