placement, queue: advertise room for long and for short work apart

Cause: a long task refused for the reserve cut the advertised room for short work too; BenchmarkNothingFits found it (something fits after a refused placement). Ruled out: late summaries (they are exact in the benchmark). Change: Summary.Long and LargestLong with an index of their own; Item.Long is part of what fits may depend on; candidates point to items instead of copying them.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -70,17 +70,19 @@
 
 func (c *cluster) advertise(rack, centre string) {
 	s := c.shards[rack]
-	c.directory.Update(placement.Summary{Shard: rack, Rack: rack, DataCentre: centre, Largest: s.Largest(), Free: s.FreeCapacity()})
+	c.directory.Update(placement.Summary{Shard: rack, Rack: rack, DataCentre: centre, Largest: s.Largest(), Long: s.LargestLong(), Free: s.FreeCapacity()})
 }
 
 func (c *cluster) push() {
 	c.made++
 	size := int64(1 + c.rng.IntN(8))
+	kind := class.All[c.rng.IntN(len(class.All)-1)]
 	c.queue.Push(queue.Item{
 		ID:           fmt.Sprint("t", c.made),
 		Group:        fmt.Sprint("job", c.made/100),
 		Organisation: fmt.Sprint("o", c.rng.IntN(organisations)),
-		Class:        class.All[c.rng.IntN(len(class.All)-1)],
+		Class:        kind,
+		Long:         kind == class.Batch,
 		Demand:       resource.Vector{MilliCPU: size * 500, MemoryMB: size * 1024},
 		Enqueued:     c.now,
 	})
@@ -88,11 +90,11 @@
 
 // place makes one decision: which task, which shard, which worker.
 func (c *cluster) place() bool {
-	item, ok := c.queue.Next(c.now, func(i queue.Item) bool { return c.directory.Fits(i.Demand, c.order) })
+	item, ok := c.queue.Next(c.now, func(i queue.Item) bool { return c.directory.Fits(taskOf(i), c.order) })
 	if !ok {
 		return false
 	}
-	task := placement.Task{ID: item.ID, Demand: item.Demand, Class: item.Class, Long: item.Class == class.Batch}
+	task := taskOf(item)
 	for {
 		rack, err := c.directory.Choose(task, c.order, c.rng)
 		if err != nil {
@@ -104,10 +106,14 @@
 			c.running = append(c.running, started{item, rack})
 			return true
 		}
-		c.directory.Refused(rack, item.Demand)
+		c.directory.Refused(rack, task)
 	}
 }
 
+func taskOf(i queue.Item) placement.Task {
+	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
+}
+
 // end ends a random running task.
 func (c *cluster) end() {
 	n := c.rng.IntN(len(c.running))
@@ -160,7 +166,10 @@
 	for _, workers := range []int{100, 1100, 10_000} {
 		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
 			c := newCluster(b, workers)
-			for c.place() {
+			for misses := 0; misses < 1000; {
+				if !c.place() {
+					misses++
+				}
 				c.push()
 			}
 			for c.queue.Len() < backlog {
--- a/placement/directory.go
+++ b/placement/directory.go
@@ -15,9 +15,18 @@
 	Rack       string
 	DataCentre string
 	Largest    resource.Vector // see Shard.Largest
+	Long       resource.Vector // see Shard.LargestLong
 	Free       resource.Vector // sum over open workers
 }
 
+// largest returns the largest advertised amounts for long or for short tasks.
+func (s *Summary) largest(long bool) resource.Vector {
+	if long {
+		return s.Long
+	}
+	return s.Largest
+}
+
 // Directory chooses among the shards of all processes. The zero value is
 // empty.
 //
@@ -28,20 +37,40 @@
 // at all shards of the data centre.
 type Directory struct {
 	shards  map[string]*listing
-	centres map[string]*centre
+	centres map[centreKey]*centre
 }
 
+// listing is a shard. It stands in two cells: for short tasks and for long.
 type listing struct {
 	Summary
-	cell   *cell
-	index  int            // in cell.listings
+	short  position
+	long   position
 	spread map[string]int // tasks placed there through this directory
 }
 
+type position struct {
+	cell  *cell
+	index int // in cell.listings
+}
+
+func (l *listing) position(long bool) *position {
+	if long {
+		return &l.long
+	}
+	return &l.short
+}
+
+// centreKey names the index of the shards of a data centre for long or for
+// short tasks.
+type centreKey struct {
+	dataCentre string
+	long       bool
+}
+
 type centre struct {
-	cells  []*cell
-	byKey  map[level]*cell
-	number int // of shards
+	long  bool
+	cells []*cell
+	byKey map[level]*cell
 }
 
 type cell struct {
@@ -75,23 +104,26 @@
 func (d *Directory) Update(s Summary) {
 	if d.shards == nil {
 		d.shards = make(map[string]*listing)
-		d.centres = make(map[string]*centre)
+		d.centres = make(map[centreKey]*centre)
 	}
 	l, ok := d.shards[s.Shard]
 	if !ok {
 		l = &listing{spread: make(map[string]int)}
 		d.shards[s.Shard] = l
 	} else {
-		d.unlink(l)
+		d.unlink(l, false)
+		d.unlink(l, true)
 	}
 	l.Summary = s
-	d.link(l)
+	d.link(l, false)
+	d.link(l, true)
 }
 
 // Remove forgets a shard.
 func (d *Directory) Remove(shard string) {
 	if l, ok := d.shards[shard]; ok {
-		d.unlink(l)
+		d.unlink(l, false)
+		d.unlink(l, true)
 		delete(d.shards, shard)
 	}
 }
@@ -106,7 +138,7 @@
 // error wraps ErrNoRoom.
 func (d *Directory) Choose(t Task, dataCentres []string, rng *rand.Rand) (string, error) {
 	for _, name := range dataCentres {
-		c, ok := d.centres[name]
+		c, ok := d.centres[centreKey{name, t.Long}]
 		if !ok {
 			continue
 		}
@@ -119,15 +151,15 @@
 }
 
 // Fits reports whether a shard of the data centres advertises room.
-func (d *Directory) Fits(demand resource.Vector, dataCentres []string) bool {
-	need := levelOf(demand)
+func (d *Directory) Fits(t Task, dataCentres []string) bool {
+	need := levelOf(t.Demand)
 	for _, name := range dataCentres {
-		c, ok := d.centres[name]
+		c, ok := d.centres[centreKey{name, t.Long}]
 		if !ok {
 			continue
 		}
 		for _, x := range c.cells {
-			if x.level.certain(need) || x.level.possible(need) && x.covering(demand, 0) != nil {
+			if x.level.certain(need) || x.level.possible(need) && c.covering(x, t.Demand, 0) != nil {
 				return true
 			}
 		}
@@ -135,15 +167,20 @@
 	return false
 }
 
-// Refused says that a shard had no room after all: its advertised room is
-// cut, until its next summary, to less than the demand.
-func (d *Directory) Refused(shard string, demand resource.Vector) {
+// Refused says that a shard had no room after all: what it advertises for
+// long or for short tasks is cut, until its next summary, to less than the
+// demand.
+func (d *Directory) Refused(shard string, t Task) {
 	l, ok := d.shards[shard]
 	if !ok {
 		return
 	}
 	s := l.Summary
-	s.Largest.MilliCPU = min(s.Largest.MilliCPU, max(0, demand.MilliCPU-1))
+	if t.Long {
+		s.Long = below(s.Long, t.Demand)
+	} else {
+		s.Largest = below(s.Largest, t.Demand)
+	}
 	d.Update(s)
 }
 
@@ -166,36 +203,38 @@
 	s := l.Summary
 	s.Free = s.Free.Sub(t.Demand).Max(resource.Vector{})
 	s.Largest = minimum(s.Largest, s.Free)
+	s.Long = minimum(s.Long, s.Free)
 	d.Update(s)
 }
 
-func (d *Directory) link(l *listing) {
-	c, ok := d.centres[l.DataCentre]
+func (d *Directory) link(l *listing, long bool) {
+	k := centreKey{l.DataCentre, long}
+	c, ok := d.centres[k]
 	if !ok {
-		c = &centre{byKey: make(map[level]*cell)}
-		d.centres[l.DataCentre] = c
+		c = &centre{long: long, byKey: make(map[level]*cell)}
+		d.centres[k] = c
 	}
-	key := levelOf(l.Largest)
+	key := levelOf(l.largest(long))
 	x, ok := c.byKey[key]
 	if !ok {
 		x = &cell{level: key}
 		c.byKey[key] = x
 		c.cells = append(c.cells, x)
 	}
-	l.cell, l.index = x, len(x.listings)
+	*l.position(long) = position{x, len(x.listings)}
 	x.listings = append(x.listings, l)
-	c.number++
 }
 
-func (d *Directory) unlink(l *listing) {
-	c, x := d.centres[l.DataCentre], l.cell
+func (d *Directory) unlink(l *listing, long bool) {
+	p := l.position(long)
+	x := p.cell
 	last := len(x.listings) - 1
-	x.listings[l.index] = x.listings[last]
-	x.listings[l.index].index = l.index
+	x.listings[p.index] = x.listings[last]
+	x.listings[p.index].position(long).index = p.index
 	x.listings[last] = nil
 	x.listings = x.listings[:last]
-	c.number--
 	if last == 0 {
+		c := d.centres[centreKey{l.DataCentre, long}]
 		delete(c.byKey, x.level)
 		c.cells = slices.DeleteFunc(c.cells, func(y *cell) bool { return y == x })
 	}
@@ -242,7 +281,7 @@
 		if !x.level.possible(need) {
 			continue
 		}
-		l := x.covering(t.Demand, rng.IntN(len(x.listings)))
+		l := c.covering(x, t.Demand, rng.IntN(len(x.listings)))
 		if l != nil && (best == nil || l.moreFree(best)) {
 			best = l
 		}
@@ -260,7 +299,7 @@
 		offset := rng.IntN(len(x.listings))
 		for n := range x.listings {
 			l := x.listings[(n+offset)%len(x.listings)]
-			if l.Largest.Covers(t.Demand) && (best == nil || l.spread[t.Spread] < best.spread[t.Spread]) {
+			if l.largest(c.long).Covers(t.Demand) && (best == nil || l.spread[t.Spread] < best.spread[t.Spread]) {
 				best = l
 			}
 		}
@@ -268,10 +307,11 @@
 	return best
 }
 
-// covering returns the first shard from the offset on that covers the demand.
-func (x *cell) covering(demand resource.Vector, offset int) *listing {
+// covering returns the first shard of a cell, from the offset on, that covers
+// the demand.
+func (c *centre) covering(x *cell, demand resource.Vector, offset int) *listing {
 	for n := range x.listings {
-		if l := x.listings[(n+offset)%len(x.listings)]; l.Largest.Covers(demand) {
+		if l := x.listings[(n+offset)%len(x.listings)]; l.largest(c.long).Covers(demand) {
 			return l
 		}
 	}
@@ -289,3 +329,17 @@
 		Accelerators: min(v.Accelerators, w.Accelerators),
 	}
 }
+
+// below returns v with the demand's first positive amount cut, so that it no
+// longer covers the demand.
+func below(v, demand resource.Vector) resource.Vector {
+	switch {
+	case demand.MilliCPU > 0:
+		v.MilliCPU = min(v.MilliCPU, demand.MilliCPU-1)
+	case demand.MemoryMB > 0:
+		v.MemoryMB = min(v.MemoryMB, demand.MemoryMB-1)
+	case demand.Accelerators > 0:
+		v.Accelerators = min(v.Accelerators, demand.Accelerators-1)
+	}
+	return v
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -121,7 +121,10 @@
 			t.Fatalf("a whole worker is free, but: %v", err)
 		}
 		for n, c := range rapid.SliceOfN(rapid.Int64Range(1, 16), 50, 200).Draw(t, "cores") {
-			_, _ = s.Place(Task{ID: fmt.Sprint("long", n), Demand: cores(c), Long: true}, rng)
+			covered := s.LargestLong().Covers(cores(c))
+			if _, err := s.Place(Task{ID: fmt.Sprint("long", n), Demand: cores(c), Long: true}, rng); (err == nil) != covered {
+				t.Fatalf("%d cores are advertised to long work: %v, but: %v", c, covered, err)
+			}
 		}
 		for n := range 14 {
 			if _, err := s.Place(Task{ID: fmt.Sprint("short", n), Demand: cores(1)}, rng); err != nil {
@@ -286,6 +289,7 @@
 				DataCentre: rapid.SampledFrom([]string{"near", "far"}).Draw(t, "data-centre"),
 				Largest:    resource.Vector{MilliCPU: amount.Draw(t, "cpu"), MemoryMB: amount.Draw(t, "memory")},
 			}
+			s.Long = resource.Vector{MilliCPU: s.Largest.MilliCPU / 2, MemoryMB: amount.Draw(t, "long-memory")}
 			s.Free = s.Largest.Scale(2)
 			d.Update(s)
 			model[s.Shard] = s
@@ -295,21 +299,28 @@
 				delete(model, gone)
 			}
 			demand := resource.Vector{MilliCPU: amount.Draw(t, "need-cpu"), MemoryMB: amount.Draw(t, "need-memory")}
-			want := ""
+			want, long := "", rapid.Bool().Draw(t, "long")
 			for _, m := range model {
-				if m.Largest.Covers(demand) && want != "near" {
+				if m.largest(long).Covers(demand) && want != "near" {
 					want = m.DataCentre
 				}
 			}
-			task := Task{ID: "t", Demand: demand, Spread: rapid.SampledFrom([]string{"", "web"}).Draw(t, "spread")}
+			task := Task{ID: "t", Demand: demand, Long: long, Spread: rapid.SampledFrom([]string{"", "web"}).Draw(t, "spread")}
+			if fits := d.Fits(task, []string{"near", "far"}); fits != (want != "") {
+				t.Fatalf("%v fits: %v, want one in %q", task, fits, want)
+			}
 			shard, err := d.Choose(task, []string{"near", "far"}, rng)
 			if model[shard].DataCentre != want || (err == nil) != (want != "") {
 				t.Fatalf("chose %q (%v) for %v, want one in %q", shard, err, demand, want)
 			}
 			if err == nil {
-				if !model[shard].Largest.Covers(demand) {
+				if m := model[shard]; !m.largest(long).Covers(demand) {
 					t.Fatalf("%q does not advertise %v", shard, demand)
 				}
+				d.Refused(shard, task)
+				if l := d.shards[shard]; !demand.IsZero() && l.largest(long).Covers(demand) {
+					t.Fatalf("%q refused %v and still advertises it", shard, demand)
+				}
 				d.Update(model[shard])
 			}
 		}
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -188,6 +188,17 @@
 	return v
 }
 
+// LargestLong is Largest for long tasks, which leave the reserve alone.
+func (s *Shard) LargestLong() resource.Vector {
+	var v resource.Vector
+	for _, h := range s.workers {
+		if h.closed == "" && s.marked != h {
+			v = v.Max(s.roomForLong(h))
+		}
+	}
+	return v
+}
+
 // FreeCapacity returns the sum of what is free on open workers.
 func (s *Shard) FreeCapacity() resource.Vector {
 	var v resource.Vector
@@ -242,16 +253,17 @@
 	if h.closed != "" || !h.free.Covers(t.Demand) || s.keeps(h, t) {
 		return false
 	}
-	if !t.Long || s.Reserve <= 0 {
-		return true
-	}
-	limit := h.Capacity.Sub(s.reserved(h))
-	if limit.Covers(h.long.Add(t.Demand)) {
-		return true
+	return !t.Long || s.roomForLong(h).Covers(t.Demand)
+}
+
+// roomForLong returns the largest demand of a long task that the worker may
+// take. A task that even an empty worker could not take beside its reserve
+// would never run, so one such task at a time may take a whole worker.
+func (s *Shard) roomForLong(h *host) resource.Vector {
+	if s.Reserve <= 0 || s.oversize == "" && h.running == 0 {
+		return h.free
 	}
-	// A task that even an empty worker could not take beside its reserve
-	// would never run; one at a time may take a whole worker.
-	return !limit.Covers(t.Demand) && s.oversize == "" && h.running == 0
+	return minimum(h.free, h.Capacity.Sub(s.reserved(h)).Sub(h.long)).Max(resource.Vector{})
 }
 
 func (s *Shard) reserved(h *host) resource.Vector {
--- a/queue/bucket.go
+++ b/queue/bucket.go
@@ -10,17 +10,19 @@
 
 type shapeKey struct {
 	class  class.Class
+	long   bool
 	demand resource.Vector
 }
 
-// shape is a distinct demand of a class, with the answer of fits in the
-// current call of Next.
+func shapeOf(i Item) shapeKey { return shapeKey{i.Class, i.Long, i.Demand} }
+
+// shape is what fits may depend on, with its answer in the current call of
+// Next.
 type shape struct {
-	class  class.Class
-	demand resource.Vector
-	round  uint64
-	fits   bool
-	users  int // buckets of that shape
+	shapeKey
+	round uint64
+	fits  bool
+	users int // buckets of that shape
 }
 
 // maxExactBuckets is the number of distinct demands of an organisation and
@@ -98,10 +100,10 @@
 	a := q.account(i.Organisation)
 	exact := 0
 	for _, b := range a.buckets {
-		if b.shape.class != i.Class {
+		if b.shape.class != i.Class || b.shape.long != i.Long {
 			continue
 		}
-		if !b.coarse && b.shape.demand == i.Demand || b.coarse && b.coarseCovers(i.Demand) {
+		if b.shape.demand == i.Demand && !b.coarse || b.coarse && b.coarseCovers(i.Demand) {
 			return b
 		}
 		if !b.coarse {
@@ -129,13 +131,13 @@
 func samePower(m, n int64) bool { return bits.Len64(uint64(m)) == bits.Len64(uint64(n)) }
 
 func (q *Queue) shape(i Item) *shape {
-	key := shapeKey{i.Class, i.Demand}
+	key := shapeOf(i)
 	s, ok := q.shapes[key]
 	if !ok {
 		if q.shapes == nil {
 			q.shapes = make(map[shapeKey]*shape)
 		}
-		s = &shape{class: i.Class, demand: i.Demand}
+		s = &shape{shapeKey: key}
 		q.shapes[key] = s
 	}
 	s.users++
@@ -149,6 +151,6 @@
 	b.account.buckets = slices.DeleteFunc(b.account.buckets, func(x *bucket) bool { return x == b })
 	b.shape.users--
 	if b.shape.users == 0 {
-		delete(q.shapes, shapeKey{b.shape.class, b.shape.demand})
+		delete(q.shapes, b.shape.shapeKey)
 	}
 }
--- a/queue/policy.go
+++ b/queue/policy.go
@@ -4,7 +4,7 @@
 
 // Candidate is the preferred task of one organisation, class and demand.
 type Candidate struct {
-	Item  Item
+	Item  *Item   // not to be changed
 	Usage float64 // dominant share of the organisation midway through the start, divided by its weight
 
 	sequence uint64
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -61,6 +61,7 @@
 	Priority     int // compared only within the organisation; higher goes first
 	Kind         string
 	Demand       resource.Vector
+	Long         bool          // long work, which may not take every place
 	Estimate     time.Duration // expected run time; zero if unknown
 	Enqueued     time.Time
 	Deadline     time.Time // zero if none
@@ -189,8 +190,8 @@
 }
 
 // Next takes the preferred task among those that fit out of the queue. The
-// answer of fits may depend on the class and the demand of the item only,
-// and a demand that covers one which does not fit must not fit either. Tasks
+// answer of fits may depend on Class, Long and Demand of the item only, and a
+// demand that covers one which does not fit must not fit either. Tasks
 // past their deadline are dropped, and reported by Expired.
 func (q *Queue) Next(now time.Time, fits func(Item) bool) (Item, bool) {
 	q.sweep()
@@ -251,7 +252,7 @@
 			// The usage midway through the start: without its half of the
 			// demand, organisations with large tasks would get more.
 			midway := usage + runningWeight/2*e.item.Demand.DominantShare(q.Pool)
-			c := Candidate{Item: e.item, Usage: midway / weight, sequence: e.sequence}
+			c := Candidate{Item: &e.item, Usage: midway / weight, sequence: e.sequence}
 			if (best == nil || policy.Before(c, chosen)) && q.fitting(b, e, fits) {
 				best, chosen = e, c
 			}
@@ -271,14 +272,14 @@
 	}
 	s := b.shape
 	if b.coarse {
-		s = &shape{class: s.class, demand: e.item.Demand}
+		s = &shape{shapeKey: shapeKey{s.class, s.long, e.item.Demand}}
 	}
 	if s.round == q.round {
 		return s.fits
 	}
 	s.round = q.round
 	for _, u := range q.unfit {
-		if u.class == s.class && s.demand.Covers(u.demand) {
+		if u.class == s.class && u.long == s.long && s.demand.Covers(u.demand) {
 			s.fits = false
 			return false
 		}
