--- /dev/null
+++ b/burn/burn.go
@@ -0,0 +1,223 @@
+// Package burn reports how fast service-level objectives spend their error
+// budgets.
+//
+// A Ledger counts, for each objective, the requests that met it and those
+// that did not: failed, refused, or slower than the objective's latency. The
+// counts lie in buckets of a minute, kept for 6 h, and of an hour, kept for
+// 90 days, so that a ledger's size depends on the number of objectives and
+// not on traffic. Each bucket keeps a few exemplars, the slowest of the
+// requests that spent the budget.
+//
+// Processes exchange Snapshots, which Merge adds up in any order. A burn rate
+// of 1 spends exactly the budget of the window; 14.4 over an hour spends a
+// thirty-day budget in about two days.
+//
+// Usage:
+//
+//	l := burn.Ledger{Objectives: current.Configuration.Objectives}
+//	l.Record(burn.Request{Organisation: "prado", Class: class.Urgent, Latency: took, Answered: true, At: now})
+//	report := burn.NewReport(l.Objectives, burn.Merge(l.Snapshot(), others...), now)
+//	fmt.Print(report.Text())
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/pool"
+)
+
+const (
+	minutesKept  = 6 * 60
+	hoursKept    = 90 * 24
+	maxExemplars = 4 // of a bucket
+	maxIDLength  = 64
+)
+
+// Request is a request that ended.
+type Request struct {
+	ID           string
+	Organisation string
+	Class        class.Class
+	Latency      time.Duration // from acceptance to the end of the answer
+	Answered     bool          // false if it failed, was refused or is unknown
+	At           time.Time
+}
+
+// Exemplar is a request that spent the budget.
+type Exemplar struct {
+	ID       string        `json:"id"`
+	Latency  time.Duration `json:"latency-ns"`
+	Answered bool          `json:"answered"`
+	At       time.Time     `json:"at"`
+}
+
+// Bucket counts the requests of one minute or hour. Index numbers minutes or
+// hours since 1970.
+type Bucket struct {
+	Index     int64      `json:"index"`
+	Good      uint64     `json:"good"`
+	Bad       uint64     `json:"bad"`
+	Exemplars []Exemplar `json:"exemplars,omitempty"` // the slowest first
+}
+
+// Key names an objective.
+type Key struct {
+	Organisation string      `json:"organisation"`
+	Class        class.Class `json:"class"`
+}
+
+// Series holds the buckets of one objective in order of their indices.
+type Series struct {
+	Key
+	Minutes []Bucket `json:"minutes"`
+	Hours   []Bucket `json:"hours"`
+}
+
+// Snapshot holds the series of a process, or of several after Merge, in order
+// of their keys.
+type Snapshot struct {
+	Series []Series `json:"series"`
+}
+
+// Ledger counts requests. Set Objectives before the first Record, and with
+// SetObjectives afterwards. It may be used from any goroutine.
+type Ledger struct {
+	Objectives []pool.Objective
+
+	mu     sync.Mutex
+	series map[Key]*Series
+}
+
+// SetObjectives replaces the objectives and forgets the series of those that
+// are gone.
+func (l *Ledger) SetObjectives(objectives []pool.Objective) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Objectives = slices.Clone(objectives)
+	for k := range l.series {
+		if l.objective(k) == nil {
+			delete(l.series, k)
+		}
+	}
+}
+
+func (l *Ledger) objective(k Key) *pool.Objective {
+	for i := range l.Objectives {
+		if l.Objectives[i].Organisation == k.Organisation && l.Objectives[i].Class == k.Class {
+			return &l.Objectives[i]
+		}
+	}
+	return nil
+}
+
+// Record counts a request; one without an objective is ignored.
+func (l *Ledger) Record(r Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := Key{r.Organisation, r.Class}
+	o := l.objective(k)
+	if o == nil {
+		return
+	}
+	if l.series == nil {
+		l.series = make(map[Key]*Series)
+	}
+	s := l.series[k]
+	if s == nil {
+		s = &Series{Key: k}
+		l.series[k] = s
+	}
+	one := Bucket{Good: 1}
+	if !r.Answered || r.Latency > o.Latency {
+		id := r.ID[:min(len(r.ID), maxIDLength)]
+		one = Bucket{Bad: 1, Exemplars: []Exemplar{{id, r.Latency, r.Answered, r.At.UTC()}}}
+	}
+	one.Index = index(r.At, time.Minute)
+	s.Minutes = insert(s.Minutes, one, minutesKept)
+	one.Index = index(r.At, time.Hour)
+	s.Hours = insert(s.Hours, one, hoursKept)
+}
+
+func index(at time.Time, width time.Duration) int64 { return at.Unix() / int64(width/time.Second) }
+
+// insert adds b to the bucket of its index and drops the buckets that are
+// kept or more indices older than the newest.
+func insert(buckets []Bucket, b Bucket, kept int64) []Bucket {
+	i, found := slices.BinarySearchFunc(buckets, b.Index, func(b Bucket, at int64) int { return cmp.Compare(b.Index, at) })
+	if found {
+		buckets[i] = sum(buckets[i], b)
+	} else {
+		buckets = slices.Insert(buckets, i, b)
+	}
+	oldest := buckets[len(buckets)-1].Index - kept
+	for len(buckets) > 0 && buckets[0].Index <= oldest {
+		buckets = buckets[1:]
+	}
+	return buckets
+}
+
+func sum(a, b Bucket) Bucket {
+	a.Good += b.Good
+	a.Bad += b.Bad
+	a.Exemplars = slowest(a.Exemplars, b.Exemplars)
+	return a
+}
+
+// slowest returns the first exemplars of both lists in a total order, so that
+// the order of merging cannot matter.
+func slowest(a, b []Exemplar) []Exemplar {
+	if len(b) == 0 {
+		return a
+	}
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, func(a, b Exemplar) int {
+		return cmp.Or(cmp.Compare(b.Latency, a.Latency), a.At.Compare(b.At), cmp.Compare(a.ID, b.ID))
+	})
+	return all[:min(len(all), maxExemplars)]
+}
+
+// Snapshot returns a copy of the counts.
+func (l *Ledger) Snapshot() Snapshot {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var s Snapshot
+	for _, series := range l.series {
+		s.Series = append(s.Series, Series{series.Key, slices.Clone(series.Minutes), slices.Clone(series.Hours)})
+	}
+	slices.SortFunc(s.Series, compareSeries)
+	return s
+}
+
+func compareSeries(a, b Series) int {
+	return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Class, b.Class))
+}
+
+// Merge adds up snapshots, one of each process. None of them is changed.
+func Merge(first Snapshot, others ...Snapshot) Snapshot {
+	merged := make(map[Key]*Series)
+	for _, snapshot := range append([]Snapshot{first}, others...) {
+		for _, s := range snapshot.Series {
+			m := merged[s.Key]
+			if m == nil {
+				m = &Series{Key: s.Key}
+				merged[s.Key] = m
+			}
+			for _, b := range s.Minutes {
+				m.Minutes = insert(m.Minutes, b, minutesKept)
+			}
+			for _, b := range s.Hours {
+				m.Hours = insert(m.Hours, b, hoursKept)
+			}
+		}
+	}
+	var s Snapshot
+	for _, m := range merged {
+		s.Series = append(s.Series, *m)
+	}
+	slices.SortFunc(s.Series, compareSeries)
+	return s
+}
