dispatch, gateway: the job owner's engine and the callers' interface

Cause: accepted work needs one path from submission to a durable end. Change: dispatch.Desk (group commits, placement on racks, inventories after a failover) and gateway.Server (identity, limits, refusals).

--- /dev/null
+++ b/dispatch/desk.go
@@ -0,0 +1,340 @@
+// Package dispatch is the job owner's engine: it takes jobs in, decides which
+// task goes to which rack, and records how attempts end.
+//
+// A Desk holds the job shards that this process owns. Its state belongs to the
+// control loop; table calls and calls to the owners of racks run in goroutines
+// of the desk's group and hand their results back to the loop.
+//
+// # Invariants
+//
+//   - A job is accepted when its journal entry is durable, not before.
+//   - An attempt is sent to one rack only. It is given to another one only after
+//     the first has refused it, or its complete inventory lacks it and the next
+//     attempt has been granted durably.
+//   - Nothing is sent under an epoch of a job shard after the session's
+//     deadline has passed.
+//   - A finished attempt is acknowledged to its rack after its entry is durable.
+//
+// Usage:
+//
+//	d := &dispatch.Desk{Loop: loop, Table: t, Objects: o, DataCentre: "dc1", ...}
+//	group.Go(func() error { return d.Run(ctx) })
+//	loop.Post(func() { d.Take("jobs-1", epoch) })
+//	outcome := d.Submit(ctx, "jobs-1", spec)
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/control"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/placement"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/queue"
+	"persimmonworks.example/persimmonworks/wire"
+	"persimmonworks.example/persimmonworks/worker"
+)
+
+// Racks tells which process owns which rack, and carries messages to it.
+type Racks interface {
+	// Owners returns the owner of every rack shard of the data centre; racks
+	// without a live owner map to "".
+	Owners() map[string]string
+	// Sync sends s to a process, which may be this one. Errors wrap
+	// relay.ErrNotSent when nothing can have arrived. It is called on
+	// traffic goroutines.
+	Sync(ctx context.Context, process string, s *wire.TaskSync) (*wire.TaskReport, *wire.Refusal, error)
+}
+
+// Pace of the desk.
+const (
+	tickInterval     = 50 * time.Millisecond
+	pollInterval     = 250 * time.Millisecond // between quiet syncs with the owner of a rack
+	commitInterval   = 100 * time.Millisecond // between commits of a job shard
+	retryPause       = time.Second            // after a failed commit or sync
+	syncTimeout      = 3 * time.Second
+	commitTimeout    = 5 * time.Second
+	placementsInTick = 500
+	compactRows      = 400 // journal rows after which a snapshot is made
+	failurePause     = 500 * time.Millisecond
+	maxFailurePause  = 30 * time.Second
+)
+
+// Desk is the job owner's engine. Exported fields are set before Run.
+type Desk struct {
+	Loop       *control.Loop
+	Table      platform.Table
+	Objects    platform.Objects
+	Process    string
+	DataCentre string
+	Racks      Racks
+	// Valid reports whether this process may act for its shards now.
+	Valid func(now time.Time) bool
+	Queue *queue.Queue
+	// Directory lists the racks with what they advertise as free.
+	Directory *placement.Directory
+	Log       event.Emitter
+	Rand      *rand.Rand
+	// Ended, when set, is told on the loop of every attempt that has ended.
+	Ended func(j *job.Job, t *job.Task, w *wire.Attempt)
+	// Retention is how long finished jobs can be asked about.
+	Retention time.Duration
+
+	shards map[string]*shard
+	group  *errgroup.Group
+	ctx    context.Context
+	delays []delayed
+}
+
+// delayed is a task that is queued again after a pause.
+type delayed struct {
+	at   time.Time
+	item queue.Item
+}
+
+// shard is a job shard that this process owns.
+type shard struct {
+	name     string
+	epoch    uint64
+	store    *job.Store
+	book     *job.Book
+	sequence uint64
+	// covered holds the racks whose complete inventory has been seen under
+	// this epoch; nil once all have been.
+	covered map[string]bool
+	// unresolved are tasks of earlier epochs whose granted attempt has not
+	// been found on a rack yet.
+	unresolved map[string]bool
+	pending    []pendingEntry
+	frozen     []pendingEntry // a batch whose write may have taken effect
+	ending     map[worker.Ref]bool
+	committing bool
+	nextCommit time.Time
+	links      map[string]*link
+	sent       map[worker.Ref]*sending
+	finished   map[string]time.Time
+}
+
+// sending is a granted attempt that may be on a rack.
+type sending struct {
+	item      queue.Item
+	rack      string
+	sequence  uint64 // of the message that carried it; 0 until it is sent
+	uncertain bool   // the answer to the message was lost
+	stopping  bool
+}
+
+type pendingEntry struct {
+	entry  job.Entry
+	done   chan<- Outcome // of a submission
+	ackTo  string         // process to acknowledge to once durable
+	ref    worker.Ref
+	urgent bool
+}
+
+// link is the conversation about one job shard with one process.
+type link struct {
+	placements []*wire.Placement
+	stops      []*wire.AttemptRef
+	acks       []*wire.AttemptRef
+	inventory  bool
+	busy       bool
+	next       time.Time
+}
+
+// Run dispatches until ctx ends.
+func (d *Desk) Run(ctx context.Context) error {
+	d.group, d.ctx = errgroup.WithContext(ctx)
+	d.group.Go(func() error { return d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) }) })
+	return d.group.Wait()
+}
+
+// Take starts to act for a job shard; called on the loop.
+func (d *Desk) Take(name string, epoch uint64) {
+	if d.shards == nil {
+		d.shards = map[string]*shard{}
+	}
+	d.Drop(name)
+	s := &shard{
+		name: name, epoch: epoch, covered: map[string]bool{}, unresolved: map[string]bool{}, ending: map[worker.Ref]bool{},
+		links: map[string]*link{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{},
+		store: &job.Store{
+			Table: d.Table, Objects: d.Objects, DataCentre: d.DataCentre, Shard: name, Epoch: epoch,
+			Writer: fmt.Sprintf("%s-%d", d.Process, epoch),
+		},
+	}
+	d.shards[name] = s
+	d.spawn(func() { d.open(s) })
+}
+
+// Drop stops acting for a job shard, which has or will have another owner;
+// called on the loop. Submissions that wait for a write are answered with
+// unknown.
+func (d *Desk) Drop(name string) {
+	s, ok := d.shards[name]
+	if !ok {
+		return
+	}
+	delete(d.shards, name)
+	for _, p := range append(s.frozen, s.pending...) {
+		answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_UNKNOWN, "the job shard is changing its owner; ask again with the same idempotency key", retryPause)})
+	}
+	if s.book == nil {
+		return
+	}
+	for _, j := range s.book.Jobs() {
+		d.Queue.CancelGroup(j.ID)
+	}
+	for _, x := range s.sent {
+		d.Queue.Ended(x.item, time.Now())
+	}
+}
+
+func (d *Desk) spawn(f func()) {
+	d.group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// current reports whether s is still the shard that this process acts for.
+func (d *Desk) current(s *shard) bool { return d.shards[s.name] == s }
+
+// open reads the journal of a job shard until it succeeds or the shard is lost.
+func (d *Desk) open(s *shard) {
+	for d.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(d.ctx, 10*commitTimeout)
+		book, err := s.store.Open(ctx)
+		cancel()
+		if err == nil {
+			d.Loop.Post(func() { d.opened(s, book) })
+			return
+		}
+		d.Log.Emit(event.JournalFailed, "shard", s.name, "epoch", s.epoch, "error", err)
+		lost := false
+		if d.Loop.Do(d.ctx, func() { lost = !d.current(s) }) != nil || lost {
+			return
+		}
+		pause(d.ctx, retryPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// opened installs the book. Attempts that an earlier owner may have sent are
+// not queued before every rack has shown its inventory.
+func (d *Desk) opened(s *shard, book *job.Book) {
+	if !d.current(s) {
+		return
+	}
+	s.book = book
+	now := time.Now()
+	for _, j := range book.Jobs() {
+		if j.Open() == 0 {
+			s.finished[j.ID] = now
+		}
+		for _, t := range j.Tasks() {
+			if !t.State.Final() {
+				s.unresolved[job.TaskID(j.ID, t.Index)] = true
+			}
+		}
+	}
+	d.Log.Emit(event.JobRebuilt, "shard", s.name, "epoch", s.epoch, "jobs", book.Len(), "open-tasks", len(s.unresolved))
+	d.resolve(s)
+}
+
+// item describes a task to the queue.
+func item(j *job.Job, index int, now time.Time) queue.Item {
+	return queue.Item{
+		ID: job.TaskID(j.ID, index), Group: j.ID, Organisation: j.Spec.Organisation, Class: j.Spec.Class,
+		Priority: j.Spec.Priority, Kind: j.Spec.Kind, Demand: j.Demand(index), Estimate: j.Estimate(index),
+		Enqueued: now, Deadline: j.Deadline(),
+	}
+}
+
+// tick does what is due; it runs on the loop.
+func (d *Desk) tick(now time.Time) {
+	if !d.Valid(now) {
+		return
+	}
+	d.requeue(now)
+	d.expire(now)
+	d.place(now)
+	for _, s := range d.shards {
+		if s.book == nil {
+			continue
+		}
+		d.commitDue(s, now)
+		d.syncDue(s, now)
+		d.forget(s, now)
+	}
+}
+
+func (d *Desk) requeue(now time.Time) {
+	kept := d.delays[:0]
+	for _, x := range d.delays {
+		if now.Before(x.at) {
+			kept = append(kept, x)
+			continue
+		}
+		if s, t := d.find(x.item.ID); s != nil && t.State == job.Waiting {
+			d.Queue.Push(x.item)
+		}
+	}
+	d.delays = kept
+}
+
+// find returns the shard and the task of a task's identifier, nil if unknown.
+func (d *Desk) find(task string) (*shard, *job.Task) {
+	id, index, err := job.SplitTaskID(task)
+	if err != nil {
+		return nil, nil
+	}
+	_, name, err := job.SplitID(id)
+	if err != nil {
+		return nil, nil
+	}
+	s, ok := d.shards[name]
+	if !ok || s.book == nil {
+		return nil, nil
+	}
+	j, ok := s.book.Job(id)
+	if !ok || index >= len(j.Tasks()) {
+		return nil, nil
+	}
+	return s, &j.Tasks()[index]
+}
+
+func (d *Desk) expire(now time.Time) {
+	for _, i := range d.Queue.Expired(now) {
+		s, t := d.find(i.ID)
+		if s == nil || t.State != job.Waiting {
+			continue
+		}
+		e, ok := s.book.Ended(i.ID, t.Attempt, job.End{Outcome: job.Expired, Reason: "not run: its deadline passed while it waited"})
+		if ok {
+			s.pending = append(s.pending, pendingEntry{entry: e})
+		}
+	}
+}
+
+// forget drops jobs that finished longer ago than the retention.
+func (d *Desk) forget(s *shard, now time.Time) {
+	for id, at := range s.finished {
+		if now.Sub(at) > d.Retention {
+			delete(s.finished, id)
+			s.pending = append(s.pending, pendingEntry{entry: job.Entry{Kind: job.EntryForget, Job: id}})
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/job"
+)
+
+// JobView is what a caller is told about a job.
+type JobView struct {
+	ID           string            `json:"id"`
+	Name         string            `json:"name,omitempty"`
+	Organisation string            `json:"organisation"`
+	Class        class.Class       `json:"class"`
+	Accepted     time.Time         `json:"accepted"`
+	Tasks        int               `json:"tasks"`
+	Open         int               `json:"open"`
+	States       map[job.State]int `json:"states"`
+	// Waiting explains why the first waiting task waits.
+	Waiting string `json:"waiting,omitempty"`
+}
+
+// TaskView is what a caller is told about a task.
+type TaskView struct {
+	Index   int       `json:"index"`
+	State   job.State `json:"state"`
+	Attempt uint64    `json:"attempt"`
+	Running bool      `json:"running,omitempty"`
+	Worker  string    `json:"worker,omitempty"`
+	RanMS   int64     `json:"ran-ms,omitempty"`
+	Reason  string    `json:"reason,omitempty"`
+	Result  []byte    `json:"result,omitempty"`
+	// Position, Behind and Needs explain a task that waits.
+	Position int      `json:"position,omitempty"`
+	Behind   []string `json:"behind,omitempty"`
+	Needs    string   `json:"needs,omitempty"`
+}
+
+var states = []job.State{job.Waiting, job.Sent, job.Done, job.Failed, job.Unknown, job.Cancelled, job.Expired, job.Parked}
+
+// View returns a job and whether it is here.
+func (d *Desk) View(ctx context.Context, id string) (v JobView, ok bool, err error) {
+	err = d.Loop.Do(ctx, func() {
+		s, j := d.lookup(id)
+		if s != nil {
+			v, ok = d.view(s, j), true
+		}
+	})
+	return v, ok, err
+}
+
+func (d *Desk) view(s *shard, j *job.Job) JobView {
+	v := JobView{
+		ID: j.ID, Name: j.Spec.Name, Organisation: j.Spec.Organisation, Class: j.Spec.Class, Accepted: j.Accepted,
+		Tasks: len(j.Tasks()), Open: j.Open(), States: map[job.State]int{},
+	}
+	for _, state := range states {
+		if n := j.Count(state); n > 0 {
+			v.States[state] = n
+		}
+	}
+	if v.States[job.Waiting] > 0 {
+		v.Waiting = d.explainFirst(s, j)
+	}
+	return v
+}
+
+func (d *Desk) explainFirst(s *shard, j *job.Job) string {
+	for _, t := range j.Tasks() {
+		if t.State == job.Waiting {
+			x := d.explain(s, j, &t)
+			return x.Needs
+		}
+	}
+	return ""
+}
+
+func (d *Desk) explain(s *shard, j *job.Job, t *job.Task) TaskView {
+	v := TaskView{
+		Index: t.Index, State: t.State, Attempt: t.Attempt, Running: t.Running, Worker: t.Worker,
+		RanMS: t.Ran.Milliseconds(), Reason: t.Reason, Result: t.Result,
+	}
+	if t.State != job.Waiting {
+		return v
+	}
+	task := job.TaskID(j.ID, t.Index)
+	if s.unresolved[task] {
+		v.Needs = "the job has a new owner, which waits for the inventories of all racks before it starts the task again"
+		return v
+	}
+	if x, ok := d.Queue.Explain(task, time.Now()); ok {
+		v.Position, v.Behind, v.Needs = x.Position, x.Behind, x.Reason
+		return v
+	}
+	v.Needs = "the task pauses after a failure: " + t.Reason
+	return v
+}
+
+// Tasks returns at most limit tasks of a job from the given index, and
+// whether the job is here.
+func (d *Desk) Tasks(ctx context.Context, id string, from, limit int) (views []TaskView, ok bool, err error) {
+	err = d.Loop.Do(ctx, func() {
+		s, j := d.lookup(id)
+		if s == nil {
+			return
+		}
+		ok = true
+		all := j.Tasks()
+		for i := max(from, 0); i < len(all) && len(views) < limit; i++ {
+			views = append(views, d.explain(s, j, &all[i]))
+		}
+	})
+	return views, ok, err
+}
+
+// List returns the jobs of an organisation in the shards of this process.
+func (d *Desk) List(ctx context.Context, organisation string) (views []JobView, err error) {
+	err = d.Loop.Do(ctx, func() {
+		for _, s := range d.shards {
+			if s.book == nil {
+				continue
+			}
+			for _, j := range s.book.Jobs() {
+				if j.Spec.Organisation == organisation {
+					views = append(views, d.view(s, j))
+				}
+			}
+		}
+	})
+	return views, err
+}
+
+// Shards returns the job shards that this process acts for and whether the
+// journal of each has been read; called on the loop.
+func (d *Desk) Shards() map[string]bool {
+	all := make(map[string]bool, len(d.shards))
+	for name, s := range d.shards {
+		all[name] = s.book != nil
+	}
+	return all
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,177 @@
+// Package gateway is the callers' HTTP interface of an entry process.
+//
+// It identifies the caller, checks the input, and passes the work to the
+// process that owns it: jobs to the owner of their job shard, service requests
+// to the Requests handler. Every refusal is a Problem, a JSON object that says
+// whether anything can have run and when to try again.
+//
+// Usage:
+//
+//	s := &gateway.Server{Process: "e1", DataCentre: "dc1", Current: follower, Jobs: desk, Router: router}
+//	http.Server{Handler: s.Handler()}
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"persimmonworks.example/persimmonworks/dispatch"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderRequest       = "Persimmon-Request"         // identity of a request
+	HeaderKey           = "Persimmon-Idempotency-Key" // repeated requests get the first outcome
+	HeaderNonIdempotent = "Persimmon-Non-Idempotent"  // "true": run at most once
+	HeaderClass         = "Persimmon-Class"
+	HeaderDeadline      = "Persimmon-Deadline-Ms" // time after which nobody waits
+	HeaderRunner        = "Persimmon-Runner"      // which runner answered
+	HeaderOutcome       = "Persimmon-Outcome"     // of a refusal
+	HeaderForwarded     = "Persimmon-Forwarded"   // set between entry processes
+)
+
+// Jobs is the job owner's engine.
+type Jobs interface {
+	Submit(ctx context.Context, shard string, s job.Spec) dispatch.Outcome
+	Cancel(ctx context.Context, id string) dispatch.Outcome
+	View(ctx context.Context, id string) (dispatch.JobView, bool, error)
+	Tasks(ctx context.Context, id string, from, limit int) ([]dispatch.TaskView, bool, error)
+	List(ctx context.Context, organisation string) ([]dispatch.JobView, error)
+}
+
+var _ Jobs = (*dispatch.Desk)(nil)
+
+// Router knows the owners of job shards.
+type Router interface {
+	// Owner returns the process that owns a job shard, "" for none.
+	Owner(dataCentre, shard string) string
+	// Pass hands a request to another process and writes its answer. It
+	// reports false when nothing can have been sent.
+	Pass(w http.ResponseWriter, r *http.Request, process string) bool
+	// Processes returns the other live processes of all data centres.
+	Processes() []string
+}
+
+// Server serves callers. Exported fields are set before Handler.
+type Server struct {
+	Process    string
+	DataCentre string
+	Access     Access
+	Jobs       Jobs
+	Router     Router
+	// Requests serves service requests; the organisation has been identified.
+	Requests http.Handler
+	// Operators serves the paths below /v1/operator/.
+	Operators http.Handler
+	Metrics   http.Handler
+	// Limits returns the limits on jobs in force now.
+	Limits func() job.Limits
+	// JobShards is the number of job shards of each data centre.
+	JobShards int
+	// Ready returns why the process is not ready, "" if it is.
+	Ready        func() string
+	MaxBodyBytes int64
+	SubmitWait   time.Duration
+	Log          event.Emitter
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.SkipClean(true)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "alive") }).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	r.Handle("/metrics", s.Metrics).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs", s.submit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/jobs", s.list).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{id}", s.view).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{id}", s.cancel).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/jobs/{id}/tasks", s.tasks).Methods(http.MethodGet)
+	r.PathPrefix("/v1/services/{service}").Handler(s.service())
+	r.PathPrefix("/v1/operator/").Handler(s.Operators)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Refuse(w, http.StatusNotFound, Problem{Outcome: NotRun, Reason: "no such path: " + r.URL.Path})
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Refuse(w, http.StatusMethodNotAllowed, Problem{Outcome: NotRun, Reason: "method " + r.Method + " is not allowed on " + r.URL.Path})
+	})
+	return r
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if why := s.Ready(); why != "" {
+		writeText(w, http.StatusServiceUnavailable, why)
+		return
+	}
+	writeText(w, http.StatusOK, "ready")
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
+
+// Outcomes of a request that was not answered.
+const (
+	NotRun  = "not-run" // certainly nothing ran
+	Unknown = "unknown" // it may have run
+	Failed  = "failed"  // it ran and failed
+)
+
+// Problem is the body of every refusal.
+type Problem struct {
+	Outcome      string           `json:"outcome"`
+	Reason       string           `json:"reason"`
+	RetryAfterMS uint64           `json:"retry-after-ms,omitempty"`
+	Request      string           `json:"request,omitempty"`
+	Findings     []job.FieldError `json:"findings,omitempty"`
+}
+
+// Refuse writes a refusal.
+func Refuse(w http.ResponseWriter, status int, p Problem) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, p.Outcome)
+	if p.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatUint((p.RetryAfterMS+999)/1000, 10))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// OutcomeName returns the name of an outcome of the inner protocol.
+func OutcomeName(o wire.Outcome) string {
+	switch o {
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return NotRun
+	case wire.Outcome_OUTCOME_FAILED:
+		return Failed
+	default:
+		return Unknown
+	}
+}
+
+// RefuseWire writes a refusal of the inner protocol.
+func RefuseWire(w http.ResponseWriter, request string, r *wire.Refusal) {
+	status := http.StatusServiceUnavailable
+	if r.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+		status = http.StatusBadGateway
+	}
+	Refuse(w, status, Problem{Outcome: OutcomeName(r.Outcome), Reason: r.Reason, RetryAfterMS: r.RetryAfterMs, Request: request})
+}
+
+// WriteJSON writes an answer.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/job/book.go
+++ b/job/book.go
@@ -51,7 +51,7 @@
 	case EntryForget:
 		return b.applyForget(e.Job)
 	case EntryCancel:
-		return b.applyCancel(e.Job)
+		return b.applyCancel(e)
 	case EntryIntent:
 		return b.applyIntent(e)
 	case EntryEnd, EntryRetry:
@@ -95,20 +95,48 @@
 	return true
 }
 
-func (b *Book) applyCancel(id string) bool {
-	j, ok := b.jobs[id]
+func (b *Book) applyCancel(e Entry) bool {
+	j, ok := b.jobs[e.Job]
 	if !ok {
 		return false
 	}
+	running := make(map[int]bool, len(e.Open))
+	for _, i := range e.Open {
+		running[i] = true
+	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if !t.State.Final() {
+		switch {
+		case t.State.Final():
+		case running[i]:
 			t.CancelAsked = true
+		default:
+			t.Reason = "cancelled before it ran"
+			j.setState(t, Cancelled)
 		}
 	}
+	if j.open == 0 {
+		delete(b.open, j.ID)
+	}
 	return true
 }
 
+// Cancel returns the entry that cancels a job. mayRun tells of a task that is
+// not final whether its attempt may have been sent.
+func (b *Book) Cancel(id string, mayRun func(*Task) bool) (e Entry, ok bool) {
+	j, ok := b.jobs[id]
+	if !ok || j.open == 0 {
+		return Entry{}, false
+	}
+	e = Entry{Kind: EntryCancel, Job: id}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; !t.State.Final() && mayRun(t) {
+			e.Open = append(e.Open, i)
+		}
+	}
+	return e, true
+}
+
 func (b *Book) applyIntent(e Entry) bool {
 	_, t, err := b.granted(TaskID(e.Job, e.Task), e.Attempt)
 	if err != nil {
--- a/job/entry.go
+++ b/job/entry.go
@@ -46,6 +46,9 @@
 	Worker  string        `json:"worker,omitempty"`
 	Result  []byte        `json:"result,omitempty"`
 	Ran     time.Duration `json:"ran-ns,omitempty"`
+	// Open lists the tasks that may be running when their job is cancelled; all
+	// others end at once.
+	Open []int `json:"open,omitempty"`
 	// Failure is set when the ended attempt ran and failed, as opposed to
 	// having been lost, refused or preempted.
 	Failure    bool   `json:"failure,omitempty"`
