--- a/ownership/fake_test.go
+++ b/ownership/fake_test.go
@@ -204,6 +204,7 @@
 	table   *fakeTable
 	names   []string
 	noPeers bool
+	prepare func(*node) // sets callbacks before Run
 	running sync.WaitGroup
 	late    sync.WaitGroup
 
@@ -212,14 +213,13 @@
 	nodes    []*node
 	current  map[string]*node
 	split    map[[2]string]time.Time
-	epochs   map[string]uint64
 	problems []string
 }
 
 func newCluster(seed uint64, shards int) *cluster {
 	c := &cluster{
 		table: newFakeTable(), seed: seed, current: map[string]*node{},
-		split: map[[2]string]time.Time{}, epochs: map[string]uint64{},
+		split: map[[2]string]time.Time{},
 	}
 	for i := range shards {
 		c.names = append(c.names, fmt.Sprintf("rack-%03d", i))
@@ -239,7 +239,9 @@
 	n.shards = &Shards{
 		Session: n.session,
 		Known:   func() []string { return c.names },
-		OnTake:  c.taken,
+	}
+	if c.prepare != nil {
+		c.prepare(n)
 	}
 	n.session.init()
 	n.shards.init()
@@ -253,16 +255,6 @@
 	return n
 }
 
-func (c *cluster) taken(g Grant) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if g.Epoch <= c.epochs[g.Shard] && g.Epoch != 0 {
-		// A late adoption of an older epoch is possible only by a paused process.
-		return
-	}
-	c.epochs[g.Shard] = g.Epoch
-}
-
 func (c *cluster) kill(n *node) {
 	n.dead = true
 	n.cancel()
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -15,7 +15,8 @@
 	Process, DataCentre         string
 	Incarnation                 uint64
 	RelayAddress, CallerAddress string
-	// State is Expired also for a live row that was not renewed for TTL + Margin.
+	// State is Expired also for a live row that was not renewed for TTL + Margin
+	// until the last observation; nothing ages while the platform is away.
 	State State
 }
 
@@ -31,11 +32,10 @@
 func (s *Session) Members() []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	var ms []Member
 	for _, e := range s.members {
 		state := e.row.State
-		if state == Live && now.Sub(e.since) >= s.observation() && e.row.Process != s.Process {
+		if !s.fresh(e) && state == Live {
 			state = Expired
 		}
 		ms = append(ms, Member{
@@ -47,6 +47,12 @@
 	return ms
 }
 
+// fresh reports whether the row was live and not due to be expired when the
+// sessions were last read; mu is held.
+func (s *Session) fresh(e *seen) bool {
+	return e.row.State == Live && (e.row.Process == s.Process || s.observedAt.Sub(e.since) < s.observation())
+}
+
 // observation is how long a row must stay unchanged before it is expired.
 func (s *Session) observation() time.Duration { return s.TTL + s.Margin }
 
@@ -82,7 +88,7 @@
 		}
 		s.learnRow(r, row, now)
 	}
-	s.observed = s.self.id()
+	s.observed, s.observedAt = s.self.id(), now
 	return errors.Join(errs...)
 }
 
@@ -137,15 +143,12 @@
 
 // liveProcesses returns the live processes of the data centre, with the time
 // since when this process knows each.
-func (s *Session) liveProcesses(now time.Time) map[string]time.Time {
+func (s *Session) liveProcesses() map[string]time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	live := map[string]time.Time{}
 	for _, e := range s.members {
-		if e.row.DataCentre != s.DataCentre || e.row.State != Live {
-			continue
-		}
-		if e.row.Process == s.Process || now.Sub(e.since) < s.observation() {
+		if e.row.DataCentre == s.DataCentre && s.fresh(e) {
 			live[e.row.Process] = e.started
 		}
 	}
--- a/ownership/renewal.go
+++ b/ownership/renewal.go
@@ -42,7 +42,7 @@
 		return fmt.Errorf("register session of %q: %w", s.Process, err)
 	}
 	s.mu.Lock()
-	row.Witnesses = s.witnessesNow(time.Now())
+	row.Witnesses = s.witnessesNow()
 	s.self, s.version = row, current.Version
 	s.sent, s.witnesses = map[uint64]time.Time{}, map[string]bool{}
 	s.mu.Unlock()
@@ -87,16 +87,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.self.Sequence++
-	s.self.Witnesses = s.witnessesNow(time.Now())
+	s.self.Witnesses = s.witnessesNow()
 	return s.self, s.version
 }
 
 // witnessesNow names the live sessions of the data centre; mu is held.
-func (s *Session) witnessesNow(now time.Time) []string {
+func (s *Session) witnessesNow() []string {
 	var ids []string
 	for _, e := range s.members {
-		if e.row.DataCentre == s.DataCentre && e.row.Process != s.Process &&
-			e.row.State == Live && now.Sub(e.since) < s.observation() {
+		if e.row.DataCentre == s.DataCentre && e.row.Process != s.Process && s.fresh(e) {
 			ids = append(ids, e.row.id())
 		}
 	}
@@ -147,7 +146,7 @@
 	}
 	if found.sameStart(&row) && (found.State == Live || found.State == row.State) {
 		s.confirm(*found, current.Version)
-		if found.Sequence == row.Sequence {
+		if found.Sequence == row.Sequence || found.State == Ended {
 			return nil
 		}
 		return cause
--- a/ownership/schedule_test.go
+++ b/ownership/schedule_test.go
@@ -132,3 +132,39 @@
 func TestSchedulesWithWitnesses(t *testing.T) { checkSchedules(t, false) }
 
 func TestSchedulesWithoutPeersHaveOneHolder(t *testing.T) { checkSchedules(t, true) }
+
+// Schedules that failed once.
+func TestKnownSchedules(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name      string
+		seed      uint64
+		processes int
+		noPeers   bool
+		faults    []fault
+	}{
+		{"end is repeated after its answer was lost", 2, 1, false, []fault{
+			{200 * ms, "slow", 0, 0, 300 * ms},
+			{0, "end", 0, 0, 100 * ms},
+			{0, "end", 0, 0, 100 * ms},
+		}},
+		{"shard of a session that was not observed yet", 0xbe, 4, true, []fault{
+			{100 * ms, "cut", 3, 0, 5800 * ms},
+			{400 * ms, "restart", 0, 1, 400 * ms},
+			{3500 * ms, "cut", 2, 0, 3100 * ms},
+			{3700 * ms, "cut-all", 0, 1, 100 * ms},
+			{3100 * ms, "cut", 2, 3, 8600 * ms},
+		}},
+		{"earlier start keeps running", 0, 1, false, []fault{{0, "twin", 0, 0, 100 * ms}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newCluster(c.seed, 6)
+				k.noPeers = c.noPeers
+				for _, p := range k.run(c.faults, c.processes) {
+					t.Error(p)
+				}
+			})
+		})
+	}
+}
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -45,6 +45,7 @@
 	sent       map[uint64]time.Time // sequence to send time, since the last durable row
 	witnesses  map[string]bool      // named by any row that may be the durable one
 	members    map[string]*seen
+	observedAt time.Time            // receipt of the last read of members
 	observed   string               // session under which members were last read
 	promised   map[string]time.Time // session to the end of this process's promise
 	condemned  map[string]bool      // sessions that get no promise
--- a/ownership/shards_test.go
+++ b/ownership/shards_test.go
@@ -175,6 +175,7 @@
 		t.Run(kind, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(1, 12)
+				defer c.stop()
 				for i := range 3 {
 					c.start(process(i))
 				}
@@ -191,7 +192,6 @@
 				if diff := cmp.Diff(before, n.shards.Held()); diff != "" || len(before) == 0 {
 					t.Errorf("shards before and during the cut (-want +got):\n%s", diff)
 				}
-				c.stop()
 				if len(c.problems) > 0 {
 					t.Error(c.problems[0])
 				}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -23,7 +23,7 @@
 // releases, and rows to be cleared of earlier owners.
 func (h *Shards) plan(id string, now time.Time) []change {
 	known := h.Known()
-	live := h.Session.liveProcesses(now)
+	live := h.Session.liveProcesses()
 	processes := slices.Sorted(maps.Keys(live))
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -240,7 +240,7 @@
 	defer cancel()
 	current := map[string]bool{}
 	s.mu.Lock()
-	for _, w := range s.witnessesNow(time.Now()) {
+	for _, w := range s.witnessesNow() {
 		current[w] = true
 	}
 	s.mu.Unlock()
--- a/ownership/witness.go
+++ b/ownership/witness.go
@@ -39,7 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ps []string
-	for _, id := range s.witnessesNow(time.Now()) {
+	for _, id := range s.witnessesNow() {
 		ps = append(ps, processOf(id))
 	}
 	s.Rand.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
