--- a/placement/bench_test.go
+++ b/directory/bench_test.go
@@ -1,4 +1,4 @@
-package placement_test
+package directory_test
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/resource"
@@ -30,7 +31,7 @@
 // cluster is a queue, a directory and the shards behind it.
 type cluster struct {
 	queue     queue.Queue
-	directory placement.Directory
+	directory directory.Directory
 	shards    map[string]*placement.Shard
 	order     []string // data centres
 	running   []started
@@ -80,7 +81,7 @@
 
 func (c *cluster) advertise(rack, centre string) {
 	s := c.shards[rack]
-	c.directory.Update(placement.Summary{Shard: rack, Rack: rack, DataCentre: centre, Largest: s.Largest(), Long: s.LargestLong(), Free: s.FreeCapacity()})
+	c.directory.Update(directory.Summary{Shard: rack, Rack: rack, DataCentre: centre, Largest: s.Largest(), Long: s.LargestLong(), Free: s.FreeCapacity()})
 }
 
 // push adds a task of the class of the one that was placed last, so that the
--- a/placement/directory.go
+++ b/directory/directory.go
@@ -1,11 +1,24 @@
-package placement
+// Package directory chooses the shard that is asked to place a task.
+//
+// A Directory knows the shards of all processes by what their owners last
+// advertised. That may be late, so the chosen shard has the last word: on a
+// refusal the caller says so with Refused, and chooses again.
+//
+// Usage:
+//
+//	var d directory.Directory
+//	d.Update(directory.Summary{Shard: "rack-2", DataCentre: "sofia", Largest: s.Largest(), Long: s.LargestLong(), Free: s.FreeCapacity()})
+//	shard, err := d.Choose(task, []string{"sofia", "pernik"}, rng)
+//	...
+//	d.Refused(shard, task)
+package directory
 
 import (
 	"fmt"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 
+	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -14,8 +27,8 @@
 	Shard      string
 	Rack       string
 	DataCentre string
-	Largest    resource.Vector // see Shard.Largest
-	Long       resource.Vector // see Shard.LargestLong
+	Largest    resource.Vector // see placement.Shard.Largest
+	Long       resource.Vector // see placement.Shard.LargestLong
 	Free       resource.Vector // sum over open workers
 }
 
@@ -60,46 +73,6 @@
 	return &l.short
 }
 
-// centreKey names the index of the shards of a data centre for long or for
-// short tasks.
-type centreKey struct {
-	dataCentre string
-	long       bool
-}
-
-type centre struct {
-	long  bool
-	cells []*cell
-	byKey map[level]*cell
-}
-
-type cell struct {
-	level    level
-	listings []*listing
-}
-
-// level is the bit length of each amount: an amount a of level n satisfies
-// 2^(n-1) <= a < 2^n.
-type level struct{ cpu, memory, accelerators int }
-
-func levelOf(v resource.Vector) level {
-	return level{bitLength(v.MilliCPU), bitLength(v.MemoryMB), bitLength(v.Accelerators)}
-}
-
-func bitLength(n int64) int { return bits.Len64(uint64(max(0, n))) }
-
-// certain reports whether every amount of level l covers v.
-func (l level) certain(v level) bool {
-	return above(l.cpu, v.cpu) && above(l.memory, v.memory) && above(l.accelerators, v.accelerators)
-}
-
-// possible reports whether some amount of level l may cover v.
-func (l level) possible(v level) bool {
-	return l.cpu >= v.cpu && l.memory >= v.memory && l.accelerators >= v.accelerators
-}
-
-func above(have, need int) bool { return need == 0 || have > need }
-
 // Update takes in the newest summary of a shard.
 func (d *Directory) Update(s Summary) {
 	if d.shards == nil {
@@ -135,8 +108,8 @@
 // the data centres that has one. Of two random shards it takes the one with
 // the larger free share, and books the demand on it until its next summary,
 // so that decisions between two summaries do not all meet in one place. The
-// error wraps ErrNoRoom.
-func (d *Directory) Choose(t Task, dataCentres []string, rng *rand.Rand) (string, error) {
+// error wraps placement.ErrNoRoom.
+func (d *Directory) Choose(t placement.Task, dataCentres []string, rng *rand.Rand) (string, error) {
 	for _, name := range dataCentres {
 		c, ok := d.centres[centreKey{name, t.Long}]
 		if !ok {
@@ -147,11 +120,11 @@
 			return l.Shard, nil
 		}
 	}
-	return "", fmt.Errorf("task %q needs %v, and no shard of the data centres %q advertises it: %w", t.ID, t.Demand, dataCentres, ErrNoRoom)
+	return "", fmt.Errorf("task %q needs %v, and no shard of the data centres %q advertises it: %w", t.ID, t.Demand, dataCentres, placement.ErrNoRoom)
 }
 
 // Fits reports whether a shard of the data centres advertises room.
-func (d *Directory) Fits(t Task, dataCentres []string) bool {
+func (d *Directory) Fits(t placement.Task, dataCentres []string) bool {
 	need := levelOf(t.Demand)
 	for _, name := range dataCentres {
 		c, ok := d.centres[centreKey{name, t.Long}]
@@ -170,7 +143,7 @@
 // Refused says that a shard had no room after all: what it advertises for
 // long or for short tasks is cut, until its next summary, to less than the
 // demand.
-func (d *Directory) Refused(shard string, t Task) {
+func (d *Directory) Refused(shard string, t placement.Task) {
 	l, ok := d.shards[shard]
 	if !ok {
 		return
@@ -196,7 +169,7 @@
 	}
 }
 
-func (d *Directory) book(l *listing, t Task) {
+func (d *Directory) book(l *listing, t placement.Task) {
 	if t.Spread != "" {
 		l.spread[t.Spread]++
 	}
@@ -240,88 +213,6 @@
 	}
 }
 
-func (c *centre) choose(t Task, rng *rand.Rand) *listing {
-	if t.Spread != "" {
-		return c.leastSpread(t, rng)
-	}
-	need := levelOf(t.Demand)
-	certain := 0
-	for _, x := range c.cells {
-		if x.level.certain(need) {
-			certain += len(x.listings)
-		}
-	}
-	if certain == 0 {
-		return c.atEdge(t, need, rng)
-	}
-	a, b := c.nth(need, rng.IntN(certain)), c.nth(need, rng.IntN(certain))
-	if b.moreFree(a) {
-		return b
-	}
-	return a
-}
-
-// nth returns the nth shard of the cells that certainly cover the need.
-func (c *centre) nth(need level, n int) *listing {
-	for _, x := range c.cells {
-		if !x.level.certain(need) {
-			continue
-		}
-		if n < len(x.listings) {
-			return x.listings[n]
-		}
-		n -= len(x.listings)
-	}
-	return nil
-}
-
-func (c *centre) atEdge(t Task, need level, rng *rand.Rand) *listing {
-	var best *listing
-	for _, x := range c.cells {
-		if !x.level.possible(need) {
-			continue
-		}
-		l := c.covering(x, t.Demand, rng.IntN(len(x.listings)))
-		if l != nil && (best == nil || l.moreFree(best)) {
-			best = l
-		}
-	}
-	return best
-}
-
-// leastSpread returns the shard with the fewest tasks of the spread key.
-func (c *centre) leastSpread(t Task, rng *rand.Rand) *listing {
-	var best *listing
-	for _, x := range c.cells {
-		if !x.level.possible(levelOf(t.Demand)) {
-			continue
-		}
-		offset := rng.IntN(len(x.listings))
-		for n := range x.listings {
-			l := x.listings[(n+offset)%len(x.listings)]
-			if l.largest(c.long).Covers(t.Demand) && (best == nil || l.spread[t.Spread] < best.spread[t.Spread]) {
-				best = l
-			}
-		}
-	}
-	return best
-}
-
-// covering returns the first shard of a cell, from the offset on, that covers
-// the demand.
-func (c *centre) covering(x *cell, demand resource.Vector, offset int) *listing {
-	for n := range x.listings {
-		if l := x.listings[(n+offset)%len(x.listings)]; l.largest(c.long).Covers(demand) {
-			return l
-		}
-	}
-	return nil
-}
-
-func (l *listing) moreFree(m *listing) bool {
-	return l.Free.MilliCPU+l.Free.MemoryMB > m.Free.MilliCPU+m.Free.MemoryMB
-}
-
 func minimum(v, w resource.Vector) resource.Vector {
 	return resource.Vector{
 		MilliCPU:     min(v.MilliCPU, w.MilliCPU),
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -2,9 +2,8 @@
 //
 // A Shard holds the exact free capacity of the workers of one rack. Only the
 // process that owns the rack's lease may call Place, so the sum of accepted
-// demands never exceeds a worker's capacity. A Directory chooses among the
-// shards of all processes by what they last advertised; that may be late, so
-// the chosen shard has the last word.
+// demands never exceeds a worker's capacity. Package directory chooses among
+// the shards of all processes.
 //
 // Everything is used from one goroutine, reads no clock, and takes its random
 // numbers as an argument.
--- a/placement/preemption.go
+++ b/preemption/preemption.go
@@ -1,4 +1,11 @@
-package placement
+// Package preemption chooses which running batch work makes room for urgent
+// work, and counts the work that is lost by it.
+//
+// Usage:
+//
+//	victims, ok := preemption.Victims(demand, free, running)
+//	for _, v := range victims { act on v.Attempt.Task with v.Action }
+package preemption
 
 import (
 	"cmp"
@@ -118,3 +125,11 @@
 	}
 	return needed, lost, true
 }
+
+func minimum(v, w resource.Vector) resource.Vector {
+	return resource.Vector{
+		MilliCPU:     min(v.MilliCPU, w.MilliCPU),
+		MemoryMB:     min(v.MemoryMB, w.MemoryMB),
+		Accelerators: min(v.Accelerators, w.Accelerators),
+	}
+}
