--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -31,10 +31,7 @@
 //	if w.Allow("w-17", running, now) { shard.Open("w-17") }
 package quarantine
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 const (
 	defaultShareLimit = 0.1              // of the workers of a data centre
@@ -46,8 +43,9 @@
 	strongTasks       = 3 // distinct tasks that succeeded elsewhere
 	weakJobs          = 4 // distinct jobs that failed nowhere else
 	weakOrganisations = 2
-	probationGoal     = 3  // successes in a row
-	maxEvidence       = 64 // failures remembered for each worker
+	probationGoal     = 3    // successes in a row
+	maxEvidence       = 64   // failures remembered for each worker
+	maxTasks          = 1024 // failed tasks remembered for each job
 )
 
 // State is the state of a worker.
@@ -187,7 +185,9 @@
 	}
 	j := w.job(o.Job)
 	j.failedAt[o.Worker] = true
-	j.failed[o.Task] = append(j.failed[o.Task], r)
+	if _, known := j.failed[o.Task]; known || len(j.failed) < maxTasks {
+		j.failed[o.Task] = append(j.failed[o.Task], r)
+	}
 	if len(r.failures) == maxEvidence {
 		r.failures = r.failures[1:]
 	}
@@ -213,7 +213,7 @@
 	j.succeeded = true
 	var held []string
 	for _, other := range j.failed[o.Task] {
-		if other == r {
+		if other == r || w.workers[other.name] != other {
 			continue
 		}
 		other.confirm(o.Task)
@@ -247,55 +247,6 @@
 	}
 }
 
-// suspect reports whether the job failed on several workers and succeeded on
-// none.
-func (w *Ward) suspect(name string) bool {
-	j, ok := w.jobs[name]
-	return ok && !j.succeeded && len(j.failedAt) > 1
-}
-
-// judge quarantines a trusted worker if the evidence suffices and the cap
-// allows it.
-func (w *Ward) judge(r *record, now time.Time) bool {
-	if r.state != Trusted {
-		return false
-	}
-	r.forget(now.Add(-w.window()))
-	if len(r.failures) <= len(r.finished) {
-		return false
-	}
-	reason := w.evidence(r)
-	if reason == "" || r.centre.held >= w.limit(r.centre) {
-		return false
-	}
-	r.centre.held++
-	w.hold(r, now, reason)
-	return true
-}
-
-func (w *Ward) evidence(r *record) string {
-	strong := make(map[string]bool)
-	weak := make(map[string]bool)
-	organisations := make(map[string]bool)
-	for _, f := range r.failures {
-		if f.strong {
-			strong[f.Task] = true
-		}
-		if j, ok := w.jobs[f.Job]; !f.strong && ok && len(j.failedAt) == 1 {
-			weak[f.Job] = true
-			organisations[f.Organisation] = true
-		}
-	}
-	switch {
-	case len(strong) >= strongTasks:
-		return fmt.Sprintf("failed %d tasks that succeeded on other workers", len(strong))
-	case len(weak) >= weakJobs && len(organisations) >= weakOrganisations:
-		return fmt.Sprintf("failed %d jobs of %d organisations that failed nowhere else", len(weak), len(organisations))
-	default:
-		return ""
-	}
-}
-
 func (w *Ward) hold(r *record, now time.Time, reason string) {
 	if r.state == Probation {
 		r.stays++
