--- a/relay/node_test.go
+++ b/relay/node_test.go
@@ -190,28 +190,32 @@
 // An answer that its forwarder could not complete is an error at the reader,
 // and so is a request body that the caller could not complete.
 func TestCutBodiesAreErrors(t *testing.T) {
-	p := newPair(t, &echo{}, nil)
-	a, err := p.forward(t.Context(), "r", "/cut", strings.NewReader("some"))
-	if err == nil {
-		defer a.Body.Close()
-		_, err = io.ReadAll(a.Body)
-	}
-	if err == nil {
-		t.Error("an answer without its end was read as whole")
-	}
-	a, err = p.forward(t.Context(), "r", "/", io.MultiReader(strings.NewReader("some"), failingReader{}))
-	if err == nil {
-		defer a.Body.Close()
-		_, err = io.ReadAll(a.Body)
-	}
-	if err == nil {
-		t.Error("a request body without its end was answered as whole")
+	e := &echo{begun: make(chan struct{}, 2)}
+	p := newPair(t, e, nil)
+	cut := io.MultiReader(strings.NewReader("some"), failingReader{e.begun})
+	for path, body := range map[string]io.Reader{"/cut": strings.NewReader("some"), "/": cut} {
+		for len(e.begun) > 0 {
+			<-e.begun
+		}
+		a, err := p.forward(t.Context(), "r", path, body)
+		if err == nil {
+			defer a.Body.Close()
+			_, err = io.ReadAll(a.Body)
+		}
+		if err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: a cut body ended with error %v", path, err)
+		}
 	}
 }
 
-type failingReader struct{}
+// failingReader fails once the callee has begun, so that the failure cannot
+// overtake the call.
+type failingReader struct{ begun <-chan struct{} }
 
-func (failingReader) Read([]byte) (int, error) { return 0, errors.New("the caller went away") }
+func (f failingReader) Read([]byte) (int, error) {
+	<-f.begun
+	return 0, errors.New("the caller went away")
+}
 
 // A call to nobody, with a wrong certificate, or that is too large is not
 // sent; one whose callee dies under it is unknown.
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -142,7 +143,7 @@
 		_ = s.SetReadDeadline(deadline)
 	}
 	var b [1]byte
-	if _, err := s.Read(b[:]); err != nil {
+	if _, err := io.ReadFull(s, b[:]); err != nil {
 		return err
 	}
 	if b[0] != greeting {
