--- /dev/null
+++ b/admission/limit.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+)
+
+const (
+	firstLimit = 16   // requests at work before anything is known
+	maxLimit   = 4096 // requests at work in one service
+	minSamples = 10   // run times before the learned one is used
+
+	shortWeight = 1.0 / 8   // of a new run time in the present mean
+	longWeight  = 1.0 / 256 // of a new run time in the usual mean
+	tolerance   = 1.5       // by which the present may exceed the usual
+	limitWeight = 0.1       // of a new limit
+	failureCut  = 0.98      // factor of the limit for each failure
+)
+
+// runTime learns the run time of one class, in nanoseconds.
+type runTime struct {
+	samples   int
+	mean      float64 // present
+	deviation float64 // mean absolute deviation of the present
+	usual     float64 // mean over a long time
+}
+
+func (r *runTime) add(latency time.Duration) {
+	x := float64(latency)
+	if r.samples++; r.samples == 1 {
+		r.mean, r.usual = x, x
+		return
+	}
+	r.deviation += (math.Abs(x-r.mean) - r.deviation) * shortWeight
+	r.mean += (x - r.mean) * shortWeight
+	r.usual += (x - r.usual) * max(longWeight, 1/float64(r.samples))
+}
+
+// service is the state of one service.
+type service struct {
+	classes  []*classQueue // in the order of class.All
+	slots    int           // below 0 when not known
+	adaptive float64       // limit when the slots are not known
+	running  int
+	long     int // of running
+}
+
+func newService() *service {
+	s := &service{slots: -1, adaptive: firstLimit}
+	for range class.All {
+		s.classes = append(s.classes, &classQueue{queues: make(map[string]*queue)})
+	}
+	return s
+}
+
+func (s *service) class(name class.Class) *classQueue {
+	for k, c := range class.All {
+		if c == name {
+			return s.classes[k]
+		}
+	}
+	return nil
+}
+
+func (s *service) limit() int {
+	if s.slots >= 0 {
+		return s.slots
+	}
+	return int(s.adaptive)
+}
+
+// longLimit returns how many long requests may be at work.
+func (s *service) longLimit(shortShare float64) int {
+	limit := s.limit()
+	kept := int(math.Ceil(float64(limit) * shortShare))
+	return max(min(1, limit-1), limit-kept)
+}
+
+// admit counts i in (1) or out (-1) of those at work.
+func (s *service) admit(i *item, by int) {
+	s.running += by
+	if i.long {
+		s.long += by
+	}
+}
+
+// wait estimates how long a new request of the organisation waits in class c:
+// for the work that goes before it, or for that of its own organisation at the
+// organisation's share, whichever is shorter.
+func (s *service) wait(c *classQueue, organisation string, g *Gate) time.Duration {
+	limit := s.limit()
+	if limit <= 0 {
+		return 0 // the deadline alone decides while there are no slots
+	}
+	var before time.Duration
+	for _, o := range s.classes {
+		if o == c {
+			break
+		}
+		before += o.cost
+	}
+	weight := g.weight(organisation)
+	weights := weight
+	var own time.Duration
+	for name, q := range c.queues {
+		switch {
+		case name == organisation:
+			own = q.cost
+		case q.len() > 0:
+			weights += g.weight(name)
+		}
+	}
+	share := time.Duration(float64(own) * weights / weight)
+	return (before + min(c.cost, share)) / time.Duration(limit)
+}
+
+// learn takes in the run time of a finished request and moves the adaptive
+// limit by the gradient between the usual and the present run time.
+func (s *service) learn(c *classQueue, latency time.Duration, ok bool) {
+	if !ok {
+		s.adaptive = max(1, s.adaptive*failureCut)
+		return
+	}
+	c.learned.add(latency)
+	if s.running*2 < int(s.adaptive) || c.learned.mean <= 0 {
+		return // too little load to tell anything about the limit
+	}
+	gradient := min(1, max(0.5, tolerance*c.learned.usual/c.learned.mean))
+	wanted := s.adaptive*gradient + math.Sqrt(s.adaptive)
+	s.adaptive = min(maxLimit, max(1, s.adaptive+(wanted-s.adaptive)*limitWeight))
+}
