runner, admission: property tests

Tests: slots never exceeded, leaving runners get nothing, retries within a tenth, every request ends once.

--- /dev/null
+++ b/runner/pool_test.go
@@ -0,0 +1,217 @@
+package runner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// Whatever happens, no runner has more requests than slots after an Acquire,
+// one that leaves or was removed gets nothing, and at most a third of the
+// runners of the service have an open circuit.
+func TestPoolKeepsItsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Pool
+		rng, now := newRand(rapid.Uint64().Draw(t, "seed")), start
+		busy, slots, gone := map[string]int{}, map[string]int{}, map[string]bool{}
+		id := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("r-", rapid.IntRange(0, 5).Draw(t, "n")) })
+		t.Repeat(map[string]func(*rapid.T){
+			"upsert": func(t *rapid.T) {
+				r := Runner{ID: id.Draw(t, "id"), Service: "s", Slots: rapid.IntRange(0, 4).Draw(t, "slots")}
+				p.Upsert(r, now)
+				slots[r.ID], gone[r.ID] = r.Slots, false
+			},
+			"leave": func(t *rapid.T) {
+				name, leaving := id.Draw(t, "id"), rapid.Bool().Draw(t, "leaving")
+				if _, ok := slots[name]; ok && !(gone[name] && !leaving) {
+					p.SetLeaving(name, leaving)
+					gone[name] = leaving
+				}
+			},
+			"remove": func(t *rapid.T) {
+				name := id.Draw(t, "id")
+				p.Remove(name)
+				gone[name] = true
+			},
+			"acquire": func(t *rapid.T) {
+				r, ok := p.Acquire("s", now, rng)
+				if rapid.Bool().Draw(t, "named") {
+					if ok {
+						busy[r.ID]++
+					}
+					r, ok = p.AcquireOf(id.Draw(t, "id"), now)
+				}
+				if !ok {
+					return
+				}
+				busy[r.ID]++
+				if busy[r.ID] > slots[r.ID] || gone[r.ID] {
+					t.Fatalf("runner %s has %d requests, %d slots, gone %v", r.ID, busy[r.ID], slots[r.ID], gone[r.ID])
+				}
+			},
+			"release": func(t *rapid.T) {
+				name := id.Draw(t, "id")
+				p.Release(name, Outcome(rapid.IntRange(0, int(outcomes)-1).Draw(t, "outcome")), time.Millisecond, now, rng)
+				busy[name] = max(0, busy[name]-1)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				for _, s := range p.All(now) {
+					if s.Busy != busy[s.ID] {
+						t.Fatalf("runner %s counts %d requests, want %d", s.ID, s.Busy, busy[s.ID])
+					}
+				}
+			},
+		})
+	})
+}
+
+func poolOf(runners, slots int) *Pool {
+	p := &Pool{}
+	for i := range runners {
+		p.Upsert(Runner{ID: fmt.Sprintf("r-%02d", i), Service: "s", Slots: slots}, start)
+	}
+	return p
+}
+
+// A caller whose requests fail everywhere opens at most a third of the
+// circuits, and an open runner gets nothing until its back-off has passed and
+// then one probe at a time, whose success closes the circuit.
+func TestCircuit(t *testing.T) {
+	p, rng, now := poolOf(9, 4), newRand(1), start
+	for range 1000 {
+		r, ok := p.Acquire("s", now, rng)
+		if !ok {
+			t.Fatal("no runner left")
+		}
+		p.Release(r.ID, Unknown, 0, now, rng)
+	}
+	var open []string
+	for _, s := range p.All(now) {
+		if s.Circuit == Open {
+			open = append(open, s.ID)
+		}
+	}
+	if len(open) != 3 {
+		t.Fatalf("%d of 9 circuits are open, want 3", len(open))
+	}
+	if _, ok := p.AcquireOf(open[0], now); ok {
+		t.Error("a runner with an open circuit got a request")
+	}
+	now = now.Add(firstOpening)
+	if _, ok := p.AcquireOf(open[0], now); !ok {
+		t.Fatal("no probe after the back-off")
+	}
+	if _, ok := p.AcquireOf(open[0], now); ok {
+		t.Error("a second probe beside the first")
+	}
+	p.Release(open[0], OK, time.Millisecond, now, rng)
+	for range 4 {
+		if _, ok := p.AcquireOf(open[0], now); !ok {
+			t.Error("a slot is missing after a good probe")
+		}
+	}
+}
+
+// The load of equal runners never differs by more than one request.
+func TestAcquireTakesTheLeastLoaded(t *testing.T) {
+	p, rng := poolOf(5, 8), newRand(1)
+	for range 17 {
+		p.Acquire("s", start, rng)
+	}
+	for _, s := range p.All(start) {
+		if s.Busy < 3 || s.Busy > 4 {
+			t.Errorf("%s has %d of 17 requests over 5 runners", s.ID, s.Busy)
+		}
+	}
+}
+
+// Retries are never more than a tenth of the first attempts, and what is not
+// idempotent is never sent a second time.
+func TestRetriesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b RetryBudget
+		firsts, retries := 0, 0
+		for _, first := range rapid.SliceOf(rapid.Bool()).Draw(t, "firsts") {
+			if first {
+				b.First()
+				firsts++
+			} else if b.Take() {
+				retries++
+			}
+			if retries*retryShare > firsts {
+				t.Fatalf("%d retries for %d first attempts", retries, firsts)
+			}
+		}
+	})
+	for o := range outcomes {
+		if o != NotRun && RetryAllowed(true, o) {
+			t.Errorf("a non-idempotent request may be sent again after %v", o)
+		}
+	}
+}
+
+// A directory prefers the near data centre, never offers more than was
+// advertised while that is fresh, and nothing that is leaving or forgotten.
+func TestDirectory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d Directory
+		rng := newRand(rapid.Uint64().Draw(t, "seed"))
+		near, far := rapid.IntRange(0, 5).Draw(t, "near"), rapid.IntRange(0, 5).Draw(t, "far")
+		d.Update("p", 2, []Advert{
+			{Runner: "near", Service: "s", DataCentre: "a", Free: near, Slots: 8},
+			{Runner: "far", Service: "s", DataCentre: "b", Free: far, Slots: 8},
+			{Runner: "leaving", Service: "s", DataCentre: "a", Free: 8, Slots: 8, Leaving: true},
+			{Runner: "open", Service: "s", DataCentre: "a", Free: 8, Slots: 8, Open: true},
+		}, start)
+		d.Update("p", 1, []Advert{{Runner: "old", Service: "s", DataCentre: "a", Free: 8, Slots: 8}}, start)
+		for k := range near + far {
+			want := "near"
+			if k >= near {
+				want = "far"
+			}
+			if _, got, ok := d.Choose("s", "a", start, rng); !ok || got != want {
+				t.Fatalf("choice %d of %d near, %d far: %q, want %q", k, near, far, got, want)
+			}
+		}
+		if _, got, ok := d.Choose("s", "a", start, rng); ok {
+			t.Fatalf("chose %q with nothing free", got)
+		}
+		if _, got, ok := d.Choose("s", "a", start.Add(defaultFresh+1), rng); !ok || got != "near" {
+			t.Fatalf("with late adverts chose %q, want the default order", got)
+		}
+		if _, got, ok := d.Choose("s", "a", start.Add(defaultForget+1), rng); ok {
+			t.Fatalf("chose %q of a forgotten process", got)
+		}
+	})
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	p, rng := poolOf(50, 8), newRand(1)
+	for b.Loop() {
+		r, _ := p.Acquire("s", start, rng)
+		p.Release(r.ID, OK, time.Millisecond, start, rng)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	var d Directory
+	rng := newRand(1)
+	var adverts []Advert
+	for i := range 50 {
+		adverts = append(adverts, Advert{Runner: fmt.Sprint(i), Service: "s", DataCentre: "a", Free: 1 << 40, Slots: 8})
+	}
+	d.Update("p", 1, adverts, start)
+	for b.Loop() {
+		d.Choose("s", "a", start, rng)
+	}
+}
