intent: plans, digests, confirmation, history and undo

Cause: operators state intents; nothing may change before a confirmation, and of racing operators exactly one wins. Change: pure Make with fingerprints of the touched parts; Desk that confirms in the chain's own commit; undo of one configuration as long as nobody changed the same things again. chain: Raced names the winner to both.

--- a/chain/publisher.go
+++ b/chain/publisher.go
@@ -78,7 +78,7 @@
 		return 0, fmt.Errorf("publish on configuration %d: %w", base, notSent(err))
 	}
 	if at.Number != base {
-		return 0, p.lost(ctx, base, at.Number)
+		return 0, Raced(ctx, p.Table, base, at.Number)
 	}
 	entry := Entry{Number: base + 1, Nonce: p.nonce(), By: by, Why: why, At: p.now(), Configuration: c}
 	all, err := publishOps(row, entry, ops)
@@ -151,10 +151,11 @@
 	return true, 0, &RaceError{Base: entry.Number - 1, Number: at.Number, By: landed.By, Why: landed.Why}
 }
 
-// lost describes the winner to one whose base is not the newest.
-func (p *Publisher) lost(ctx context.Context, base, newest uint64) error {
+// Raced describes who published after base, for one that built on base and
+// found newest.
+func Raced(ctx context.Context, r platform.Reader, base, newest uint64) *RaceError {
 	e := &RaceError{Base: base, Number: newest, By: "someone", Why: "unknown"}
-	if winner, err := readEntry(ctx, p.Table, base+1); err == nil {
+	if winner, err := readEntry(ctx, r, base+1); err == nil {
 		e.By, e.Why = winner.By, winner.Why
 	}
 	return e
--- /dev/null
+++ b/intent/desk.go
@@ -0,0 +1,203 @@
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// Desk stores plans and confirms them. It holds no state between calls and
+// may be used from any goroutine.
+type Desk struct {
+	Table platform.Table
+	// State returns the hosts, attempts and waiting work as they are now. The
+	// Desk fills in the configuration from the chain itself.
+	State     func(ctx context.Context) (State, error)
+	Publisher *chain.Publisher // nil is one on Table
+	Now       func() time.Time // nil is time.Now
+}
+
+const planPrefix = "intent/"
+
+// stored is the row of a plan. Number is 0 until it is confirmed.
+type stored struct {
+	Plan   Plan   `json:"plan"`
+	By     string `json:"confirmed-by,omitempty"`
+	Number uint64 `json:"confirmed-as,omitempty"`
+}
+
+// ConfirmedError tells that someone else has confirmed the plan already.
+type ConfirmedError struct {
+	By     string
+	Number uint64 // of the configuration that it became
+}
+
+// Error names who confirmed the plan.
+func (e *ConfirmedError) Error() string {
+	return fmt.Sprintf("the plan was confirmed by %s already and is configuration %d", e.By, e.Number)
+}
+
+// Propose makes a plan against the current state and stores it. Nothing else
+// changes.
+func (d *Desk) Propose(ctx context.Context, in Intent) (Plan, error) {
+	s, err := d.state(ctx, in)
+	if err != nil {
+		return Plan{}, fmt.Errorf("propose %s: %w", in.Kind, err)
+	}
+	if in.At.IsZero() {
+		in.At = d.now()
+	}
+	plan, err := Make(s, in)
+	if err != nil {
+		return Plan{}, err
+	}
+	body, err := json.Marshal(stored{Plan: plan})
+	if err != nil {
+		return Plan{}, fmt.Errorf("encode plan: %w", err)
+	}
+	_, err = d.Table.Commit(ctx, platform.Create(planPrefix+plan.Digest(), body))
+	if errors.Is(err, platform.ErrConflict) {
+		err = nil // the same plan is there already
+	}
+	if err != nil {
+		return Plan{}, fmt.Errorf("store plan %s: %w; propose it again", plan.Digest(), err)
+	}
+	return plan, nil
+}
+
+// Confirm brings a plan into the chain and returns the number of the new
+// configuration. It may be repeated after ErrUnknown of the platform. Errors:
+// ErrUnknown of this package for a digest without a plan; ErrStale; a
+// *ConfirmedError; a *chain.RaceError, alone or with ErrStale, if another
+// operator was first.
+func (d *Desk) Confirm(ctx context.Context, digest, by string) (uint64, error) {
+	row, plan, err := d.plan(ctx, digest)
+	if err != nil {
+		return 0, err
+	}
+	if plan.Number > 0 {
+		return already(plan, by)
+	}
+	s, err := d.state(ctx, plan.Plan.Intent)
+	if err != nil {
+		return 0, fmt.Errorf("confirm plan %s: %w", digest, err)
+	}
+	if err := Stale(plan.Plan, s); err != nil {
+		if s.Number != plan.Plan.Number {
+			err = fmt.Errorf("%w: %w", err, chain.Raced(ctx, d.Table, plan.Plan.Number, s.Number))
+		}
+		return d.refused(ctx, digest, by, err)
+	}
+	after, err := change(&s, plan.Plan.Intent)
+	if err != nil {
+		return 0, fmt.Errorf("confirm plan %s: %w", digest, err)
+	}
+	body, err := json.Marshal(stored{Plan: plan.Plan, By: by, Number: s.Number + 1})
+	if err != nil {
+		return 0, fmt.Errorf("encode plan %s: %w", digest, err)
+	}
+	number, err := d.publisher().Publish(ctx, s.Number, after, by, why(plan.Plan.Intent),
+		platform.Update(row.Key, body, row.Version))
+	if err != nil {
+		return d.refused(ctx, digest, by, fmt.Errorf("confirm plan %s: %w", digest, err))
+	}
+	return number, nil
+}
+
+// refused looks whether the very same plan was confirmed meanwhile, by this
+// operator or another; if not, cause stands.
+func (d *Desk) refused(ctx context.Context, digest, by string, cause error) (uint64, error) {
+	_, plan, err := d.plan(ctx, digest)
+	if err != nil || plan.Number == 0 {
+		return 0, cause
+	}
+	return already(plan, by)
+}
+
+func already(plan stored, by string) (uint64, error) {
+	if plan.By == by {
+		return plan.Number, nil
+	}
+	return 0, &ConfirmedError{By: plan.By, Number: plan.Number}
+}
+
+// Undo proposes to take back what a configuration changed.
+func (d *Desk) Undo(ctx context.Context, number uint64, by string) (Plan, error) {
+	return d.Propose(ctx, Intent{Kind: Undo, Number: number, By: by})
+}
+
+// History returns at most limit of the newest configurations, the newest
+// first, with who confirmed them and why.
+func (d *Desk) History(ctx context.Context, limit int) ([]*chain.Entry, error) {
+	return chain.History(ctx, d.Table, limit)
+}
+
+func (d *Desk) plan(ctx context.Context, digest string) (platform.Row, stored, error) {
+	var s stored
+	row, err := d.Table.Get(ctx, planPrefix+digest)
+	if errors.Is(err, platform.ErrNotFound) {
+		return row, s, fmt.Errorf("%w: %q; propose the intent again", ErrUnknown, digest)
+	}
+	if err != nil {
+		return row, s, fmt.Errorf("read plan %s: %w", digest, err)
+	}
+	if err := json.Unmarshal(row.Value, &s); err != nil {
+		return row, s, fmt.Errorf("decode plan %s: %w", digest, err)
+	}
+	return row, s, nil
+}
+
+// state reads the newest configuration from the table, not from a Follower,
+// which may be behind.
+func (d *Desk) state(ctx context.Context, in Intent) (State, error) {
+	s, err := d.State(ctx)
+	if err != nil {
+		return s, fmt.Errorf("read the state of the pool: %w", err)
+	}
+	newest, err := chain.Newest(ctx, d.Table)
+	if err != nil {
+		return s, err
+	}
+	s.Number, s.Configuration = newest.Number, newest.Configuration
+	if in.Kind != Undo {
+		return s, nil
+	}
+	after, err := chain.Find(ctx, d.Table, in.Number)
+	if err != nil {
+		return s, err
+	}
+	before := &chain.Entry{}
+	if in.Number > 1 {
+		if before, err = chain.Find(ctx, d.Table, in.Number-1); err != nil {
+			return s, err
+		}
+	}
+	s.Undone = &Undone{Before: before.Configuration, After: after.Configuration}
+	return s, nil
+}
+
+func (d *Desk) publisher() *chain.Publisher {
+	if d.Publisher != nil {
+		return d.Publisher
+	}
+	return &chain.Publisher{Table: d.Table, Now: d.Now}
+}
+
+func (d *Desk) now() time.Time {
+	if d.Now == nil {
+		return time.Now().UTC()
+	}
+	return d.Now()
+}
+
+func why(in Intent) string {
+	if in.Why == "" {
+		return string(in.Kind)
+	}
+	return fmt.Sprintf("%s: %s", in.Kind, in.Why)
+}
--- /dev/null
+++ b/intent/desk_test.go
@@ -0,0 +1,238 @@
+package intent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// open returns a desk with configuration 1 of the small pool.
+func open(t *testing.T, table *chaintest.Table) *Desk {
+	t.Helper()
+	p := chain.Publisher{Table: table}
+	if _, err := p.Publish(t.Context(), 0, small().Configuration, "ivana", "first"); err != nil {
+		t.Fatal(err)
+	}
+	return &Desk{
+		Table:     table,
+		State:     func(context.Context) (State, error) { return small(), nil },
+		Publisher: &chain.Publisher{Table: table, Pause: time.Nanosecond},
+		Now:       func() time.Time { return time.Unix(1_790_000_000, 0).UTC() },
+	}
+}
+
+func propose(t *testing.T, d *Desk, in Intent) string {
+	t.Helper()
+	p, err := d.Propose(t.Context(), in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p.Digest()
+}
+
+func weightOf(t *testing.T, table *chaintest.Table, name string) int {
+	t.Helper()
+	e, err := chain.Newest(t.Context(), table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e.Configuration.Organisation(name).Weight
+}
+
+func TestConfirmUndoAndHistory(t *testing.T) {
+	var table chaintest.Table
+	d := open(t, &table)
+	heavier := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 4, By: "ivana"})
+	drain := propose(t, d, Intent{Kind: DrainRack, Target: "r1", By: "oto"})
+	rival := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 5, By: "oto"})
+	if weightOf(t, &table, "prado") != 1 {
+		t.Fatal("a proposal changed the configuration")
+	}
+	for range 2 { // a repeated confirmation changes nothing more
+		if number, err := d.Confirm(t.Context(), heavier, "ivana"); number != 2 || err != nil {
+			t.Fatalf("Confirm = %d, %v", number, err)
+		}
+	}
+	var confirmed *ConfirmedError
+	if _, err := d.Confirm(t.Context(), heavier, "oto"); !errors.As(err, &confirmed) || confirmed.By != "ivana" {
+		t.Errorf("second operator: %v", err)
+	}
+	var raced *chain.RaceError
+	if _, err := d.Confirm(t.Context(), rival, "oto"); !errors.Is(err, ErrStale) || !errors.As(err, &raced) || raced.By != "ivana" {
+		t.Errorf("conflicting plan: %v", err)
+	}
+	if number, err := d.Confirm(t.Context(), drain, "oto"); number != 3 || err != nil {
+		t.Errorf("a plan that touches other parts: %d, %v", number, err)
+	}
+	if _, err := d.Confirm(t.Context(), "ff", "oto"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("no plan: %v", err)
+	}
+	back, err := d.Undo(t.Context(), 2, "ivana")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if number, err := d.Confirm(t.Context(), back.Digest(), "ivana"); number != 4 || err != nil {
+		t.Fatalf("undo: %d, %v", number, err)
+	}
+	entries, err := d.History(t.Context(), 2)
+	if err != nil || len(entries) != 2 || entries[0].Why != "undo" || entries[1].By != "oto" {
+		t.Errorf("history %v, %v", entries, err)
+	}
+	c := entries[0].Configuration
+	if c.Organisation("prado").Weight != 1 || len(c.Drains) != 1 {
+		t.Errorf("after the undo: %+v", c)
+	}
+	if _, err := d.Undo(t.Context(), 2, "ivana"); !errors.Is(err, ErrInvalid) {
+		t.Errorf("undone twice: %v", err)
+	}
+}
+
+func TestUndoRefusesWhatChangedAgain(t *testing.T) {
+	var table chaintest.Table
+	d := open(t, &table)
+	for i := range 2 {
+		digest := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 4 + i, By: "ivana"})
+		if _, err := d.Confirm(t.Context(), digest, "ivana"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := d.Undo(t.Context(), 2, "oto"); !errors.Is(err, ErrInvalid) {
+		t.Errorf("undo of a change that was changed again: %v", err)
+	}
+}
+
+// outcomes of a confirmation in the histories below.
+const (
+	won     = "won"
+	lost    = "lost"   // told that another operator was first
+	nothing = "failed" // certainly without effect, no winner named
+	unknown = "unknown"
+)
+
+// confirmModel allows one of the conflicting plans to be confirmed, again and
+// again by its own operator.
+var confirmModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		winner, digest := state.(string), input.(string)
+		free := winner == "" || winner == digest
+		switch output.(string) {
+		case won:
+			if free {
+				return []any{digest}
+			}
+		case lost:
+			if !free {
+				return []any{winner}
+			}
+		case unknown:
+			if free {
+				return []any{winner, digest}
+			}
+			return []any{winner}
+		default:
+			return []any{winner}
+		}
+		return nil
+	},
+}
+
+// race lets each operator confirm its own plan three times.
+func race(t *testing.T, d *Desk, plans []string) []porcupine.Operation {
+	var mu sync.Mutex
+	var clock int64
+	var ops []porcupine.Operation
+	tick := func() int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		clock++
+		return clock
+	}
+	var g errgroup.Group
+	for i, digest := range plans {
+		g.Go(func() error {
+			for range 3 {
+				at := tick()
+				_, err := d.Confirm(t.Context(), digest, fmt.Sprint("operator-", i))
+				op := porcupine.Operation{ClientId: i, Input: digest, Call: at, Output: result(err), Return: tick()}
+				if op.Output == unknown {
+					op.Return = math.MaxInt64
+				}
+				mu.Lock()
+				ops = append(ops, op)
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return ops
+}
+
+func result(err error) string {
+	var raced *chain.RaceError
+	switch {
+	case err == nil:
+		return won
+	case errors.As(err, &raced):
+		return lost
+	case errors.Is(err, platform.ErrUnknown):
+		return unknown
+	}
+	return nothing
+}
+
+// fault draws the fault of a call; a harsh one loses nearly every answer, so
+// that some confirmations stay unknown.
+func fault(r *rand.Rand, call string, harsh bool) chaintest.Fault {
+	faults := []chaintest.Fault{
+		chaintest.None, chaintest.None, chaintest.Unavailable, chaintest.LostBefore, chaintest.LostAfter, chaintest.Late,
+	}
+	if harsh && call == "commit" {
+		faults = []chaintest.Fault{chaintest.Unavailable, chaintest.LostBefore, chaintest.LostBefore, chaintest.LostAfter, chaintest.Late}
+	}
+	return faults[r.IntN(len(faults))]
+}
+
+func TestOneOfRacingConfirmationsWins(t *testing.T) {
+	counts := make(map[string]int)
+	for seed := range uint64(200) {
+		var table chaintest.Table
+		d := open(t, &table)
+		var plans []string
+		for i := range 4 {
+			by := fmt.Sprint("operator-", i)
+			plans = append(plans, propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 2 + i, By: by}))
+		}
+		r := rand.New(rand.NewPCG(seed, 20261204))
+		table.Fault = func(call string) chaintest.Fault { return fault(r, call, seed%2 == 1) }
+		ops := race(t, d, plans)
+		for _, op := range ops {
+			counts[op.Output.(string)]++
+		}
+		if !porcupine.CheckOperations(confirmModel.ToModel(), ops) {
+			t.Fatalf("seed %d: not linearizable: %+v", seed, ops)
+		}
+		table.Fault = nil
+		table.Land()
+		if e, err := chain.Newest(t.Context(), &table); err != nil || e.Number > 2 {
+			t.Fatalf("seed %d: %d configurations, %v", seed, e.Number, err)
+		}
+	}
+	if counts[won] == 0 || counts[lost] == 0 || counts[unknown] == 0 {
+		t.Errorf("the histories lack a result: %v", counts)
+	}
+	t.Logf("results %v", counts)
+}
--- /dev/null
+++ b/intent/intent.go
@@ -0,0 +1,179 @@
+// Package intent turns what an operator wants into a plan, and a confirmed
+// plan into the next configuration of the chain.
+//
+// Make is pure: it takes a State, changes nothing, and returns a Plan that
+// lists each attempt that will move, stop or wait, with the reason, and what
+// every organisation gains or loses. The same state and intent always give
+// the same Digest. A plan also keeps a fingerprint of each part that it
+// touches. Stale compares these with a later state, so that a plan is
+// refused once something that it touches has changed, and only then.
+//
+// A Desk stores proposed plans in the platform's table and confirms them by
+// their digest. The confirmation and the new configuration are one Commit, so
+// of racing operators exactly one wins; the others are told who did.
+//
+// Usage:
+//
+//	d := intent.Desk{Table: table, State: current}
+//	plan, err := d.Propose(ctx, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "ivana"})
+//	fmt.Print(plan.Text())
+//	number, err := d.Confirm(ctx, plan.Digest(), "ivana")
+package intent
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+// Kind is what an operator wants.
+type Kind string
+
+// Kinds of intent.
+const (
+	AddOrganisation Kind = "add-organisation" // Add
+	SetWeight       Kind = "set-weight"       // Organisation, Weight
+	SetQuota        Kind = "set-quota"        // Organisation, Quota
+	SetPriority     Kind = "set-priority"     // Organisation, Class, Priority
+	DrainWorker     Kind = "drain-worker"     // Target
+	DrainRunner     Kind = "drain-runner"     // Target
+	DrainRack       Kind = "drain-rack"       // Target
+	DrainDataCentre Kind = "drain-data-centre"
+	Undrain         Kind = "undrain"      // Target, of any kind
+	AddCapacity     Kind = "add-capacity" // Capacity
+	Undo            Kind = "undo"         // Number
+)
+
+// Intent is one wish. Only the fields named with its Kind count.
+type Intent struct {
+	Kind         Kind               `json:"kind"`
+	Organisation string             `json:"organisation,omitempty"`
+	Class        class.Class        `json:"class,omitempty"`
+	Weight       int                `json:"weight,omitempty"`
+	Quota        resource.Vector    `json:"quota,omitzero"`
+	Priority     int                `json:"priority,omitempty"`
+	Target       string             `json:"target,omitempty"` // host, rack or data centre
+	Add          *pool.Organisation `json:"add,omitempty"`
+	Capacity     *pool.Addition     `json:"capacity,omitempty"`
+	Number       uint64             `json:"number,omitempty"` // of the configuration to undo
+	By           string             `json:"by"`
+	At           time.Time          `json:"at"`
+	Why          string             `json:"why,omitempty"`
+}
+
+// Host is a worker or runner as a plan sees it.
+type Host struct {
+	ID         string            `json:"id"`
+	Kind       platform.HostKind `json:"kind"`
+	Rack       string            `json:"rack"`
+	DataCentre string            `json:"data-centre"`
+	Capacity   resource.Vector   `json:"capacity"`
+}
+
+// Attempt is a running attempt.
+type Attempt struct {
+	Task           string          `json:"task"`
+	Number         uint64          `json:"attempt"`
+	Organisation   string          `json:"organisation"`
+	Class          class.Class     `json:"class"`
+	Host           string          `json:"host"`
+	Demand         resource.Vector `json:"demand"`
+	Checkpointable bool            `json:"checkpointable,omitempty"`
+}
+
+// Waiting sums up the queued work of an organisation.
+type Waiting struct {
+	Organisation string `json:"organisation"`
+	Tasks        int    `json:"tasks"`
+}
+
+// Undone is the configuration to undo and the one before it.
+type Undone struct {
+	Before pool.Configuration
+	After  pool.Configuration
+}
+
+// State is what a plan is made against. Make changes none of it.
+type State struct {
+	Number        uint64 // of the configuration
+	Configuration pool.Configuration
+	Hosts         []Host
+	Attempts      []Attempt
+	Waiting       []Waiting
+	Undone        *Undone // for Undo only
+}
+
+// Action is what happens to work.
+type Action string
+
+// Actions.
+const (
+	Move Action = "move" // checkpointed and continued on another worker
+	Stop Action = "stop" // checkpointed, then queued until there is room
+	Wait Action = "wait" // finishes where it is, or queued work waits longer
+)
+
+// Step is one consequence of a plan. Task is empty where it concerns all
+// queued work of the organisation.
+type Step struct {
+	Action       Action `json:"action"`
+	Organisation string `json:"organisation"`
+	Task         string `json:"task,omitempty"`
+	Attempt      uint64 `json:"attempt,omitempty"`
+	From         string `json:"from,omitempty"`
+	To           string `json:"to,omitempty"`
+	Reason       string `json:"reason"`
+}
+
+// Effect is what an organisation gains or loses. Shares are fractions of the
+// pool as it is before the plan.
+type Effect struct {
+	Organisation string  `json:"organisation"`
+	Before       float64 `json:"share-before"`
+	After        float64 `json:"share-after"`
+	Running      int     `json:"running"`
+	Waiting      int     `json:"waiting"`
+}
+
+// Part is a part of the state that a plan touches.
+type Part struct {
+	Name        string `json:"name"` // such as "host w-1" or "weights"
+	Fingerprint string `json:"fingerprint"`
+}
+
+// Plan is what an intent would do.
+type Plan struct {
+	Intent  Intent   `json:"intent"`
+	Number  uint64   `json:"number"` // of the configuration that it was made against
+	Steps   []Step   `json:"steps"`
+	Effects []Effect `json:"effects"`
+	Touched []Part   `json:"touched"`
+}
+
+// Digest returns the SHA-256 of the plan in hex. Plans hold no maps, so their
+// JSON is canonical.
+func (p Plan) Digest() string { return digest(p) }
+
+func digest(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("digest of %T: %v", v, err)) // plain data; only NaN could fail, which Check refuses
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Failures of this package. Errors are wrapped; compare with errors.Is.
+var (
+	ErrStale   = errors.New("the plan is stale")
+	ErrUnknown = errors.New("no such plan")
+	ErrInvalid = errors.New("the intent is invalid")
+)
--- /dev/null
+++ b/intent/plan.go
@@ -0,0 +1,219 @@
+package intent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+// planner holds what Make works out.
+type planner struct {
+	state *State
+	after pool.Configuration
+	plan  Plan
+	hosts []Host                     // in order of their IDs
+	free  map[string]resource.Vector // of the workers that stay in use
+}
+
+// Make returns the plan for an intent. The error wraps ErrInvalid and names
+// what is wrong, with the findings of the configuration that it would give.
+func Make(s State, in Intent) (Plan, error) {
+	after, err := change(&s, in)
+	if err != nil {
+		return Plan{}, err
+	}
+	p := planner{state: &s, after: after, plan: Plan{Intent: in, Number: s.Number, Steps: []Step{}, Effects: []Effect{}}}
+	p.hosts = slices.Clone(s.Hosts)
+	slices.SortFunc(p.hosts, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	p.findFree()
+	p.drainSteps()
+	p.quotaSteps()
+	p.effects()
+	p.plan.Touched = touched(&s, in)
+	return p.plan, nil
+}
+
+func drained(c *pool.Configuration, h Host) bool {
+	_, out := c.Drained(h.ID, h.Rack, h.DataCentre)
+	return out
+}
+
+func (p *planner) findFree() {
+	p.free = make(map[string]resource.Vector)
+	for _, h := range p.hosts {
+		if h.Kind == platform.KindWorker && !drained(&p.after, h) {
+			p.free[h.ID] = h.Capacity
+		}
+	}
+	for _, a := range p.state.Attempts {
+		if f, in := p.free[a.Host]; in {
+			p.free[a.Host] = f.Sub(a.Demand)
+		}
+	}
+}
+
+// drainSteps decides for each attempt on a host that leaves the pool.
+func (p *planner) drainSteps() {
+	for _, h := range p.hosts {
+		if drained(&p.state.Configuration, h) || !drained(&p.after, h) {
+			continue
+		}
+		if h.Kind == platform.KindRunner {
+			p.add(Step{Action: Wait, From: h.ID, Reason: "requests in flight finish on the runner; it gets no new ones"})
+		}
+		for _, a := range attemptsOn(p.state, h.ID) {
+			p.drainAttempt(a)
+		}
+	}
+}
+
+func (p *planner) drainAttempt(a Attempt) {
+	step := Step{Organisation: a.Organisation, Task: a.Task, Attempt: a.Number, From: a.Host}
+	if !a.Checkpointable {
+		step.Action, step.Reason = Wait, "cannot be checkpointed; the host leaves once it has finished"
+		p.add(step)
+		return
+	}
+	to, found := p.bestFit(a.Demand)
+	if !found {
+		step.Action, step.Reason = Stop, fmt.Sprintf("checkpointed; no other worker has %v free", a.Demand)
+		p.add(step)
+		return
+	}
+	p.free[to] = p.free[to].Sub(a.Demand)
+	step.Action, step.To, step.Reason = Move, to, "checkpointed and continued on a worker with room"
+	p.add(step)
+}
+
+// bestFit returns the worker that is left with the least free processors, the
+// first by ID of several.
+func (p *planner) bestFit(demand resource.Vector) (string, bool) {
+	best, found := "", false
+	for _, h := range p.hosts {
+		f, usable := p.free[h.ID]
+		if usable && f.Covers(demand) && (!found || f.MilliCPU < p.free[best].MilliCPU) {
+			best, found = h.ID, true
+		}
+	}
+	return best, found
+}
+
+// quotaSteps tells whose queued work waits because more runs than a changed
+// quota allows.
+func (p *planner) quotaSteps() {
+	for _, o := range p.after.Organisations {
+		before := p.state.Configuration.Organisation(o.Name)
+		if before == nil || before.Quota == o.Quota || o.Quota.IsZero() {
+			continue
+		}
+		var running resource.Vector
+		for _, a := range p.state.Attempts {
+			if a.Organisation == o.Name {
+				running = running.Add(a.Demand)
+			}
+		}
+		if !o.Quota.Covers(running) {
+			p.add(Step{Action: Wait, Organisation: o.Name, Reason: fmt.Sprintf("runs %v, above its new quota of %v; nothing starts until enough has finished", running, o.Quota)})
+		}
+	}
+}
+
+// effects compares the shares, and tells whose queued work waits longer.
+func (p *planner) effects() {
+	before, after := p.shares(&p.state.Configuration), p.shares(&p.after)
+	names := make(map[string]bool)
+	for _, c := range []*pool.Configuration{&p.state.Configuration, &p.after} {
+		for _, o := range c.Organisations {
+			if names[o.Name] {
+				continue
+			}
+			names[o.Name] = true
+			e := Effect{Organisation: o.Name, Before: before[o.Name], After: after[o.Name]}
+			e.Running, e.Waiting = p.work(o.Name)
+			p.plan.Effects = append(p.plan.Effects, e)
+		}
+	}
+	slices.SortFunc(p.plan.Effects, func(a, b Effect) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	for _, e := range p.plan.Effects {
+		if e.After < e.Before && e.Waiting > 0 {
+			p.add(Step{Action: Wait, Organisation: e.Organisation, Reason: fmt.Sprintf("%d queued tasks wait longer: the share falls from %.1f%% to %.1f%%", e.Waiting, e.Before*100, e.After*100)})
+		}
+	}
+}
+
+// shares returns each organisation's fraction of the whole pool: its part of
+// the weights, of the processors that are in use under c.
+func (p *planner) shares(c *pool.Configuration) map[string]float64 {
+	var whole, usable resource.Vector
+	for _, h := range p.hosts {
+		if h.Kind != platform.KindWorker {
+			continue
+		}
+		whole = whole.Add(h.Capacity)
+		if !drained(c, h) {
+			usable = usable.Add(h.Capacity)
+		}
+	}
+	weights := 0
+	for _, o := range c.Organisations {
+		weights += o.Weight
+	}
+	shares := make(map[string]float64)
+	for _, o := range c.Organisations {
+		if whole.MilliCPU > 0 {
+			shares[o.Name] = float64(o.Weight) / float64(weights) * float64(usable.MilliCPU) / float64(whole.MilliCPU)
+		}
+	}
+	return shares
+}
+
+func (p *planner) work(organisation string) (running, waiting int) {
+	for _, a := range p.state.Attempts {
+		if a.Organisation == organisation {
+			running++
+		}
+	}
+	for _, w := range p.state.Waiting {
+		if w.Organisation == organisation {
+			waiting += w.Tasks
+		}
+	}
+	return running, waiting
+}
+
+func (p *planner) add(s Step) { p.plan.Steps = append(p.plan.Steps, s) }
+
+// attemptsOn returns the attempts on a host in order of task and number.
+func attemptsOn(s *State, host string) []Attempt {
+	var on []Attempt
+	for _, a := range s.Attempts {
+		if a.Host == host {
+			on = append(on, a)
+		}
+	}
+	slices.SortFunc(on, func(a, b Attempt) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number)) })
+	return on
+}
+
+// Text returns the plan as tables for a terminal.
+func (p Plan) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "plan %s\n%s by %s on configuration %d; nothing changes until it is confirmed\n\n", p.Digest(), p.Intent.Kind, p.Intent.By, p.Number)
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "action\torganisation\ttask\tfrom\tto\treason")
+	for _, s := range p.Steps {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", s.Action, s.Organisation, s.Task, s.From, s.To, s.Reason)
+	}
+	fmt.Fprintln(w, "\norganisation\tshare before\tshare after\trunning\twaiting")
+	for _, e := range p.Effects {
+		fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%d\t%d\n", e.Organisation, e.Before*100, e.After*100, e.Running, e.Waiting)
+	}
+	_ = w.Flush() // a strings.Builder never fails
+	return b.String()
+}
--- /dev/null
+++ b/intent/stale.go
@@ -0,0 +1,89 @@
+package intent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"persimmonworks.example/persimmonworks/pool"
+)
+
+// touched lists the parts of the state that the intent's plan depends on.
+func touched(s *State, in Intent) []Part {
+	var parts []Part
+	switch in.Kind {
+	case AddOrganisation, SetWeight:
+		parts = append(parts, Part{"weights", weights(&s.Configuration)})
+	case SetQuota:
+		parts = append(parts, organisationPart(&s.Configuration, in.Organisation))
+	case SetPriority:
+		parts = append(parts, organisationPart(&s.Configuration, in.Organisation), Part{"shares", digest(s.Configuration.Shares)})
+	case AddCapacity:
+		parts = append(parts, Part{"capacity", digest(s.Configuration.Capacity)})
+	case Undo:
+		parts = append(parts, Part{"configuration", digest(s.Configuration)})
+	default:
+		parts = append(parts, Part{"drains", digest(s.Configuration.Drains)})
+		parts = append(parts, hostParts(s, in)...)
+	}
+	return parts
+}
+
+func weights(c *pool.Configuration) string {
+	var b strings.Builder
+	for _, o := range c.Organisations {
+		fmt.Fprintf(&b, "%s %d\n", o.Name, o.Weight)
+	}
+	return digest(b.String())
+}
+
+func organisationPart(c *pool.Configuration, name string) Part {
+	return Part{"organisation " + name, digest(c.Organisation(name))}
+}
+
+// hostParts gives each host of the target with what runs on it.
+func hostParts(s *State, in Intent) []Part {
+	var parts []Part
+	for _, h := range s.Hosts {
+		hit := h.ID == in.Target
+		switch in.Kind {
+		case DrainRack:
+			hit = h.Rack == in.Target
+		case DrainDataCentre:
+			hit = h.DataCentre == in.Target
+		case Undrain:
+			hit = hit || h.Rack == in.Target || h.DataCentre == in.Target
+		}
+		if hit {
+			parts = append(parts, Part{"host " + h.ID, digest(struct {
+				Host     Host
+				Attempts []Attempt
+			}{h, attemptsOn(s, h.ID)})})
+		}
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Name, b.Name) })
+	return parts
+}
+
+// Stale returns an error that wraps ErrStale and names each part that the
+// plan touches and that has changed, nil if none has.
+func Stale(p Plan, s State) error {
+	now := touched(&s, p.Intent)
+	var changed []string
+	for _, part := range p.Touched {
+		if !slices.Contains(now, part) {
+			changed = append(changed, part.Name)
+		}
+	}
+	for _, part := range now {
+		if !slices.ContainsFunc(p.Touched, func(t Part) bool { return t.Name == part.Name }) {
+			changed = append(changed, part.Name)
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: since configuration %d these have changed: %s; make the plan again",
+		ErrStale, p.Number, strings.Join(changed, ", "))
+}
