forward: service requests to runners, late binding, intents

Cause: a request needs one slot, one send and its own whole answer. Change: forward.Forwarder composes admission, runner and relay; the outcome not-run is tied to whether a byte was written to the runner.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -32,9 +32,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"persimmonworks.example/persimmonworks/control"
+	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/wire"
@@ -78,7 +78,7 @@
 	Valid func(now time.Time) bool
 	Queue *queue.Queue
 	// Directory lists the racks with what they advertise as free.
-	Directory *placement.Directory
+	Directory *directory.Directory
 	Log       event.Emitter
 	Rand      *rand.Rand
 	// Ended, when set, is told on the loop of every attempt that has ended.
--- /dev/null
+++ b/forward/send.go
@@ -0,0 +1,248 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"persimmonworks.example/persimmonworks/gateway"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/relay"
+	"persimmonworks.example/persimmonworks/runner"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// passed returns the headers that go on to a runner. The caller's token stays
+// here.
+func passed(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	out.Del("Authorization")
+	out.Del("Content-Length")
+	out.Del(gateway.HeaderForwarded)
+	return out
+}
+
+// send makes one attempt at a request and writes the answer if there is one.
+func (f *Forwarder) send(ctx context.Context, w http.ResponseWriter, q *request, g grant) result {
+	if g.process != "" {
+		return f.sendRemote(ctx, w, q, g)
+	}
+	h := passed(q.header)
+	h.Set(gateway.HeaderRequest, q.ID)
+	out := &outbound{method: q.method, path: q.path, header: h, body: q.reader(), length: q.length, request: q.ID}
+	answer, res := f.dial(ctx, g.runner, out)
+	if answer == nil {
+		return res
+	}
+	defer answer.Body.Close()
+	return copyAnswer(w, answer.StatusCode, answer.Header, answer.Body, g.runner.ID)
+}
+
+// outbound is one send to a runner.
+type outbound struct {
+	method, path string
+	header       http.Header
+	body         io.Reader
+	length       int64 // -1 when unknown
+	request      string
+}
+
+// dial sends a request to a runner and returns its answer, whose body the
+// caller reads and closes; or nil and how the attempt ended.
+func (f *Forwarder) dial(ctx context.Context, r runner.Runner, o *outbound) (*http.Response, result) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
+	out, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), o.method, r.Address+o.path, o.body)
+	if err != nil {
+		return nil, result{outcome: runner.NotRun, reason: "the request cannot be sent: " + err.Error()}
+	}
+	out.Header, out.ContentLength = o.header, o.length
+	if o.length == 0 {
+		out.Body = http.NoBody
+	}
+	out.GetBody = nil // net/http must not send a request twice by itself
+	// Checked just before the send: a paused owner must not use its slots.
+	if !f.Valid(time.Now()) {
+		return nil, result{outcome: runner.NotRun, reason: "this process does not own the runner any more", retry: time.Second}
+	}
+	answer, err := f.Runners.Do(out)
+	switch {
+	case err != nil && !wrote.Load():
+		return nil, result{outcome: runner.NotRun, reason: "runner " + r.ID + " cannot be reached: " + err.Error(), retry: time.Second}
+	case err != nil && ctx.Err() != nil:
+		return nil, result{outcome: runner.GivenUp, reason: "runner " + r.ID + " had not answered when the deadline passed or the caller left"}
+	case err != nil:
+		return nil, result{outcome: runner.Unknown, reason: "runner " + r.ID + ": " + err.Error()}
+	}
+	if id := answer.Header.Get(gateway.HeaderRequest); id != "" && id != o.request {
+		answer.Body.Close()
+		return nil, result{outcome: runner.Unknown, reason: fmt.Sprintf("runner %s: %v", r.ID, errOtherAnswer)}
+	}
+	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(platform.OutcomeHeader) == platform.OutcomeNotRun {
+		answer.Body.Close()
+		return nil, result{outcome: runner.NotRun, reason: "runner " + r.ID + " has no free slot", retry: time.Second}
+	}
+	return answer, result{}
+}
+
+// copyAnswer writes a runner's answer to the caller. A body that breaks off
+// leaves the result answered but not OK, so that the connection is aborted.
+func copyAnswer(w http.ResponseWriter, status int, header http.Header, body io.Reader, runnerID string) result {
+	h := w.Header()
+	for name, values := range passed(header) {
+		h[name] = values
+	}
+	if length := header.Get("Content-Length"); length != "" {
+		h.Set("Content-Length", length)
+	}
+	h.Set(gateway.HeaderRunner, runnerID)
+	w.WriteHeader(status)
+	outcome := runner.OK
+	if status >= http.StatusInternalServerError {
+		outcome = runner.Failed
+	}
+	if err := stream(w, body); err != nil {
+		return result{outcome: runner.Unknown, reason: "the answer broke off: " + err.Error(), answered: true}
+	}
+	if outcome == runner.Failed {
+		// The caller has the runner's own whole answer; nothing is cut off.
+		return result{outcome: runner.OK, answered: true}
+	}
+	return result{outcome: outcome, answered: true}
+}
+
+// stream copies and flushes each piece, so that slow answers arrive as they
+// are made.
+func stream(w http.ResponseWriter, body io.Reader) error {
+	flusher := http.NewResponseController(w)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return werr
+			}
+			if n < len(buffer) && err == nil {
+				_ = flusher.Flush() // not every writer can
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// sendRemote forwards a request to the owner of a runner.
+func (f *Forwarder) sendRemote(ctx context.Context, w http.ResponseWriter, q *request, g grant) result {
+	call := &wire.Call{Request: q.ID, Body: &wire.Call_Forward{Forward: &wire.Forward{
+		Service: q.Service, Organisation: q.Organisation, Class: string(q.Class), Method: q.method, Path: q.path,
+		Headers: wireHeaders(passed(q.header)), DeadlineMs: uint64(max(time.Until(q.Deadline).Milliseconds(), 1)),
+		NonIdempotent: q.nonIdempotent, Runner: g.target, Length: q.length,
+	}}}
+	answer, err := f.Remote.Forward(ctx, g.process, call, q.reader())
+	switch {
+	case errors.Is(err, relay.ErrNotSent):
+		return result{outcome: runner.NotRun, reason: "process " + g.process + " cannot be reached", retry: time.Second}
+	case err != nil && ctx.Err() != nil:
+		return result{outcome: runner.GivenUp, reason: "no answer when the deadline passed or the caller left"}
+	case err != nil:
+		return result{outcome: runner.Unknown, reason: "process " + g.process + ": " + err.Error()}
+	}
+	defer answer.Body.Close()
+	if r := answer.Head.GetRefusal(); r != nil {
+		return result{outcome: wireOutcome(r), reason: r.Reason, retry: time.Duration(r.RetryAfterMs) * time.Millisecond}
+	}
+	return copyAnswer(w, int(answer.Head.Status), httpHeaders(answer.Head.Headers), answer.Body, answer.Head.Runner)
+}
+
+func wireHeaders(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &wire.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func httpHeaders(list []*wire.Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, x := range list {
+		h[http.CanonicalHeaderKey(x.Name)] = x.Values
+	}
+	return h
+}
+
+// ServePeer sends a request that a peer forwarded to a runner that this
+// process owns. Nothing waits here: without a free slot it is refused.
+func (f *Forwarder) ServePeer(ctx context.Context, c *wire.Call, body io.Reader, w relay.AnswerWriter) error {
+	m := c.GetForward()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	var r runner.Runner
+	ok := false
+	err := f.Loop.Do(ctx, func() {
+		now := time.Now()
+		if !f.Valid(now) {
+			return
+		}
+		if r, ok = f.Pool.AcquireOf(m.Runner, now); !ok {
+			r, ok = f.Pool.Acquire(m.Service, now, f.Rand)
+		}
+	})
+	if err != nil || !ok {
+		return w.Refuse(notRun("no free slot of service "+m.Service+" at process "+f.Process, 100*time.Millisecond))
+	}
+	begin := time.Now()
+	outcome, err := f.serveOn(ctx, r, c, body, w)
+	f.Loop.Post(func() {
+		now := time.Now()
+		f.Pool.Release(r.ID, outcome, now.Sub(begin), now, f.Rand)
+		f.pump(m.Service, now)
+	})
+	return err
+}
+
+func (f *Forwarder) serveOn(ctx context.Context, r runner.Runner, c *wire.Call, body io.Reader, w relay.AnswerWriter) (runner.Outcome, error) {
+	m := c.GetForward()
+	h := httpHeaders(m.Headers)
+	h.Set(gateway.HeaderRequest, c.Request)
+	answer, res := f.dial(ctx, r, &outbound{method: m.Method, path: m.Path, header: h, body: body, length: m.Length, request: c.Request})
+	if answer == nil {
+		o := wire.Outcome_OUTCOME_UNKNOWN
+		if res.outcome == runner.NotRun {
+			o = wire.Outcome_OUTCOME_NOT_RUN
+		}
+		return res.outcome, w.Refuse(&wire.Refusal{Outcome: o, Reason: res.reason, RetryAfterMs: uint64(res.retry.Milliseconds())})
+	}
+	defer answer.Body.Close()
+	headers := passed(answer.Header)
+	if length := answer.Header.Get("Content-Length"); length != "" {
+		headers.Set("Content-Length", length)
+	}
+	if err := w.Head(&wire.Head{Request: c.Request, Status: uint32(answer.StatusCode), Headers: wireHeaders(headers), Runner: r.ID}); err != nil {
+		return runner.GivenUp, err
+	}
+	if _, err := io.Copy(w, answer.Body); err != nil {
+		return runner.Unknown, fmt.Errorf("answer of runner %s to request %s: %w", r.ID, c.Request, err)
+	}
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return runner.Failed, nil
+	}
+	return runner.OK, nil
+}
