--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -90,6 +90,7 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	delays []delayed
+	closed bool // nothing is accepted or placed any more
 }
 
 // delayed is a task that is queued again after a pause.
@@ -268,9 +269,11 @@
 	if !d.Valid(now) {
 		return
 	}
-	d.requeue(now)
-	d.expire(now)
-	d.place(now)
+	if !d.closed {
+		d.requeue(now)
+		d.expire(now)
+		d.place(now)
+	}
 	for _, s := range d.shards {
 		if s.book == nil {
 			continue
@@ -338,3 +341,21 @@
 		}
 	}
 }
+
+// Close stops accepting and placing, and waits until everything that has
+// happened is durable or ctx ends.
+func (d *Desk) Close(ctx context.Context) {
+	for {
+		pending := 0
+		err := d.Loop.Do(ctx, func() {
+			d.closed = true
+			for _, s := range d.shards {
+				pending += len(s.pending) + len(s.frozen)
+			}
+		})
+		if err != nil || pending == 0 || ctx.Err() != nil {
+			return
+		}
+		pause(ctx, tickInterval)
+	}
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -49,7 +49,7 @@
 
 func (d *Desk) submit(shardName string, spec job.Spec, done chan<- Outcome) {
 	s, ok := d.shards[shardName]
-	if !ok || s.book == nil || !d.Valid(time.Now()) {
+	if !ok || s.book == nil || d.closed || !d.Valid(time.Now()) {
 		done <- Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "job shard "+shardName+" is changing its owner", retryPause)}
 		return
 	}
--- /dev/null
+++ b/entry/hosts.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/gateway"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/resource"
+	"persimmonworks.example/persimmonworks/runner"
+)
+
+// hostView is the platform's list of hosts as last read.
+type hostView struct {
+	hosts []platform.Host
+	read  time.Time
+	racks []string // rack shards of this data centre
+}
+
+// rackShard returns the name of the shard of a rack.
+func rackShard(rackName string) string { return "rack-" + rackName }
+
+// runHosts reads the list of hosts until ctx ends.
+func (p *Process) runHosts(ctx context.Context) error {
+	ticker := time.NewTicker(hostsInterval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		hosts, err := p.Hosts.Hosts(ctx)
+		switch {
+		case err == nil:
+			p.hosts.Store(p.viewOf(hosts))
+			p.loop.Post(p.applyHosts)
+		case !failing && ctx.Err() == nil:
+			p.Log.Emit(event.HostListStale, "error", err)
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Process) viewOf(hosts []platform.Host) *hostView {
+	v := &hostView{hosts: hosts, read: time.Now()}
+	seen := map[string]bool{}
+	for _, h := range hosts {
+		if h.DataCentre == p.Settings.Process.DataCentre && !seen[h.Rack] {
+			seen[h.Rack] = true
+			v.racks = append(v.racks, rackShard(h.Rack))
+		}
+	}
+	return v
+}
+
+// knownShards lists all shards of the data centre.
+func (p *Process) knownShards() []string {
+	v := p.hosts.Load()
+	if v == nil {
+		return nil
+	}
+	names := append([]string(nil), v.racks...)
+	for n := range p.Settings.Limits.JobShards {
+		names = append(names, gateway.ShardName(uint64(n)))
+	}
+	return names
+}
+
+// applyHosts brings the list of hosts, and what is known of leaving ones, into
+// force on the loop.
+func (p *Process) applyHosts() {
+	v := p.hosts.Load()
+	if v == nil {
+		return
+	}
+	now := time.Now()
+	c := p.configuration()
+	var poolSize resource.Vector
+	slots := map[string]int{}
+	workers := map[string][]platform.Host{}
+	for _, h := range v.hosts {
+		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || p.markedLeaving(h.ID, now) {
+			h.Leaving = true
+		}
+		shard := rackShard(h.Rack)
+		_, owned := p.racks.Rack(shard)
+		owned = owned && h.DataCentre == p.Settings.Process.DataCentre
+		switch h.Kind {
+		case platform.KindWorker:
+			if h.DataCentre == p.Settings.Process.DataCentre {
+				poolSize = poolSize.Add(h.Capacity)
+			}
+			if owned {
+				workers[shard] = append(workers[shard], h)
+			}
+		case platform.KindRunner:
+			slots[h.Service] += h.Slots
+			p.applyRunner(h, owned, now)
+		}
+	}
+	for shard, hosts := range workers {
+		r, _ := p.racks.Rack(shard)
+		r.SetHosts(hosts, now)
+		for _, h := range hosts {
+			r.SetLeaving(h.ID, h.Leaving)
+		}
+	}
+	p.queue.SetPool(poolSize)
+	for service, n := range slots {
+		p.forward.Gate.SetSlots(service, n)
+	}
+}
+
+func (p *Process) applyRunner(h platform.Host, owned bool, now time.Time) {
+	if h.Leaving {
+		p.peerSlots.SetLeaving(h.ID)
+	}
+	if !owned {
+		p.runners.Remove(h.ID)
+		return
+	}
+	p.runners.Upsert(runner.Runner{
+		ID: h.ID, Service: h.Service, DataCentre: h.DataCentre, Rack: h.Rack, Address: h.Address, Slots: h.Slots, Leaving: h.Leaving,
+	}, now)
+	p.runners.SetLeaving(h.ID, h.Leaving)
+}
+
+// markTTL is how long a peer's word that a host is leaving holds; the peer
+// repeats it while it knows so.
+const markTTL = 10 * time.Second
+
+func (p *Process) markedLeaving(id string, now time.Time) bool {
+	at, ok := p.marked[id]
+	return ok && now.Sub(at) < markTTL
+}
+
+// leavingHosts lists the hosts of the data centre that this process itself
+// knows to be leaving, not those it was told of by peers.
+func (p *Process) leavingHosts() []string {
+	v := p.hosts.Load()
+	if v == nil {
+		return nil
+	}
+	c := p.configuration()
+	var list []string
+	for _, h := range v.hosts {
+		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || h.Leaving {
+			list = append(list, h.ID)
+		}
+	}
+	return list
+}
+
+func (v *hostView) String() string { return fmt.Sprintf("%d hosts", len(v.hosts)) }
--- /dev/null
+++ b/entry/racks.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/ownership"
+	"persimmonworks.example/persimmonworks/rack"
+	"persimmonworks.example/persimmonworks/worker"
+)
+
+// take starts to act for a shard that this process has got.
+func (p *Process) take(g ownership.Grant) {
+	p.Log.Emit(event.ShardTaken, "shard", g.Shard, "epoch", g.Epoch, "previous", g.Previous)
+	p.loop.Post(func() {
+		if !strings.HasPrefix(g.Shard, "rack-") {
+			p.desk.Take(g.Shard, g.Epoch)
+			return
+		}
+		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit}
+		if g.WaitOut.Allowed {
+			r.AllowWaitOut(g.WaitOut.From)
+		}
+		p.racks.Add(r)
+		p.applyHosts()
+	})
+}
+
+// lose stops acting for a shard at once.
+func (p *Process) lose(shard string, epoch uint64) {
+	p.Log.Emit(event.ShardReleased, "shard", shard, "epoch", epoch)
+	p.loop.Post(func() {
+		if !strings.HasPrefix(shard, "rack-") {
+			p.desk.Drop(shard)
+			return
+		}
+		if r, ok := p.racks.Rack(shard); ok && r.Epoch == epoch {
+			p.racks.Remove(shard)
+			p.applyHosts()
+		}
+	})
+}
+
+func (p *Process) waitOut(g ownership.Grant) {
+	p.loop.Post(func() {
+		if r, ok := p.racks.Rack(g.Shard); ok && r.Epoch == g.Epoch {
+			r.AllowWaitOut(g.WaitOut.From)
+		}
+	})
+}
+
+// runWorkers keeps the workers of owned racks in step until ctx ends.
+func (p *Process) runWorkers(ctx context.Context) error {
+	return p.loop.Every(ctx, workerTick, p.syncWorkers)
+}
+
+func (p *Process) syncWorkers() {
+	now := time.Now()
+	if !p.session.Valid(now) {
+		return
+	}
+	for r := range p.racks.All {
+		for _, id := range r.Due(p.Settings.Worker.SyncEvery, now) {
+			if s, ok := r.Outbox(id, now); ok {
+				p.syncWorker(r, id, s)
+			}
+		}
+	}
+}
+
+// syncWorker sends one message to a worker and hands the answer to the loop.
+func (p *Process) syncWorker(r *rack.Rack, id string, s worker.Sync) {
+	agent := p.agentAt(r.Address(id))
+	p.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(p.ctx, maxTransit)
+		defer cancel()
+		var report worker.Report
+		err := error(worker.ErrUnreachable)
+		if p.session.Valid(time.Now()) { // the last check before the send
+			report, err = agent.Sync(ctx, s)
+		}
+		p.meter.WorkerSync(resultOf(err))
+		p.loop.Post(func() { p.synced(r, id, s, report, err) })
+		return nil
+	})
+}
+
+func resultOf(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return "failed"
+}
+
+func (p *Process) synced(r *rack.Rack, id string, s worker.Sync, report worker.Report, err error) {
+	if current, ok := p.racks.Rack(r.Name); !ok || current != r {
+		return
+	}
+	before := r.Closed(id)
+	changed, stale := r.Answer(id, s, report, err, time.Now())
+	if stale != nil {
+		p.Log.Emit(event.ShardStale, "shard", r.Name, "epoch", r.Epoch, "worker", id)
+		p.racks.Remove(r.Name)
+		return
+	}
+	if after := r.Closed(id); after != before {
+		p.logWorker(id, after)
+	}
+	p.racks.Changed(r, changed)
+	if r.Settled() {
+		p.shards.Settled(r.Name, r.Epoch)
+	}
+}
+
+func (p *Process) logWorker(id, closed string) {
+	if closed == "" {
+		p.Log.Emit(event.WorkerOpened, "worker", id)
+		return
+	}
+	p.Log.Emit(event.WorkerClosed, "worker", id, "reason", closed)
+}
+
+func (p *Process) agentAt(address string) worker.Agent {
+	if a, ok := p.agent.Load(address); ok {
+		return a.(worker.Agent)
+	}
+	var a worker.Agent = &worker.Client{Address: address, Name: p.Settings.Process.Name}
+	if p.Agent != nil {
+		a = p.Agent(address)
+	}
+	p.agent.Store(address, a)
+	return a
+}
