--- /dev/null
+++ b/fault/fault_test.go
@@ -0,0 +1,53 @@
+package fault
+
+import "testing"
+
+// A change touches only what it names, and a bad one touches nothing.
+func TestApplyMerges(t *testing.T) {
+	b := NewBoard()
+	for _, c := range []struct {
+		change string
+		valid  bool
+	}{
+		{`{"platform":{"away":true},"hosts":{"a":{"frozen":true}}}`, true},
+		{`{"platform":{"slow-ms":5},"hosts":{"a":{"leaving":true},"b":{"lost":true}}}`, true},
+		{`{"platform":{"away":false},"hosts":{"a":{"forzen":false}}}`, false},
+		{`{"platform":{"away":false},"hosts":{"a":{"clock-error":-1}}}`, false},
+		{`{`, false},
+	} {
+		if err := b.Apply([]byte(c.change)); (err == nil) != c.valid {
+			t.Errorf("%s: %v", c.change, err)
+		}
+	}
+	if p := b.Platform(); !p.Away || p.SlowMs != 5 {
+		t.Errorf("platform %+v", p)
+	}
+	if h := b.Host("a"); !h.Frozen || !h.Leaving || !b.Host("b").Lost {
+		t.Errorf("hosts %+v", b.State().Hosts)
+	}
+}
+
+// The same seed loses the same answers, after those that are lost for sure.
+func TestLoseAnswerIsReproducible(t *testing.T) {
+	draw := func() (lost [64]bool, count int) {
+		b := NewBoard()
+		if err := b.Apply([]byte(`{"platform":{"lose-next":3,"lose-probability":0.5,"seed":11}}`)); err != nil {
+			t.Fatal(err)
+		}
+		for i := range lost {
+			lost[i] = b.LoseAnswer()
+			if lost[i] {
+				count++
+			}
+		}
+		return lost, count
+	}
+	first, count := draw()
+	second, _ := draw()
+	if first != second {
+		t.Errorf("%v, then %v", first, second)
+	}
+	if !first[0] || !first[1] || !first[2] || count < 10 || count > 60 {
+		t.Errorf("%d of %d lost: %v", count, len(first), first)
+	}
+}
--- a/upstream/runner.go
+++ b/upstream/runner.go
@@ -180,9 +180,9 @@
 	}
 }
 
-// echo streams the request's body back while it still arrives, one piece
+// echo streams the request's body back while it still arrives, one byte
 // behind, and calls atEnd once the body has come whole and before the last
-// piece of the answer leaves.
+// byte of the answer leaves.
 func echo(w http.ResponseWriter, q *http.Request, atEnd func()) error {
 	control := http.NewResponseController(w)
 	if err := supported(control.EnableFullDuplex()); err != nil {
@@ -192,24 +192,24 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(q.ContentLength, 10))
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	held, next := make([]byte, 0, copyBytes), make([]byte, copyBytes)
+	buffer, held := make([]byte, copyBytes), 0
 	for {
-		n, err := q.Body.Read(next)
+		n, err := q.Body.Read(buffer[held:])
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
-		if n > 0 && len(held) > 0 {
-			if err := send(w, control, held); err != nil {
-				return err
-			}
-		}
-		if n > 0 {
-			held, next = next[:n], held[:copyBytes]
-		}
+		n += held
 		if err != nil {
 			atEnd()
-			return send(w, control, held)
+			return send(w, control, buffer[:n])
+		}
+		if n == 0 {
+			continue
+		}
+		if err := send(w, control, buffer[:n-1]); err != nil {
+			return err
 		}
+		buffer[0], held = buffer[n-1], 1
 	}
 }
 
