agent: test that a stop uses up an attempt that never came

Change: a test that acknowledges the entry first; the demand is named in package worker; an empty check is a list in JSON, not null.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -281,3 +281,17 @@
 		}
 	})
 }
+
+// A Stop that overtakes its Start uses the attempt up for good, also after the
+// owner has acknowledged it.
+func TestStopBeforeStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.want(b.sync(worker.Sync{Stops: []worker.Stop{{Ref: ref("a", 2)}}}), worker.Stopped)
+		b.want(b.sync(worker.Sync{Acknowledged: []worker.Ref{ref("a", 2)}}))
+		b.want(b.startAll(start("a", 2, `{"forever":true}`)))
+		b.want(b.startAll(start("a", 1, `{"forever":true}`)), worker.Refused)
+		b.want(b.startAll(start("a", 3, `{"forever":true}`)), worker.Refused, worker.Running)
+		time.Sleep(2 * testLease)
+	})
+}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -221,7 +221,11 @@
 }
 
 func (p *Platform) serveCheck(w http.ResponseWriter, _ *http.Request) {
-	reply(w, ledger.Check(p.ledger.Entries()), nil)
+	found := ledger.Check(p.ledger.Entries())
+	if found == nil {
+		found = []ledger.Violation{} // an empty list in JSON, not null
+	}
+	reply(w, found, nil)
 }
 
 func (p *Platform) serveCounters(w http.ResponseWriter, q *http.Request) {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -16,6 +16,9 @@
 //     MaxClockDrift of the time that passes;
 //   - idempotence: a Start of a known task and attempt has no further effect,
 //     and a Start of an attempt lower than one seen for the task is refused;
+//   - stop before start: a Stop of an attempt that never came is listed as
+//     stopped, and a Start of it that comes late runs nothing, also after the
+//     entry was acknowledged;
 //   - capacity: a Start that would exceed the worker's capacity is refused.
 //
 // Usage:
