ownership: no plan while the own row is not live; race in the test cluster

Cause: plan ranked an empty list and panicked when the only member had seen its own row expired before its renewal did (found in review); the race detector found the test cluster's dead flag unguarded. Ruled out: a race in the package, none reported. Change: plan returns nothing then, TestPlanWithoutOwnLiveRow; atomic flag.

--- a/ownership/cluster_test.go
+++ b/ownership/cluster_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,7 +16,7 @@
 	session *Session
 	shards  *Shards
 	cancel  context.CancelFunc
-	dead    bool
+	dead    atomic.Bool
 }
 
 // cluster runs processes over one table.
@@ -75,7 +76,7 @@
 }
 
 func (c *cluster) kill(n *node) {
-	n.dead = true
+	n.dead.Store(true)
 	n.cancel()
 }
 
@@ -106,7 +107,7 @@
 	pair := [2]string{min(p.from, peer), max(p.from, peer)}
 	split := time.Now().Before(p.cluster.split[pair])
 	p.cluster.mu.Unlock()
-	if n == nil || n.dead || split || n.link.now(&n.link.pauseUntil) {
+	if n == nil || n.dead.Load() || split || n.link.now(&n.link.pauseUntil) {
 		return nil, sleepErr(ctx)
 	}
 	return n, nil
@@ -142,7 +143,7 @@
 	now := time.Now()
 	holders := map[string][]holder{}
 	for _, n := range c.nodes {
-		if n.dead || !n.session.Valid(now) {
+		if n.dead.Load() || !n.session.Valid(now) {
 			continue
 		}
 		for _, g := range n.shards.Held() {
@@ -186,7 +187,7 @@
 func (c *cluster) unowned() []string {
 	owned := map[string]bool{}
 	for _, n := range c.nodes {
-		if n.dead || !n.session.Valid(time.Now()) {
+		if n.dead.Load() || !n.session.Valid(time.Now()) {
 			continue
 		}
 		for _, g := range n.shards.Held() {
--- a/ownership/schedule_test.go
+++ b/ownership/schedule_test.go
@@ -97,7 +97,7 @@
 	}
 	c.watch(30 * time.Second) // the longest fault is 25 s
 	for i := range processes {
-		if n := c.current[process(i)]; n.dead || n.session.hasEnded() {
+		if n := c.current[process(i)]; n.dead.Load() || n.session.hasEnded() {
 			c.start(process(i))
 		}
 	}
--- a/ownership/shards_test.go
+++ b/ownership/shards_test.go
@@ -229,6 +229,18 @@
 	})
 }
 
+// The members show the session expired before its own renewal notices.
+func TestPlanWithoutOwnLiveRow(t *testing.T) {
+	s := observed(0, sessionRow{Process: "entry-9", Incarnation: 1, State: Expired, DataCentre: "pernik"})
+	h := &Shards{Session: s, Known: func() []string { return []string{"rack-000"} }}
+	h.init()
+	h.rows["rack-000"] = &shardSeen{row: &shardRow{Session: s.ID(), Epoch: 1}, version: 1}
+	h.hold(s.ID(), "rack-000")
+	if cs := h.plan(s.ID(), time.Now()); len(cs) != 0 || len(h.Held()) != 1 {
+		t.Errorf("plan = %+v with %d shards held, want nothing and 1", cs, len(h.Held()))
+	}
+}
+
 // takeover measures the table calls of one process that takes over n shards.
 func takeover(t testing.TB, n int) (reads, writes int, took time.Duration) {
 	c := newCluster(1, n)
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -25,6 +25,9 @@
 	known := h.Known()
 	live := h.Session.liveProcesses()
 	processes := slices.Sorted(maps.Keys(live))
+	if _, ok := live[h.Session.Process]; !ok {
+		return nil // the row of this session was seen ended, expired or not at all
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var cs []change
