--- /dev/null
+++ b/ownership/guard_test.go
@@ -0,0 +1,105 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// oddTable answers commits late, or loses the write and its answer.
+type oddTable struct {
+	*fakeTable
+	delay time.Duration
+	lose  bool
+}
+
+func (o *oddTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+	if o.lose {
+		return nil, platform.ErrUnknown
+	}
+	vs, err := o.fakeTable.Commit(ctx, ops...)
+	time.Sleep(o.delay)
+	return vs, err
+}
+
+func TestWitnessKeepsItsPromise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := observed(9*time.Second, sessionRow{Process: "entry-2", Incarnation: 3, State: Live, DataCentre: "pernik"})
+		s.cutOff = true
+		d, ok := s.GivePromise("entry-2@3", time.Minute)
+		if !ok {
+			t.Fatal("no promise")
+		}
+		time.Sleep(d - time.Nanosecond)
+		if due := s.silent(time.Now()); len(due) != 0 {
+			t.Error("the session is due to be expired within the promise")
+		}
+		time.Sleep(time.Nanosecond)
+		if due := s.silent(time.Now()); len(due) != 1 {
+			t.Error("the session is not due to be expired after the promise")
+		}
+		if _, ok := s.GivePromise("entry-2@3", time.Minute); ok {
+			t.Error("a promise was given after the expiry had begun")
+		}
+	})
+}
+
+func TestExpiredProcessTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable()
+		s := &Session{Table: f, Process: "entry-0", DataCentre: "pernik"}
+		s.init()
+		ctx := context.Background()
+		if err := s.round(ctx); err != nil {
+			t.Fatal(err)
+		}
+		row := s.self
+		row.State = Expired
+		mustCommit(t, f, platform.Update("session/entry-0", encode(&row), s.version))
+		take := platform.Create("shard/pernik/rack-000", encode(&shardRow{Session: "entry-0@1", Epoch: 1}))
+		if _, err := s.commit(ctx, take); !errors.Is(err, platform.ErrConflict) {
+			t.Errorf("take by an expired session: %v, want a conflict", err)
+		}
+	})
+}
+
+func TestDeadlineCountsFromSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &oddTable{fakeTable: newFakeTable(), delay: 900 * time.Millisecond}
+		s := &Session{Table: o, Process: "entry-0", DataCentre: "pernik"}
+		s.init()
+		sent := time.Now()
+		if err := s.round(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		end := sent.Add(s.TTL - s.Margin)
+		if !s.Valid(end.Add(-1)) || s.Valid(end) {
+			t.Error("the session is not valid until exactly TTL - Margin after the send")
+		}
+	})
+}
+
+func TestLostRenewalDoesNotExtend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &oddTable{fakeTable: newFakeTable()}
+		s := &Session{Table: o, Process: "entry-0", DataCentre: "pernik"}
+		s.init()
+		if err := s.round(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		before := s.deadline
+		o.lose = true
+		time.Sleep(s.RenewEvery)
+		row, version := s.next()
+		if err := s.putOver(context.Background(), row, version); !errors.Is(err, platform.ErrUnknown) {
+			t.Errorf("put = %v, want an unknown outcome", err)
+		}
+		if !s.deadline.Equal(before) {
+			t.Errorf("the deadline moved by %v", s.deadline.Sub(before))
+		}
+	})
+}
