line, fairness: split from queue

Change: Line[E] is a generic priority queue with lazy removal, fairness.Ledger the decayed usage; the interface of queue is unchanged.

--- a/queue/bucket.go
+++ b/queue/bucket.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/line"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -35,16 +36,16 @@
 type bucket struct {
 	account  *account
 	shape    *shape
-	coarse   bool // shape is only that of the first task pushed
-	ready    line // by priority
-	arrivals line // by arrival
+	coarse   bool              // shape is only that of the first task pushed
+	ready    line.Line[*entry] // by priority
+	arrivals line.Line[*entry] // by arrival
 	live     int
 	index    int // in its lane
 }
 
 func (b *bucket) push(e *entry) {
-	b.ready.push(e, b.live)
-	b.arrivals.push(e, b.live)
+	b.ready.Push(e, b.live)
+	b.arrivals.Push(e, b.live)
 	b.live++
 }
 
@@ -55,21 +56,21 @@
 
 func (b *bucket) preferred(p Policy) *entry {
 	if p.ByArrival() {
-		return b.arrivals.head()
+		return b.arrivals.Head()
 	}
-	return b.ready.head()
+	return b.ready.Head()
 }
 
 // group is a set of tasks that can be cancelled together.
 type group struct {
-	counts    map[*bucket]int // waiting tasks
-	live      int             // sum of counts
-	entries   []*entry        // also some that no longer wait
-	cancelled bool
+	counts  map[*bucket]int // waiting tasks
+	live    int             // sum of counts
+	entries []*entry        // also some that no longer wait
+	cohort  line.Cohort
 }
 
 func (g *group) add(e *entry) {
-	if len(g.entries) >= minCompaction && len(g.entries) > 4*g.live {
+	if len(g.entries) >= sweepStep && len(g.entries) > 4*g.live {
 		g.entries = slices.DeleteFunc(g.entries, func(x *entry) bool { return x.taken })
 	}
 	g.counts[e.bucket]++
@@ -120,8 +121,8 @@
 		account:  a,
 		shape:    q.shape(i),
 		coarse:   exact >= maxExactBuckets,
-		ready:    line{less: byPriority},
-		arrivals: line{less: byArrival},
+		ready:    line.Line[*entry]{Less: byPriority},
+		arrivals: line.Line[*entry]{Less: byArrival},
 	}
 	a.buckets = append(a.buckets, b)
 	lane := &q.lanes[rank(i.Class)]
--- /dev/null
+++ b/queue/entry.go
@@ -0,0 +1,47 @@
+package queue
+
+import "persimmonworks.example/persimmonworks/line"
+
+// entry is a waiting task. It stands in up to three lines, and leaves them
+// lazily once it no longer waits.
+type entry struct {
+	item     Item
+	sequence uint64
+	bucket   *bucket
+	group    *group
+	taken    bool
+}
+
+var _ line.Entry = (*entry)(nil)
+
+// Waits implements line.Entry.
+func (e *entry) Waits() bool { return !e.taken && (e.group == nil || !e.group.cohort.Cancelled()) }
+
+// Cohort implements line.Entry.
+func (e *entry) Cohort() *line.Cohort {
+	if e.group == nil {
+		return nil
+	}
+	return &e.group.cohort
+}
+
+func byArrival(a, b *entry) bool {
+	if !a.item.Enqueued.Equal(b.item.Enqueued) {
+		return a.item.Enqueued.Before(b.item.Enqueued)
+	}
+	return a.sequence < b.sequence
+}
+
+func byPriority(a, b *entry) bool {
+	if a.item.Priority != b.item.Priority {
+		return a.item.Priority > b.item.Priority
+	}
+	return byArrival(a, b)
+}
+
+func byDeadline(a, b *entry) bool {
+	if !a.item.Deadline.Equal(b.item.Deadline) {
+		return a.item.Deadline.Before(b.item.Deadline)
+	}
+	return a.sequence < b.sequence
+}
--- a/queue/explain.go
+++ b/queue/explain.go
@@ -19,7 +19,7 @@
 // of the organisation, so it is for people and not for every decision.
 func (q *Queue) Explain(id string, now time.Time) (Explanation, bool) {
 	e, ok := q.items[id]
-	if !ok || !e.waits() {
+	if !ok || !e.Waits() {
 		return Explanation{}, false
 	}
 	x := Explanation{
@@ -39,7 +39,7 @@
 		if b.shape.class != e.item.Class {
 			continue
 		}
-		for _, other := range b.ready.waiting() {
+		for _, other := range b.ready.Waiting() {
 			if !byPriority(other, e) {
 				break
 			}
@@ -65,7 +65,7 @@
 	switch {
 	case !a.within(i.Demand):
 		return fmt.Sprintf("organisation %q runs %v of its quota %v: the task needs %v, and starts when tasks of the organisation end or the quota is raised",
-			a.name, a.running, a.share.Quota, i.Demand)
+			a.name, q.Running(a.name), a.share.Quota, i.Demand)
 	case !e.bucket.coarse && e.bucket.shape.round > 0 && !e.bucket.shape.fits:
 		return fmt.Sprintf("no worker had room for %v at the last decision: the task starts when that much is free on one worker", i.Demand)
 	case x.Position > 1:
--- a/queue/next.go
+++ b/queue/next.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/fairness"
 )
 
 // Next takes the preferred task among those that fit out of the queue. The
@@ -78,9 +79,9 @@
 func (q *Queue) candidate(b *bucket, e *entry, now time.Time) Candidate {
 	a := b.account
 	if a.round != q.round {
-		a.round, a.current = q.round, q.usage(a, now)
+		a.round, a.current = q.round, q.Usage(a.name, now)
 	}
-	midway := a.current + runningWeight/2*e.item.Demand.DominantShare(q.Pool)
+	midway := a.current + fairness.RunningWeight/2*e.item.Demand.DominantShare(q.Pool)
 	return Candidate{Item: &e.item, Usage: midway / float64(max(1, a.share.Weight)), sequence: e.sequence}
 }
 
@@ -91,7 +92,7 @@
 	q.nextDue = time.Time{}
 	for rank := range q.lanes {
 		for _, b := range q.lanes[rank] {
-			e := b.arrivals.head()
+			e := b.arrivals.Head()
 			due := q.due(e.item)
 			if q.nextDue.IsZero() || due.Before(q.nextDue) {
 				q.nextDue = due
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -35,11 +35,12 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/fairness"
+	"persimmonworks.example/persimmonworks/line"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
 const (
-	defaultHalfLife  = 5 * time.Minute
 	defaultAgedEvery = 8  // starts
 	sweepStep        = 64 // identifiers forgotten by each Push or Next
 	maxUnfit         = 16 // shapes that did not fit, compared with the others
@@ -89,9 +90,8 @@
 	shapes    map[shapeKey]*shape
 	items     map[string]*entry
 	groups    map[string]*group
-	deadlines line
-	peers     map[string]peerSummary
-	peersAt   time.Time  // of the last summary
+	deadlines line.Line[*entry]
+	ledger    fairness.Ledger
 	swept     [][]*entry // entries of cancelled groups, still in items
 	expired   []Item
 	live      int
@@ -140,7 +140,7 @@
 	e := &entry{item: i, sequence: q.sequence, bucket: q.bucket(i), group: q.group(i.Group)}
 	if q.items == nil {
 		q.items = make(map[string]*entry)
-		q.deadlines.less = byDeadline
+		q.deadlines.Less = byDeadline
 	}
 	q.items[i.ID] = e
 	e.bucket.push(e)
@@ -151,7 +151,7 @@
 		e.group.add(e)
 	}
 	if !i.Deadline.IsZero() {
-		q.deadlines.push(e, q.live)
+		q.deadlines.Push(e, q.live)
 	}
 	q.live++
 }
@@ -159,7 +159,7 @@
 // Remove takes a task out of the queue, and reports whether it waited.
 func (q *Queue) Remove(id string) bool {
 	e, ok := q.items[id]
-	if !ok || !e.waits() {
+	if !ok || !e.Waits() {
 		return false
 	}
 	q.take(e)
@@ -174,7 +174,7 @@
 		return 0
 	}
 	delete(q.groups, name)
-	g.cancelled = true
+	g.cohort.Cancel()
 	n := 0
 	for b, count := range g.counts {
 		b.live -= count
@@ -208,7 +208,7 @@
 
 func (q *Queue) expire(now time.Time) {
 	for {
-		e := q.deadlines.head()
+		e := q.deadlines.Head()
 		if e == nil || e.item.Deadline.After(now) {
 			return
 		}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -354,37 +354,3 @@
 		t.Errorf("took %v: %v, after asking %d times for 5 demands", i, ok, asked)
 	}
 }
-
-// Late summaries of peers count until they fade, and are replaced, not added.
-func TestPeerUsage(t *testing.T) {
-	q := Queue{Pool: cores(100), HalfLife: time.Minute}
-	q.PeerUsage("p", map[string]float64{"a": 0.5}, start)
-	q.PeerUsage("p", map[string]float64{"a": 0.4}, start)
-	q.PeerUsage("gone", map[string]float64{"a": 0.4}, start)
-	q.ForgetPeer("gone")
-	for after, want := range map[time.Duration]float64{0: 0.4, time.Minute: 0.2} {
-		if got := q.Usage("a", start.Add(after)); got < want-1e-9 || got > want+1e-9 {
-			t.Errorf("after %v the usage is %v, want %v", after, got, want)
-		}
-	}
-}
-
-// What an organisation held fades with the half-life, in every resource.
-func TestUsageFades(t *testing.T) {
-	for failure, demand := range map[string]resource.Vector{
-		"processor":   {MilliCPU: 500},
-		"memory":      {MemoryMB: 500},
-		"accelerator": {Accelerators: 500},
-	} {
-		q := Queue{Pool: resource.Vector{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1000}, HalfLife: time.Minute}
-		i := Item{Organisation: "a", Demand: demand}
-		q.Started(i, start)
-		if got := q.Usage("a", start.Add(time.Minute)); got != 0.5*0.5+0.5*0.25 {
-			t.Errorf("%s: after a half-life of holding half the pool the usage is %v", failure, got)
-		}
-		q.Ended(i, start.Add(time.Minute))
-		if got := q.Usage("a", start.Add(2*time.Minute)); got != 0.5*0.125 {
-			t.Errorf("%s: a half-life after the end the usage is %v", failure, got)
-		}
-	}
-}
