keys: tokens stay redacted under every verb; tests of faults

Cause: %d of a Token printed the bytes of its secret (found by TestSecretsAreRedacted). Change: the secret is behind a pointer and Token is a fmt.Formatter.

--- /dev/null
+++ b/keys/store_test.go
@@ -0,0 +1,168 @@
+package keys
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// handshake connects client to server and returns the names that each side
+// saw of the other.
+func handshake(t *testing.T, server, client *Store) (seenByServer, seenByClient string, err error) {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server.ServerTLS("test"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var g errgroup.Group
+	g.Go(func() error {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		if err := c.(*tls.Conn).Handshake(); err != nil {
+			return err
+		}
+		seenByServer, err = Peer(c.(*tls.Conn).ConnectionState())
+		return err
+	})
+	config, err := client.ClientTLS("127.0.0.1", "test")
+	if err != nil {
+		_ = l.Close()
+		_ = g.Wait()
+		return "", "", err
+	}
+	raw, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := tls.Client(raw, config)
+	defer c.Close()
+	if err = c.Handshake(); err == nil {
+		seenByClient, err = Peer(c.ConnectionState())
+	} else {
+		_ = raw.Close()
+	}
+	if serverErr := g.Wait(); serverErr != nil {
+		return "", "", serverErr
+	}
+	return seenByServer, seenByClient, err
+}
+
+func newBed(t *testing.T, names ...string) *Bed {
+	t.Helper()
+	b, err := Ephemeral(names, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// Processes of one authority know each other by name; one of another
+// authority, or without a certificate, gets no connection.
+func TestMutualTLS(t *testing.T) {
+	b, other := newBed(t, "entry-1", "entry-2"), newBed(t, "entry-2")
+	server, client, err := handshake(t, b.Store("entry-1"), b.Store("entry-2"))
+	if err != nil || server != "entry-2" || client != "entry-1" {
+		t.Errorf("server saw %q, client saw %q, error %v", server, client, err)
+	}
+	if _, _, err := handshake(t, b.Store("entry-1"), other.Store("entry-2")); err == nil {
+		t.Error("a process of another authority connected")
+	}
+	if _, _, err := handshake(t, b.Store("entry-1"), b.Store("nobody")); err == nil {
+		t.Error("a process without a certificate connected")
+	}
+}
+
+// A replaced set of files applies to the next connection without a restart;
+// files that do not fit together leave the old set in force.
+func TestReload(t *testing.T) {
+	dir := t.TempDir()
+	old, fresh := newBed(t, "entry-1"), newBed(t, "entry-1")
+	if err := old.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	var reported []error
+	s := &Store{
+		Authority:   filepath.Join(dir, "ca.pem"),
+		Certificate: filepath.Join(dir, "entry-1.pem"),
+		Key:         filepath.Join(dir, "entry-1.key"),
+		Report:      func(err error) { reported = append(reported, err) },
+	}
+	if err := s.Load(); err != nil {
+		t.Fatal(err)
+	}
+	if s.refresh(); len(reported) > 0 {
+		t.Errorf("unchanged files were loaded again: %v", reported)
+	}
+	if err := os.WriteFile(s.Key, []byte("not a key"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if s.refresh(); len(reported) != 1 || reported[0] == nil {
+		t.Errorf("a broken key was reported as %v", reported)
+	}
+	if _, _, err := handshake(t, old.Store("entry-1"), s); err != nil {
+		t.Errorf("the old set is no longer in force: %v", err)
+	}
+	if err := fresh.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	if s.refresh(); len(reported) != 2 || reported[1] != nil {
+		t.Errorf("the new set was reported as %v", reported)
+	}
+	if _, _, err := handshake(t, fresh.Store("entry-1"), s); err != nil {
+		t.Errorf("the new set is not in force: %v", err)
+	}
+}
+
+// No way of printing shows a secret.
+func TestSecretsAreRedacted(t *testing.T) {
+	token, b := NewToken(), newBed(t, "entry-1")
+	holder := struct {
+		T Token
+		P *Token
+		B *Bed
+		t Token
+	}{token, &token, b, token}
+	for _, verb := range []string{"%v", "%+v", "%#v", "%s", "%q", "%x", "%d"} {
+		for _, value := range []any{token, &token, holder, b, b.Store("entry-1")} {
+			text := fmt.Sprintf(verb, value)
+			if strings.Contains(text, token.Reveal()) || strings.Contains(text, fmt.Sprintf("%x", token.Reveal())) || strings.Contains(text, "PRIVATE KEY") {
+				t.Errorf("%s of %T shows a secret", verb, value)
+			}
+		}
+	}
+}
+
+// A token is found by its digest, and no other token is.
+func TestRing(t *testing.T) {
+	var r Ring[string]
+	a, b := NewToken(), NewToken()
+	d, err := ParseDigest(a.Digest().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Add(d, "prado")
+	r.Add(TokenOf("").Digest(), "empty")
+	if who, ok := r.Find(TokenOf(a.Reveal())); !ok || who != "prado" {
+		t.Errorf("found %q, %v", who, ok)
+	}
+	for _, other := range []Token{b, {}} {
+		if who, ok := r.Find(other); ok {
+			t.Errorf("a token that was never added belongs to %q", who)
+		}
+	}
+	if _, err := ParseDigest("abcd"); err == nil {
+		t.Error("a short digest was read")
+	}
+}
--- a/keys/token.go
+++ b/keys/token.go
@@ -4,33 +4,50 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding"
 	"encoding/hex"
 	"fmt"
+	"io"
 )
 
 const redacted = "[redacted]"
 
-// Token is the secret of a caller or an operator. It prints as "[redacted]";
-// Reveal returns the secret itself.
-type Token struct{ secret string }
+// Token is the secret of a caller or an operator. It prints as "[redacted]"
+// with every verb; Reveal returns the secret itself. The secret is held behind
+// a pointer because fmt does not call the methods of unexported fields, but
+// prints their pointers as addresses. The zero value matches no Digest.
+type Token struct{ secret *string }
 
 // NewToken returns a random token of at least 128 bits.
-func NewToken() Token { return Token{rand.Text()} }
+func NewToken() Token { return TokenOf(rand.Text()) }
 
 // TokenOf returns the token with the given secret, as received from a caller.
-func TokenOf(secret string) Token { return Token{secret} }
+func TokenOf(secret string) Token { return Token{&secret} }
 
 // Reveal returns the secret, to be shown once to the one whom it is for.
-func (t Token) Reveal() string { return t.secret }
+func (t Token) Reveal() string {
+	if t.secret == nil {
+		return ""
+	}
+	return *t.secret
+}
+
+// Format redacts the secret for every verb of fmt.
+func (Token) Format(f fmt.State, _ rune) { _, _ = io.WriteString(f, redacted) }
 
 // String redacts the secret.
 func (Token) String() string { return redacted }
 
-// GoString redacts the secret.
-func (Token) GoString() string { return redacted }
+// MarshalText redacts the secret.
+func (Token) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+var (
+	_ fmt.Formatter          = Token{}
+	_ encoding.TextMarshaler = Token{}
+)
 
 // Digest returns the hash under which the token is kept.
-func (t Token) Digest() Digest { return sha256.Sum256([]byte(t.secret)) }
+func (t Token) Digest() Digest { return sha256.Sum256([]byte(t.Reveal())) }
 
 // Digest is the SHA-256 hash of a Token, which configurations hold in its
 // place. Tokens are random, so the hash needs no salt.
@@ -43,7 +60,7 @@
 // token matches nothing.
 func (d Digest) Matches(t Token) bool {
 	sum := t.Digest()
-	return subtle.ConstantTimeCompare(d[:], sum[:]) == 1 && t.secret != ""
+	return subtle.ConstantTimeCompare(d[:], sum[:]) == 1 && t.Reveal() != ""
 }
 
 // ParseDigest reads a digest of 64 hexadecimal digits.
