runner, admission: keep what was chosen between adverts; long requests hold up no short ones

Cause: an advert of any process rebuilt the free slots and leaving marks of all (TestAdvertsOfOthersChangeNothing, red before: a leaving runner was chosen). A long request at the head of an organisation's queue held up short ones behind it. Change: candidates live as long as their process's advert; long and short requests wait in queues of their own.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -86,7 +86,8 @@
 	// Weights are the shares of the organisations; a missing one is 1.
 	Weights map[string]int
 	// MaxQueued bounds the requests that wait in one class of a service, 0
-	// means 1024; one organisation may have half of them.
+	// means 1024; the long and the short requests of one organisation may each
+	// have half of them.
 	MaxQueued int
 	// AgeStep is the waiting time that makes up for one step of urgency, 0
 	// means 2 s.
@@ -96,8 +97,8 @@
 	// ShortShare is the share of slots that long requests never take, 0 means
 	// a quarter. One slot at least is left to long requests if there are two.
 	ShortShare float64
-	// LongAfter makes a request long that is expected to run longer, whatever
-	// its class; 0 counts only batch and service as long.
+	// LongAfter makes a request long that is declared to run longer, or learned
+	// to where nothing is declared, whatever its class; 0 counts only batch and service as long.
 	LongAfter time.Duration
 
 	items    map[string]*item
@@ -132,10 +133,12 @@
 	if c == nil {
 		return refuse(0, rng, "class %q is not one of %v", r.Class, class.All)
 	}
-	wait := s.wait(c, r.Organisation, g)
 	cost := c.estimate(r.Expected)
+	long := r.Class == class.Batch || r.Class == class.Service || g.LongAfter > 0 && orDefault(r.Expected, cost) > g.LongAfter
+	key := queueKey{r.Organisation, long}
+	wait := s.wait(c, key, g)
 	limit := orDefault(g.MaxQueued, defaultMaxQueued)
-	q := c.queue(r.Organisation)
+	q := c.queue(key)
 	switch {
 	case c.queued >= limit:
 		return refuse(wait, rng, "the %s queue of service %q is full with %d requests", r.Class, r.Service, c.queued)
@@ -145,8 +148,7 @@
 		return refuse(wait, rng, "estimated wait %v and run time %v go past the deadline in %v",
 			wait.Round(time.Millisecond), cost.Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond))
 	}
-	i := &item{Request: r, offered: now, cost: cost, queue: q}
-	i.long = r.Class == class.Batch || r.Class == class.Service || g.LongAfter > 0 && cost > g.LongAfter
+	i := &item{Request: r, offered: now, cost: cost, queue: q, long: long}
 	if g.items == nil {
 		g.items = make(map[string]*item)
 	}
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -134,6 +134,27 @@
 	}
 }
 
+// A long request that may not take a slot yet holds up no short request of
+// its own class and organisation.
+func TestLongRequestsHoldUpNoShortOnes(t *testing.T) {
+	g := Gate{ShortShare: 0.5, LongAfter: time.Second}
+	rng := newRand(1)
+	g.SetSlots("s", 2)
+	for id, expected := range []time.Duration{2 * time.Second, 2 * time.Second, time.Millisecond} {
+		r := Request{ID: fmt.Sprint(id), Class: class.Interactive, Service: "s", Organisation: "a", Expected: expected}
+		if d := g.Offer(r, start, rng); !d.Queued {
+			t.Fatal(d.Reason)
+		}
+	}
+	got := map[string]bool{}
+	for r, ok := g.Next("s", start); ok; r, ok = g.Next("s", start) {
+		got[r.ID] = true
+	}
+	if !got["2"] || len(got) != 2 {
+		t.Errorf("admitted %v, want one long request and the short one", got)
+	}
+}
+
 // Organisations share by weight, and one that was idle has saved up nothing.
 func TestOrganisationsShareByWeight(t *testing.T) {
 	g := Gate{Weights: map[string]int{"a": 3, "b": 1}}
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -50,7 +50,7 @@
 func newService() *service {
 	s := &service{slots: -1, adaptive: firstLimit}
 	for range class.All {
-		s.classes = append(s.classes, &classQueue{queues: make(map[string]*queue)})
+		s.classes = append(s.classes, &classQueue{queues: make(map[queueKey]*queue)})
 	}
 	return s
 }
@@ -89,7 +89,7 @@
 // wait estimates how long a new request of the organisation waits in class c:
 // for the work that goes before it, or for that of its own organisation at the
 // organisation's share, whichever is shorter.
-func (s *service) wait(c *classQueue, organisation string, g *Gate) time.Duration {
+func (s *service) wait(c *classQueue, key queueKey, g *Gate) time.Duration {
 	limit := s.limit()
 	if limit <= 0 {
 		return 0 // the deadline alone decides while there are no slots
@@ -101,15 +101,15 @@
 		}
 		before += o.cost
 	}
-	weight := g.weight(organisation)
+	weight := g.weight(key.organisation)
 	weights := weight
 	var own time.Duration
-	for name, q := range c.queues {
+	for k, q := range c.queues {
 		switch {
-		case name == organisation:
+		case k == key:
 			own = q.cost
 		case q.len() > 0:
-			weights += g.weight(name)
+			weights += g.weight(k.organisation)
 		}
 	}
 	share := time.Duration(float64(own) * weights / weight)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -43,6 +43,13 @@
 	l.length--
 }
 
+// queueKey names a queue within a class. Long and short requests wait apart,
+// so that a long one which may not take a slot yet holds up no short one.
+type queueKey struct {
+	organisation string
+	long         bool
+}
+
 // queue holds the waiting requests of one organisation in one class.
 type queue struct {
 	class *classQueue
@@ -55,18 +62,18 @@
 
 // classQueue holds the waiting requests of one class, by organisation.
 type classQueue struct {
-	queues  map[string]*queue
+	queues  map[queueKey]*queue
 	queued  int
 	cost    time.Duration // sum of the estimates
 	clock   float64       // virtual time of the request served last
 	learned runTime
 }
 
-func (c *classQueue) queue(organisation string) *queue {
-	q := c.queues[organisation]
+func (c *classQueue) queue(key queueKey) *queue {
+	q := c.queues[key]
 	if q == nil {
 		q = &queue{class: c}
-		c.queues[organisation] = q
+		c.queues[key] = q
 	}
 	return q
 }
@@ -98,14 +105,14 @@
 }
 
 // head returns the oldest request of the organisation that goes next among
-// those whose oldest request may go; equal organisations by name.
+// those whose oldest request may go; equal ones by name, short before long.
 func (c *classQueue) head(may func(*item) bool) *item {
 	var best *item
-	for name, q := range c.queues {
+	for key, q := range c.queues {
 		if q.items.head == nil || !may(q.items.head.value) {
 			continue
 		}
-		if best == nil || q.clock < best.queue.clock || q.clock == best.queue.clock && name < best.Organisation {
+		if best == nil || q.clock < best.queue.clock || q.clock == best.queue.clock && key.before(best) {
 			best = q.items.head.value
 		}
 	}
@@ -120,3 +127,11 @@
 	}
 	return time.Duration(c.learned.mean + c.learned.deviation)
 }
+
+// before orders queues whose virtual time is the same as that of i.
+func (k queueKey) before(i *item) bool {
+	if k.organisation != i.Organisation {
+		return k.organisation < i.Organisation
+	}
+	return !k.long && i.long
+}
--- a/runner/directory.go
+++ b/runner/directory.go
@@ -36,10 +36,10 @@
 	services  map[string][]*candidate // in order of process and runner
 }
 
+// advertised is what one process has said last, less what was chosen since.
 type advertised struct {
-	at       time.Time
-	sequence uint64
-	adverts  []Advert
+	sequence   uint64
+	candidates []*candidate
 }
 
 type candidate struct {
@@ -57,7 +57,11 @@
 	if old := d.processes[process]; old != nil && old.sequence >= sequence {
 		return
 	}
-	d.processes[process] = &advertised{now, sequence, slices.Clone(adverts)}
+	said := &advertised{sequence: sequence}
+	for _, a := range adverts {
+		said.candidates = append(said.candidates, &candidate{a, process, now})
+	}
+	d.processes[process] = said
 	d.rebuild()
 }
 
@@ -81,9 +85,9 @@
 
 func (d *Directory) rebuild() {
 	d.services = make(map[string][]*candidate)
-	for process, p := range d.processes {
-		for _, a := range p.adverts {
-			d.services[a.Service] = append(d.services[a.Service], &candidate{a, process, p.at})
+	for _, p := range d.processes {
+		for _, c := range p.candidates {
+			d.services[c.Service] = append(d.services[c.Service], c)
 		}
 	}
 	for _, list := range d.services {
--- a/runner/pool_test.go
+++ b/runner/pool_test.go
@@ -195,6 +195,25 @@
 	})
 }
 
+// An advert of one process changes nothing that is known about the runners of
+// another: neither what was chosen since its last advert nor who is leaving.
+func TestAdvertsOfOthersChangeNothing(t *testing.T) {
+	var d Directory
+	rng := newRand(1)
+	d.Update("p", 1, []Advert{
+		{Runner: "one", Service: "s", Free: 1, Slots: 8},
+		{Runner: "leaving", Service: "s", Free: 8, Slots: 8},
+	}, start)
+	d.SetLeaving("leaving")
+	if _, got, _ := d.Choose("s", "a", start, rng); got != "one" {
+		t.Fatalf("chose %q, want the only one that stays", got)
+	}
+	d.Update("q", 1, nil, start)
+	if _, got, ok := d.Choose("s", "a", start, rng); ok {
+		t.Errorf("chose %q after an advert of another process", got)
+	}
+}
+
 func BenchmarkAcquireRelease(b *testing.B) {
 	p, rng := poolOf(50, 8), newRand(1)
 	for b.Loop() {
