usage, burn: tests that pin which span and which exemplars count

Cause: trials without the epoch order, without the lower bound of a record and without the order of exemplars passed the tests. Ruled out: faults in the code (it was right). Change: a table of overlapping spans; exemplars compared by their IDs.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -56,7 +56,7 @@
 	for i := range 100 {
 		latency := time.Second // still good
 		if i < 20 {
-			latency++ // bad
+			latency += time.Duration(i + 1) // bad
 		}
 		l.Record(request(i, latency, time.Minute))
 	}
@@ -73,8 +73,12 @@
 	if line.Good != 980 || line.Bad != 20 || math.Abs(line.Left+1) > 1e-9 || line.State() != "page" {
 		t.Errorf("line %+v, state %s", line, line.State())
 	}
-	if len(line.Exemplars) != maxExemplars {
-		t.Errorf("%d exemplars of one bucket, want %d", len(line.Exemplars), maxExemplars)
+	var slow []string
+	for _, e := range line.Exemplars {
+		slow = append(slow, e.ID)
+	}
+	if got := fmt.Sprint(slow); got != "[r19 r18 r17 r16]" {
+		t.Errorf("exemplars of one bucket are %s", got)
 	}
 	later := NewReport(l.Objectives, l.Snapshot(), now.Add(10*time.Minute)).Lines[0]
 	if later.Rates[0] != 0 || later.State() != "ticket" {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -134,6 +134,38 @@
 	}
 }
 
+// TestWhichOverlappingSpanCounts records two views of the same ten
+// milliseconds.
+func TestWhichOverlappingSpanCounts(t *testing.T) {
+	a := Attempt{Task: "t", Number: 1, Organisation: "prado", Class: class.Batch}
+	low, high := cpuOnly(600), cpuOnly(900)
+	for _, test := range []struct {
+		name          string
+		first, second Span
+		want          Amount // used
+	}{
+		{"higher epoch", Span{Epoch: 2, Used: &low}, Span{Epoch: 1, Used: &high}, cpuOnly(6000)},
+		{"higher epoch without a report", Span{Epoch: 2}, Span{Epoch: 1, Used: &high}, Amount{}},
+		{"report in the same epoch", Span{Epoch: 1}, Span{Epoch: 1, Used: &low}, cpuOnly(6000)},
+		{"larger of two reports", Span{Epoch: 1, Used: &low}, Span{Epoch: 1, Used: &high}, cpuOnly(9000)},
+	} {
+		for _, order := range [][]Span{{test.first, test.second}, {test.second, test.first}} {
+			var b Book
+			for _, s := range order {
+				b.Run(a, s.Epoch, at(0), at(10), cpuOnly(1000), s.Used)
+			}
+			l := b.Summary(at(0), at(10)).Lines[0]
+			if l.Used != test.want || l.Reserved != cpuOnly(10_000) {
+				t.Errorf("%s: %+v, want used %v", test.name, l, test.want)
+			}
+			r := b.Record(at(4), at(6)).Attempts[0].Spans[0]
+			if r.From != at(4).UnixMilli() || r.To != at(6).UnixMilli() {
+				t.Errorf("%s: the record leaves its period: %+v", test.name, r)
+			}
+		}
+	}
+}
+
 func cpuOnly(n int64) Amount { return Amount{MilliCPU: n} }
 
 // store is a fake object store.
