agent: carry non-idempotent tasks into the ledger

Cause: the check for at most once saw only requests; a Start does not say whether its task is idempotent. Change: the stand-in's work says it, with a test of both kinds.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -187,11 +187,11 @@
 	a.attempts[s.Ref] = t
 	if reason != "" {
 		t.state, t.reason = worker.Refused, reason
-		a.Ledger.Refuse(a.entry(s))
+		a.Ledger.Refuse(a.entry(t))
 		return
 	}
 	t.state, t.begin, t.since = worker.Running, time.Now(), time.Now()
-	t.run = a.Ledger.Begin(a.entry(s))
+	t.run = a.Ledger.Begin(a.entry(t))
 	if a.Faults.Host(a.ID).FailStarts {
 		a.finish(t, worker.Failed, ledger.Failed, "worker fails every start")
 		return
@@ -199,8 +199,11 @@
 	a.arm(t)
 }
 
-func (a *Agent) entry(s worker.Start) ledger.Entry {
-	return ledger.Entry{Kind: ledger.Task, Host: a.ID, Task: s.Task, Attempt: s.Attempt, Demand: s.Demand, Capacity: a.Capacity}
+func (a *Agent) entry(t *attempt) ledger.Entry {
+	return ledger.Entry{
+		Kind: ledger.Task, Host: a.ID, Task: t.start.Task, Attempt: t.start.Attempt,
+		NonIdempotent: t.work.NonIdempotent, Demand: t.start.Demand, Capacity: a.Capacity,
+	}
 }
 
 // arm sets the timer of the end of t's work at its present pace.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -295,3 +296,21 @@
 		time.Sleep(2 * testLease)
 	})
 }
+
+// The ledger finds the second run of a task that must run at most once.
+func TestSecondRunOfNonIdempotentTask(t *testing.T) {
+	for _, work := range []string{`{"run-ms":1}`, `{"run-ms":1,"non-idempotent":true}`} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t)
+			b.startAll(start("a", 1, work))
+			time.Sleep(time.Second)
+			b.startAll(start("a", 2, work))
+			time.Sleep(time.Second)
+			found := ledger.Check(b.Ledger.Entries())
+			marked := strings.Contains(work, "non-idempotent")
+			if len(found) > 1 || (len(found) == 1) != marked || (marked && found[0].Rule != ledger.AtMostOnce) {
+				t.Errorf("work %s: %v", work, found)
+			}
+		})
+	}
+}
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -21,6 +21,8 @@
 	Fail    bool   `json:"fail,omitempty"`    // fails at the end
 	Forever bool   `json:"forever,omitempty"` // never ends by itself
 	Output  string `json:"output,omitempty"`  // result if it succeeds
+	// NonIdempotent makes a second run, of any attempt, a violation.
+	NonIdempotent bool `json:"non-idempotent,omitempty"`
 	// UsePercent is the share of its demand that the task really uses; 0 is
 	// all of it.
 	UsePercent int64 `json:"use-percent,omitempty"`
