line, queue: test the cancelled cohort, state the limit of fairness

Ruled out: holding the whole class back for the large task, which idles a cluster for the room of one worker. Change: a test counts what Head asks; the package comment states the limit and the way around it (Overdue and Earmark). The share of large tasks is not mended.

--- a/line/line_test.go
+++ b/line/line_test.go
@@ -11,9 +11,16 @@
 	key    int
 	gone   bool
 	cohort *Cohort
+	asked  *int // calls of Waits
+}
+
+func (i *item) Waits() bool {
+	if i.asked != nil {
+		*i.asked++
+	}
+	return !i.gone && !i.cohort.Cancelled()
 }
 
-func (i *item) Waits() bool     { return !i.gone && !i.cohort.Cancelled() }
 func (i *item) Cohort() *Cohort { return i.cohort }
 
 var _ Entry = (*item)(nil)
@@ -75,3 +82,19 @@
 		t.Errorf("%d entries are stored, of which 1 waits", l.stored)
 	}
 }
+
+// A cancelled cohort leaves the front of a line together, however large.
+func TestCancelledCohortLeavesTogether(t *testing.T) {
+	l := Line[*item]{Less: func(a, b *item) bool { return a.key < b.key }}
+	cohort, asked := &Cohort{}, 0
+	for n := range 10_000 {
+		l.Push(&item{key: n, cohort: cohort, asked: &asked}, n)
+	}
+	last := &item{key: 10_000}
+	l.Push(last, 10_000)
+	cohort.Cancel()
+	asked = 0
+	if head := l.Head(); head != last || asked > 1 {
+		t.Errorf("the head is %v, after asking %d of 10,000 cancelled entries", head, asked)
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -13,6 +13,11 @@
 //     n is the number of tasks due before it, and overdue work delays urgent
 //     work by no more than one start in AgedEvery.
 //
+// Organisations get their weighted share as long as their tasks are small
+// beside the pool. Next passes over what does not fit, so that tasks of more
+// than a twentieth of the pool fall behind smaller ones; for these the caller
+// asks for Overdue and keeps room, for example by placement.Shard.Earmark.
+//
 // Tasks are indexed by organisation, class and demand. A decision costs time
 // in proportion to these, and not to the number of waiting tasks. Removal and
 // the cancellation of a whole group only mark; the memory is swept later in
