--- a/command/try.go
+++ b/command/try.go
@@ -70,8 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	any := netip.MustParseAddrPort("127.0.0.1:0")
-	s.Process.CallerAddress, s.Process.RelayAddress = any, any
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	s.Process.CallerAddress, s.Process.RelayAddress = free, free
 	return s, nil
 }
 
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -28,7 +28,7 @@
 		if len(s.sent)+len(s.unresolved)+len(l.placements)+len(l.acks) == 0 && s.covered == nil {
 			continue
 		}
-		d.sync(s, process, l, now)
+		d.sync(s, process, l)
 	}
 	for process, l := range s.links {
 		if !owners[process] && !l.busy {
@@ -61,7 +61,7 @@
 }
 
 // sync sends what is due to the owner of some racks.
-func (d *Desk) sync(s *shard, process string, l *link, now time.Time) {
+func (d *Desk) sync(s *shard, process string, l *link) {
 	m := &wire.TaskSync{
 		JobShard: d.qualified(s), JobEpoch: s.epoch, Inventory: l.inventory,
 		Placements: cut(&l.placements), Stops: cut(&l.stops), Acknowledged: cut(&l.acks),
@@ -235,7 +235,7 @@
 		return
 	case wire.AttemptState_ATTEMPT_STATE_REFUSED:
 		if a.Worker == "" {
-			d.refused(s, ref, a, now)
+			d.refused(s, ref, now)
 			return
 		}
 	}
@@ -246,7 +246,7 @@
 }
 
 // refused takes back a placement that its rack had no room for.
-func (d *Desk) refused(s *shard, ref worker.Ref, a *wire.Attempt, now time.Time) {
+func (d *Desk) refused(s *shard, ref worker.Ref, now time.Time) {
 	x, ok := s.sent[ref]
 	if !ok || x.uncertain {
 		return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -151,7 +151,7 @@
 			Largest: rack.WireOf(r.Largest()), Ready: r.Complete(),
 		})
 		p.directory.Update(directory.Summary{
-			Shard: r.Name, Rack: r.Name, DataCentre: s.DataCentre, Largest: r.Largest(), Long: r.Largest(), Free: r.Free(),
+			Shard: r.Name, Rack: r.Name, DataCentre: s.DataCentre, Largest: r.Largest(), Long: r.LargestLong(), Free: r.Free(),
 		})
 	}
 	for name, open := range p.desk.Shards() {
--- a/forward/once.go
+++ b/forward/once.go
@@ -39,7 +39,7 @@
 	case first != nil:
 		f.replay(w, q, first)
 		return
-	case refusal != nil && f.runUnkeyed(refusal, q):
+	case refusal != nil && f.runUnkeyed(refusal, q.organisation):
 		f.finish(w, q, f.run(ctx, w, q))
 		return
 	case refusal != nil:
@@ -54,8 +54,8 @@
 
 // runUnkeyed tells whether the organisation wants one unrecorded send while
 // the platform certainly took no intent.
-func (f *Forwarder) runUnkeyed(refusal *result, q *request) bool {
-	return refusal.outcome == runner.NotRun && !f.PlatformReachable() && q.organisation.CutOff == pool.CutOffRunOnce
+func (f *Forwarder) runUnkeyed(refusal *result, o *pool.Organisation) bool {
+	return refusal.outcome == runner.NotRun && !f.PlatformReachable() && o.CutOff == pool.CutOffRunOnce
 }
 
 // claim makes the intent durable. It returns the first request's record when
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -76,7 +76,8 @@
 	Long   bool   // may not take what is kept for short work
 }
 
-// ErrClosed is returned for a Stop or Throttle of an unknown attempt.
+// ErrUnknownAttempt is returned for a Stop or Throttle of an attempt that is
+// not on the rack.
 var ErrUnknownAttempt = errors.New("attempt is not known on this rack")
 
 // Rack holds the state of one rack shard under one epoch. Exported fields are
@@ -215,6 +216,10 @@
 // Largest returns the largest free amount of each resource on one open worker.
 func (r *Rack) Largest() resource.Vector { return r.shard.Largest() }
 
+// LargestLong returns the same for long work, which may not take what is kept
+// for short work.
+func (r *Rack) LargestLong() resource.Vector { return r.shard.LargestLong() }
+
 // Capacity returns the sum of the capacities of the workers that are known.
 func (r *Rack) Capacity() resource.Vector {
 	var sum resource.Vector
