--- a/forward/once.go
+++ b/forward/once.go
@@ -37,7 +37,7 @@
 	version, refusal, first := f.claim(ctx, q)
 	switch {
 	case first != nil:
-		f.replay(w, q, first)
+		f.replay(w, first)
 		return
 	case refusal != nil && f.runUnkeyed(refusal, q.organisation):
 		f.finish(w, q, f.run(ctx, w, q))
@@ -111,7 +111,7 @@
 }
 
 // replay answers a repeated key with the first outcome.
-func (f *Forwarder) replay(w http.ResponseWriter, q *request, first *intentRecord) {
+func (f *Forwarder) replay(w http.ResponseWriter, first *intentRecord) {
 	if first.Outcome == runner.OK.String() && first.Whole {
 		for name, values := range first.Header {
 			w.Header()[name] = values
