forward: net/http must not repeat a non-idempotent request

Cause: net/http sends a request again by itself when a kept connection breaks off and the request has no body and a safe method, or carries an Idempotency-Key header. A request marked as non-idempotent could run twice. Ruled out: GetBody (already nil); our own retries (the budget is not asked). Change: non-idempotent requests go over connections that are used once. Cost: one connection set-up a non-idempotent request.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -222,17 +222,22 @@
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, Retention: retention,
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Gate{MaxQueued: s.Limits.MaxQueue},
 		Pool: &p.runners, Peers: &p.peerSlots, Budget: &runner.RetryBudget{}, Remote: &remote{p},
-		Runners: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
-		Table:   p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
+		Runners:   runnerClient(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}),
+		SingleUse: runnerClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
+		Table:     p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
 		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes,
 	}
 	return nil
 }
 
+// runnerClient returns a client that passes redirects on as they are.
+func runnerClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 func (p *Process) configuration() *pool.Configuration { return &p.follower.Current().Configuration }
 
 // configured brings a configuration into force on the loop.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,7 +70,11 @@
 	Remote     Remote
 	// Runners sends to runners; its transport keeps connections open.
 	Runners *http.Client
-	Table   platform.Table
+	// SingleUse sends non-idempotent requests. Its transport keeps no
+	// connections, since net/http may send a request again by itself when a
+	// connection that was kept breaks off.
+	SingleUse *http.Client
+	Table     platform.Table
 	// PlatformReachable tells whether intents can be made durable.
 	PlatformReachable func() bool
 	// Services returns the configuration in force.
--- a/forward/send.go
+++ b/forward/send.go
@@ -43,7 +43,7 @@
 	}
 	h := passed(q.header)
 	h.Set(gateway.HeaderRequest, q.ID)
-	out := &outbound{method: q.method, path: q.path, header: h, body: q.reader(), length: q.length, request: q.ID}
+	out := &outbound{method: q.method, path: q.path, header: h, body: q.reader(), length: q.length, request: q.ID, nonIdempotent: q.nonIdempotent}
 	answer, res := f.dial(ctx, g.runner, out)
 	if answer == nil {
 		return res
@@ -59,6 +59,8 @@
 	body         io.Reader
 	length       int64 // -1 when unknown
 	request      string
+	// nonIdempotent keeps net/http from sending the request again by itself.
+	nonIdempotent bool
 }
 
 // dial sends a request to a runner and returns its answer, whose body the
@@ -79,7 +81,11 @@
 	if !f.Valid(time.Now()) {
 		return nil, result{outcome: runner.NotRun, reason: "this process does not own the runner any more", retry: time.Second}
 	}
-	answer, err := f.Runners.Do(out)
+	client := f.Runners
+	if o.nonIdempotent {
+		client = f.SingleUse
+	}
+	answer, err := client.Do(out)
 	switch {
 	case err != nil && !wrote.Load():
 		return nil, result{outcome: runner.NotRun, reason: "runner " + r.ID + " cannot be reached: " + err.Error(), retry: time.Second}
@@ -222,7 +228,7 @@
 	m := c.GetForward()
 	h := httpHeaders(m.Headers)
 	h.Set(gateway.HeaderRequest, c.Request)
-	answer, res := f.dial(ctx, r, &outbound{method: m.Method, path: m.Path, header: h, body: body, length: m.Length, request: c.Request})
+	answer, res := f.dial(ctx, r, &outbound{method: m.Method, path: m.Path, header: h, body: body, length: m.Length, request: c.Request, nonIdempotent: m.NonIdempotent})
 	if answer == nil {
 		o := wire.Outcome_OUTCOME_UNKNOWN
 		if res.outcome == runner.NotRun {
