worker: a message is void after a time on the worker's own clock

Cause: a lease counted from the receipt of a Sync. A worker that was frozen or cut off could act, once back, on a Sync whose sender had given up, and start attempt n after its owner had called it lost and started n + 1 (TestThawedWorkerStartsNothingOld: one-place violation, j/0 on w1 and w2). Ruled out: a longer transit bound (a freeze has no bound), refusal of old attempt numbers (the other worker has the newer one). Change: Report carries the boot, the monotonic clock and the end of the leases in force; Sync carries the boot it is meant for and a not-after on that clock, to which all leases run. A late Sync, or one for another boot, only fences. The owner takes the slowest rate for both the not-after and the lapse, so no bound on message delay is needed for workers it has heard. A worker with a new boot has lost what it was told, also when the answer was to a fence only. Before: red as above.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,9 +1,10 @@
 // Package agent is a stand-in of the platform's agent on a worker. It follows
 // the whole protocol of package worker, on tasks that only pass time.
 //
-// An Agent keeps one deadline for all its attempts, since every Sync with a
-// lease renews all of them. At the deadline everything that runs stops by
-// itself, also while the agent is frozen. A Stop of an attempt that never came
+// An Agent keeps one deadline for all its attempts, since every Sync that takes
+// effect renews all of them. At the deadline everything that runs stops by
+// itself, also while the agent is frozen. A Sync that comes later than its
+// NotAfter, or for another boot, only fences. A Stop of an attempt that never came
 // is remembered, so that its Start, should it come late, runs nothing. The
 // same holds for a Start that was refused: its attempt number is used up.
 //
@@ -13,7 +14,7 @@
 // Usage:
 //
 //	a := &agent.Agent{ID: "w-dc1-r1-01", Capacity: c, Ledger: l, Faults: b}
-//	report, err := a.Sync(ctx, worker.Sync{Epoch: 1, Lease: 10 * time.Second})
+//	report, err := a.Sync(ctx, worker.Sync{Epoch: 1})
 package agent
 
 import (
@@ -45,8 +46,9 @@
 	epoch    uint64
 	seen     map[string]uint64 // highest attempt by task
 	attempts map[worker.Ref]*attempt
+	clock    clock
 	lease    *time.Timer
-	deadline time.Time
+	until    time.Duration // on the clock; 0 while no lease is in force
 }
 
 var _ worker.Agent = (*Agent)(nil)
@@ -67,15 +69,31 @@
 		return worker.Report{}, fmt.Errorf("worker %s: epoch %d is below %d: %w", a.ID, s.Epoch, a.epoch, worker.ErrStaleEpoch)
 	}
 	a.epoch = s.Epoch
-	if a.attempts == nil {
-		a.attempts = make(map[worker.Ref]*attempt)
-		a.seen = make(map[string]uint64)
-	}
+	a.boot()
 	// A timer of the lease that is due but has not run yet must not let a
 	// renewal revive what has already expired.
-	if !a.deadline.IsZero() && !time.Now().Before(a.deadline) {
+	if a.until > 0 && a.now() >= a.until {
 		a.expire()
 	}
+	if s.Boot == a.clock.boot && a.now() < s.NotAfter {
+		a.carryOut(s)
+	}
+	return a.report(), nil
+}
+
+// boot makes a worker that has just started, or come back, ready.
+func (a *Agent) boot() {
+	if a.attempts == nil {
+		a.attempts = make(map[worker.Ref]*attempt)
+		a.seen = make(map[string]uint64)
+		a.clock = startClock()
+	}
+}
+
+func (a *Agent) now() time.Duration { return a.clock.now(a.Faults.Host(a.ID).ClockError) }
+
+// carryOut applies a Sync that is in time.
+func (a *Agent) carryOut(s worker.Sync) {
 	for _, ref := range s.Acknowledged {
 		a.acknowledge(ref)
 	}
@@ -85,13 +103,10 @@
 	for _, t := range s.Throttles {
 		a.throttle(t)
 	}
-	if s.Lease > 0 {
-		a.renew(s.Lease)
-	}
+	a.renew(s.NotAfter)
 	for _, p := range s.Starts {
-		a.start(p, s.Lease)
+		a.start(p)
 	}
-	return a.report(), nil
 }
 
 // awaitThaw blocks while the worker is frozen. A late message outlives its
@@ -132,36 +147,46 @@
 	if a.lease != nil {
 		a.lease.Stop()
 	}
-	a.deadline = time.Time{}
+	a.until = 0
 }
 
-// renew moves the deadline of all attempts. A clock that runs fast by f counts
-// off the lease in 1/(1+f) of its time.
-func (a *Agent) renew(lease time.Duration) {
-	rate := 1 + a.Faults.Host(a.ID).ClockError
-	lease = time.Duration(float64(lease) / rate)
+// renew moves the end of the leases of all attempts, never back: an earlier
+// message that was overtaken takes nothing away.
+func (a *Agent) renew(until time.Duration) {
+	a.until = max(a.until, until)
+	a.armLease()
+}
+
+// armLease sets the timer of the end of the leases. It sets it again when the
+// worker's clock was slower than expected.
+func (a *Agent) armLease() {
 	if a.lease != nil {
 		a.lease.Stop()
 	}
-	deadline := time.Now().Add(lease)
-	a.deadline = deadline
-	a.lease = time.AfterFunc(lease, func() {
+	clockError := a.Faults.Host(a.ID).ClockError
+	left := a.until - a.clock.now(clockError)
+	boot := a.clock.boot
+	a.lease = time.AfterFunc(realTime(left, clockError), func() {
 		a.mutex.Lock()
 		defer a.mutex.Unlock()
-		if a.deadline.Equal(deadline) {
+		switch {
+		case a.until == 0 || a.clock.boot != boot:
+		case a.now() >= a.until:
 			a.expire()
+		default:
+			a.armLease()
 		}
 	})
 }
 
 func (a *Agent) expire() {
-	a.deadline = time.Time{}
+	a.until = 0
 	for _, t := range a.attempts {
 		a.finish(t, worker.Stopped, ledger.Expired, "lease expired")
 	}
 }
 
-func (a *Agent) start(s worker.Start, lease time.Duration) {
+func (a *Agent) start(s worker.Start) {
 	last := a.seen[s.Task]
 	if s.Attempt == last && last != 0 {
 		return
@@ -176,8 +201,6 @@
 		reason = fmt.Sprintf("attempt %d of task %q is below %d", s.Attempt, s.Task, last)
 	case s.Attempt == 0:
 		reason = fmt.Sprintf("task %q has attempt 0", s.Task)
-	case lease <= 0:
-		reason = "start without a lease"
 	case s.Demand.Negative():
 		reason = fmt.Sprintf("demand %v is negative", s.Demand)
 	case !a.free().Covers(s.Demand):
@@ -294,7 +317,10 @@
 }
 
 func (a *Agent) report() worker.Report {
-	r := worker.Report{Epoch: a.epoch, Capacity: a.Capacity, Leaving: a.Faults.Host(a.ID).Leaving}
+	r := worker.Report{
+		Epoch: a.epoch, Boot: a.clock.boot, Clock: a.now(), Until: a.until,
+		Capacity: a.Capacity, Leaving: a.Faults.Host(a.ID).Leaving,
+	}
 	for _, t := range a.attempts {
 		r.Attempts = append(r.Attempts, t.report())
 	}
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -46,9 +46,17 @@
 	return report
 }
 
+// leased sends s, to be void after one lease from now.
+func (b bench) leased(s worker.Sync) worker.Report {
+	b.Helper()
+	r := b.sync(worker.Sync{Epoch: s.Epoch})
+	s.Boot, s.NotAfter = r.Boot, r.Clock+testLease
+	return b.sync(s)
+}
+
 func (b bench) startAll(starts ...worker.Start) worker.Report {
 	b.Helper()
-	return b.sync(worker.Sync{Lease: testLease, Starts: starts})
+	return b.leased(worker.Sync{Starts: starts})
 }
 
 // want checks the states of the inventory, in order of task and attempt.
@@ -109,7 +117,7 @@
 				b.faults(c.faults)
 				if c.renewAfter > 0 {
 					time.Sleep(c.renewAfter)
-					b.sync(worker.Sync{Lease: testLease})
+					b.leased(worker.Sync{})
 				}
 				time.Sleep(time.Minute)
 				b.ranUntil(ledger.Expired, c.length)
@@ -120,26 +128,63 @@
 	}
 }
 
-// A Sync without a lease renews nothing, and starts nothing.
-func TestNoLease(t *testing.T) {
+// A Sync that comes too late or for another boot starts, stops, throttles,
+// forgets and renews nothing, but it fences and is answered.
+func TestVoidSync(t *testing.T) {
+	cases := []struct {
+		name string
+		void func(s worker.Sync) worker.Sync
+	}{
+		{"no boot", func(s worker.Sync) worker.Sync { s.Boot = ""; return s }},
+		{"other boot", func(s worker.Sync) worker.Sync { s.Boot += "x"; return s }},
+		{"no time", func(s worker.Sync) worker.Sync { s.NotAfter = 0; return s }},
+		{"at its end", func(s worker.Sync) worker.Sync { s.NotAfter -= testLease; return s }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				r := b.startAll(start("a", 1, `{"forever":true}`), start("c", 1, ""))
+				time.Sleep(testLease / 2)
+				r = b.sync(c.void(worker.Sync{
+					Epoch: 3, Boot: r.Boot, NotAfter: r.Clock + testLease/2 + testLease,
+					Starts: []worker.Start{start("b", 1, "")}, Stops: []worker.Stop{{Ref: ref("a", 1)}},
+					Acknowledged: []worker.Ref{ref("c", 1)}, Throttles: []worker.Throttle{{Ref: ref("a", 1), Percent: 1}},
+				}))
+				b.want(r, worker.Running, worker.Done)
+				if r.Epoch != 3 || r.Clock != testLease/2 || r.Until != testLease {
+					t.Errorf("report epoch %d, clock %v, until %v", r.Epoch, r.Clock, r.Until)
+				}
+				time.Sleep(testLease)
+				b.ranUntil(ledger.Expired, testLease)
+				if n := len(b.Ledger.Entries()); n != 2 {
+					t.Errorf("%d runs, want 2", n)
+				}
+			})
+		})
+	}
+}
+
+// A message that was overtaken by a later one does not shorten the lease.
+func TestOvertakenSync(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		b.startAll(start("a", 1, `{"forever":true}`))
-		time.Sleep(testLease / 2)
-		b.want(b.sync(worker.Sync{Starts: []worker.Start{start("b", 1, "")}}), worker.Running, worker.Refused)
-		time.Sleep(testLease)
-		b.ranUntil(ledger.Expired, testLease)
+		r := b.startAll(start("a", 1, `{"forever":true}`))
+		b.sync(worker.Sync{Boot: r.Boot, NotAfter: 2 * testLease})
+		b.sync(worker.Sync{Boot: r.Boot, NotAfter: testLease})
+		time.Sleep(time.Minute)
+		b.ranUntil(ledger.Expired, 2*testLease)
 	})
 }
 
 func TestFence(t *testing.T) {
 	b := newBench(t)
-	b.sync(worker.Sync{Epoch: 5})
-	_, err := b.Sync(t.Context(), worker.Sync{Epoch: 4, Lease: testLease, Starts: []worker.Start{start("a", 1, "")}})
+	r := b.sync(worker.Sync{Epoch: 5})
+	_, err := b.Sync(t.Context(), worker.Sync{Epoch: 4, Boot: r.Boot, NotAfter: time.Hour, Starts: []worker.Start{start("a", 1, "")}})
 	if !errors.Is(err, worker.ErrStaleEpoch) {
 		t.Fatalf("epoch 4 after 5: %v", err)
 	}
-	r := b.sync(worker.Sync{Epoch: 6})
+	r = b.sync(worker.Sync{Epoch: 6})
 	b.want(r)
 	if r.Epoch != 6 {
 		t.Fatalf("epoch %d, want 6", r.Epoch)
@@ -170,8 +215,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
-				c.before.Lease = testLease
-				b.sync(c.before)
+				b.leased(c.before)
 				b.want(b.startAll(c.starts...), c.want...)
 				ran := 0
 				for _, e := range b.Ledger.Entries() {
@@ -195,13 +239,13 @@
 		b := newBench(t)
 		b.startAll(start("a", 1, `{"run-ms":2000,"output":"x"}`), start("b", 1, `{"run-ms":1000,"fail":true}`))
 		time.Sleep(time.Minute)
-		r := b.sync(worker.Sync{Acknowledged: []worker.Ref{ref("c", 1)}})
+		r := b.leased(worker.Sync{Acknowledged: []worker.Ref{ref("c", 1)}})
 		b.want(r, worker.Done, worker.Failed)
 		b.ranUntil(ledger.Done, 2*time.Second)
 		if string(r.Attempts[0].Result) != "x" || r.Attempts[0].Ran != 2*time.Second {
 			t.Errorf("finish %+v", r.Attempts[0])
 		}
-		b.want(b.sync(worker.Sync{Acknowledged: []worker.Ref{ref("a", 1), ref("b", 1)}}))
+		b.want(b.leased(worker.Sync{Acknowledged: []worker.Ref{ref("a", 1), ref("b", 1)}}))
 		b.want(b.startAll(start("a", 1, `{"forever":true}`)))
 	})
 }
@@ -216,9 +260,9 @@
 			t.Errorf("usage %v shown at once", r.Attempts[0].Used)
 		}
 		time.Sleep(time.Second)
-		b.sync(worker.Sync{Throttles: []worker.Throttle{{Ref: ref("a", 1), Percent: 50}}})
+		b.leased(worker.Sync{Throttles: []worker.Throttle{{Ref: ref("a", 1), Percent: 50}}})
 		time.Sleep(4 * time.Second)
-		r = b.sync(worker.Sync{Stops: []worker.Stop{{Ref: ref("a", 1), Checkpoint: true}}})
+		r = b.leased(worker.Sync{Stops: []worker.Stop{{Ref: ref("a", 1), Checkpoint: true}}})
 		b.want(r, worker.Stopped)
 		if r.Attempts[0].Used.MilliCPU != 500 {
 			t.Errorf("usage %v of a task throttled to half a core", r.Attempts[0].Used)
@@ -233,26 +277,39 @@
 }
 
 // A frozen worker answers nothing. Whether it acts once thawed on a message
-// whose sender has given up is a fault of its own.
+// whose sender has given up is a fault of its own; it never acts on one that
+// is void by then.
 func TestFrozen(t *testing.T) {
-	for _, late := range []bool{false, true} {
+	cases := []struct {
+		late     bool
+		notAfter time.Duration
+		ran      bool
+	}{
+		{false, time.Hour, false},
+		{true, time.Hour, true},
+		{true, time.Minute + 1, true},
+		{true, time.Minute, false},
+		{true, testLease, false},
+	}
+	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBench(t)
+			boot := b.sync(worker.Sync{}).Boot
 			b.faults(`{"hosts":{"w1":{"frozen":true,"late":false}}}`)
-			if late {
+			if c.late {
 				b.faults(`{"hosts":{"w1":{"late":true}}}`)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			time.AfterFunc(time.Minute, func() { b.faults(`{"hosts":{"w1":{"frozen":false}}}`) })
 			begin := time.Now()
-			_, err := b.Sync(ctx, worker.Sync{Epoch: 1, Lease: testLease, Starts: []worker.Start{start("a", 1, "")}})
-			if errors.Is(err, worker.ErrUnreachable) == late {
-				t.Errorf("late %v: %v after %v", late, err, time.Since(begin))
+			_, err := b.Sync(ctx, worker.Sync{Epoch: 1, Boot: boot, NotAfter: c.notAfter, Starts: []worker.Start{start("a", 1, "")}})
+			if errors.Is(err, worker.ErrUnreachable) == c.late {
+				t.Errorf("%+v: %v after %v", c, err, time.Since(begin))
 			}
-			time.Sleep(time.Hour)
-			if ran := len(b.Ledger.Entries()) == 1; ran != late {
-				t.Errorf("late %v: ran %v", late, ran)
+			time.Sleep(2 * time.Hour)
+			if ran := len(b.Ledger.Entries()) == 1; ran != c.ran {
+				t.Errorf("%+v: ran %v", c, ran)
 			}
 		})
 	}
@@ -269,14 +326,18 @@
 			t.Error("report does not say that the worker is leaving")
 		}
 		b.faults(`{"hosts":{"w1":{"fail-starts":false}}}`)
-		b.sync(worker.Sync{Epoch: 9, Lease: testLease, Starts: []worker.Start{start("b", 1, `{"forever":true}`)}})
+		b.leased(worker.Sync{Epoch: 9, Starts: []worker.Start{start("b", 1, `{"forever":true}`)}})
 		b.faults(`{"hosts":{"w1":{"lost":true}}}`)
 		b.Lose()
 		if _, err := b.Sync(t.Context(), worker.Sync{Epoch: 9}); !errors.Is(err, worker.ErrUnreachable) {
 			t.Errorf("lost worker: %v", err)
 		}
 		b.faults(`{"hosts":{"w1":{"lost":false}}}`)
-		b.want(b.sync(worker.Sync{}))
+		back := b.sync(worker.Sync{Epoch: 9, Boot: r.Boot, NotAfter: time.Hour, Starts: []worker.Start{start("b", 1, "")}})
+		b.want(back)
+		if back.Boot == r.Boot {
+			t.Error("a worker that lost its attempts has the same boot")
+		}
 		if e := b.Ledger.Entries()[1]; e.How != ledger.Lost {
 			t.Errorf("ledger %+v", e)
 		}
@@ -288,8 +349,8 @@
 func TestStopBeforeStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		b.want(b.sync(worker.Sync{Stops: []worker.Stop{{Ref: ref("a", 2)}}}), worker.Stopped)
-		b.want(b.sync(worker.Sync{Acknowledged: []worker.Ref{ref("a", 2)}}))
+		b.want(b.leased(worker.Sync{Stops: []worker.Stop{{Ref: ref("a", 2)}}}), worker.Stopped)
+		b.want(b.leased(worker.Sync{Acknowledged: []worker.Ref{ref("a", 2)}}))
 		b.want(b.startAll(start("a", 2, `{"forever":true}`)))
 		b.want(b.startAll(start("a", 1, `{"forever":true}`)), worker.Refused)
 		b.want(b.startAll(start("a", 3, `{"forever":true}`)), worker.Refused, worker.Running)
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -11,7 +11,11 @@
 //     until then it is closed, and attempts that may be on it count as running.
 //   - The demands placed on a worker never exceed its capacity.
 //   - An attempt is reported lost only when it certainly does not run: its
-//     worker's inventory lacks it, or its lease has lapsed.
+//     worker's inventory lacks it, or its lease has lapsed. No assumption is
+//     made on how long a message to a worker that this owner has heard is under
+//     way: what it was sent is void after a time on its own clock, see
+//     package worker. For a worker that it has not heard, leases of earlier
+//     owners are waited out, see AllowWaitOut.
 //   - A finished attempt is kept until its job's owner has acknowledged it.
 //
 // Usage:
@@ -86,7 +90,8 @@
 	Name  string
 	Epoch uint64
 	Lease time.Duration
-	// Transit is the longest time that a message to a worker is under way.
+	// Transit is the longest time that a message of an earlier owner to a
+	// worker is under way.
 	Transit time.Duration
 	// Reserve is the share of each worker that long work may not take.
 	Reserve float64
@@ -108,7 +113,8 @@
 	urgent   bool // something to tell before the next regular Sync
 	heard    time.Time
 	sent     time.Time
-	renewed  time.Time // when the last Sync that renews leases was sent
+	clock    reading       // of the worker's clock; zero until it was heard
+	until    time.Duration // on that clock; no lease and no message lasts longer
 	misses   int
 	leaving  bool
 	refs     map[worker.Ref]*Attempt
--- a/rack/sync.go
+++ b/rack/sync.go
@@ -33,8 +33,9 @@
 	if !m.accepted || m.misses >= missesToClose {
 		return s, true // fences and asks for the inventory, renews nothing
 	}
-	m.renewed = now
-	s.Lease = r.Lease
+	s.Boot = m.clock.boot
+	s.NotAfter = m.clock.atLeast(now) + r.Lease
+	m.until = max(m.until, s.NotAfter)
 	for _, a := range m.refs {
 		switch {
 		case a.State == Starting:
@@ -74,7 +75,10 @@
 		return r.expire(m, now), nil
 	}
 	m.heard, m.misses = now, 0
-	first := !m.accepted || m.gone
+	// A worker that was lost and is back has nothing of what it was sent.
+	reborn := m.clock.boot != "" && m.clock.boot != report.Boot
+	m.read(report, now)
+	first := !m.accepted || m.gone || reborn
 	m.accepted, m.gone = true, false
 	if report.Leaving {
 		m.leaving = true
@@ -91,10 +95,7 @@
 // expire reports the attempts of a silent worker lost once their leases have
 // certainly lapsed.
 func (r *Rack) expire(m *member, now time.Time) []*Attempt {
-	if m.misses < missesToClose || !now.After(r.lapse(m)) {
-		return nil
-	}
-	if m.renewed.IsZero() && r.waitOutFrom.IsZero() {
+	if m.misses < missesToClose || !r.lapsed(m, now) {
 		return nil
 	}
 	m.gone, m.accepted = true, false
@@ -113,16 +114,6 @@
 	return changed
 }
 
-// lapse returns the time after which no lease on the worker can be in force.
-func (r *Rack) lapse(m *member) time.Time {
-	from := m.renewed
-	if from.IsZero() {
-		from = r.waitOutFrom
-	}
-	drift := time.Duration(float64(r.Lease) * worker.MaxClockDrift / (1 - worker.MaxClockDrift))
-	return from.Add(r.Transit + r.Lease + drift)
-}
-
 func (r *Rack) reconcile(m *member, s worker.Sync, report worker.Report, first bool) []*Attempt {
 	var changed []*Attempt
 	listed := make(map[worker.Ref]bool, len(report.Attempts))
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -119,7 +119,13 @@
 	}
 	w := &worker.Client{Address: hosts[0].Address, Name: "e1", Timeout: patience}
 	start := worker.Start{Ref: worker.Ref{Task: "a/1", Attempt: 1}, Work: []byte(`{"forever":true}`)}
-	report, err := w.Sync(t.Context(), worker.Sync{Epoch: 2, Lease: time.Minute, Starts: []worker.Start{start}})
+	report, err := w.Sync(t.Context(), worker.Sync{Epoch: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err = w.Sync(t.Context(), worker.Sync{
+		Epoch: 2, Boot: report.Boot, NotAfter: report.Clock + time.Minute, Starts: []worker.Start{start},
+	})
 	if err != nil || len(report.Attempts) != 1 || report.Attempts[0].State != worker.Running {
 		t.Fatalf("report %+v, %v", report, err)
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -10,10 +10,17 @@
 //     with ErrStaleEpoch and has no effect; a higher one is remembered;
 //   - inventory: the answer lists every attempt that is running and every
 //     finished one that has not been acknowledged;
-//   - self-stop: an attempt whose lease is not renewed stops by itself at the
-//     end of the lease, by the worker's own monotonic clock;
-//   - bounded clock rate error: the worker's clock is off by at most
-//     MaxClockDrift of the time that passes;
+//   - clock: the answer carries the worker's monotonic clock and its boot, the
+//     identifier of this run of the clock. The clock also goes on while the
+//     worker is frozen, and its rate is off by at most MaxClockDrift. A worker
+//     with a new boot runs nothing of earlier boots;
+//   - lateness: a Sync that arrives at or after its NotAfter, or that is meant
+//     for another boot, fences and is answered, but has no other effect. So a
+//     message that was under way while the worker was frozen or cut off can do
+//     no harm however late it comes;
+//   - self-stop: the lease of every attempt runs to the latest NotAfter that
+//     took effect. Attempts stop by themselves then, also while the worker is
+//     frozen;
 //   - idempotence: a Start of a known task and attempt has no further effect,
 //     and a Start of an attempt lower than one seen for the task is refused;
 //   - stop before start: a Stop of an attempt that never came is listed as
@@ -24,7 +31,10 @@
 // Usage:
 //
 //	c := worker.Client{Address: host.Address}
-//	report, err := c.Sync(ctx, worker.Sync{Epoch: 7, Lease: 10 * time.Second})
+//	report, err := c.Sync(ctx, worker.Sync{Epoch: 7}) // fences, reads boot and clock
+//	report, err = c.Sync(ctx, worker.Sync{
+//		Epoch: 7, Boot: report.Boot, NotAfter: report.Clock + 10*time.Second, Starts: starts,
+//	})
 package worker
 
 import (
@@ -55,11 +65,15 @@
 // Sync is the one request to a worker.
 type Sync struct {
 	Epoch uint64 `json:"epoch"`
-	// Lease is granted to every attempt from the receipt of this message; 0
-	// renews nothing.
-	Lease  time.Duration `json:"lease-ns"`
-	Starts []Start       `json:"starts,omitempty"`
-	Stops  []Stop        `json:"stops,omitempty"`
+	// Boot is the Report.Boot that the message is meant for. With another one,
+	// or none, it only fences and asks for the inventory.
+	Boot string `json:"boot,omitempty"`
+	// NotAfter is the time on the worker's clock, see Report.Clock, at which
+	// the message becomes void, and to which the leases of all attempts run
+	// once it has taken effect.
+	NotAfter time.Duration `json:"not-after-ns,omitempty"`
+	Starts   []Start       `json:"starts,omitempty"`
+	Stops    []Stop        `json:"stops,omitempty"`
 	// Throttles set the processor share of a running attempt.
 	Throttles []Throttle `json:"throttles,omitempty"`
 	// Acknowledged attempts are finished and may be forgotten.
@@ -120,7 +134,15 @@
 
 // Report is a worker's whole inventory.
 type Report struct {
-	Epoch    uint64          `json:"epoch"` // highest epoch seen
+	Epoch uint64 `json:"epoch"` // highest epoch seen
+	// Boot names the run of the worker's clock; a worker that has lost its
+	// attempts has another one.
+	Boot string `json:"boot"`
+	// Clock is the worker's monotonic clock at the time of this report, since
+	// an arbitrary start.
+	Clock time.Duration `json:"clock-ns"`
+	// Until is the time on Clock to which the leases run; 0 for none.
+	Until    time.Duration   `json:"until-ns,omitempty"`
 	Capacity resource.Vector `json:"capacity"`
 	Leaving  bool            `json:"leaving,omitempty"`
 	Attempts []Attempt       `json:"attempts,omitempty"`
