rack: test under random faults with real agents

What: a schedule of submissions, freezes (also with late messages), lost hosts, dropped, muted and delayed messages, pauses, takeovers, leaving workers, stops and late acknowledgements runs a Rack against the stand-in's agents in virtual time; the verdict is the agents' ledger. No task in two places, no attempt twice, no start refused for want of room, every task ends, no result goes before it is acknowledged.

--- a/rack/bed_test.go
+++ b/rack/bed_test.go
@@ -42,9 +42,9 @@
 	order   []string
 	faults  []string // of the rack, beside what the ledger shows
 
-	// dropped, when set, tells whether a request and its answer are lost, and
-	// how late the request arrives.
-	dropped func() (request, answer bool, late time.Duration)
+	// dropped, when set, tells whether a request to a worker and its answer are
+	// lost, and how late the request arrives.
+	dropped func(id string) (request, answer bool, late time.Duration)
 }
 
 type testTask struct {
@@ -54,6 +54,7 @@
 	ended   bool
 	kept    bool // ended and not acknowledged yet
 	done    bool
+	worker  string
 }
 
 func newBed(workers int) *bed {
@@ -160,7 +161,7 @@
 	var late time.Duration
 	if b.dropped != nil {
 		b.mutex.Lock()
-		lostRequest, lostAnswer, late = b.dropped()
+		lostRequest, lostAnswer, late = b.dropped(id)
 		b.mutex.Unlock()
 	}
 	type answer struct {
@@ -202,8 +203,11 @@
 	if t == nil || t.attempt != a.Ref.Attempt || t.ended || b.missing {
 		return
 	}
+	if a.End.State == worker.Refused {
+		b.faults = append(b.faults, fmt.Sprintf("task %s attempt %d was refused by worker %s: %s", a.Task, a.Ref.Attempt, a.Worker, a.Reason))
+	}
 	if a.State == Ended && a.End.State == worker.Done {
-		t.ended, t.done, t.kept = true, true, true
+		t.ended, t.done, t.kept, t.worker = true, true, true, a.Worker
 		return // acknowledged when the schedule says so
 	}
 	b.rack.Acknowledge(a.Ref)
