--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -107,7 +107,7 @@
 		d.dropTaken(s, taken)
 	case errors.Is(err, job.ErrDeposed):
 		d.Log.Emit(event.ShardLost, "shard", s.name, "epoch", s.epoch, "error", err)
-		d.deposed(s)
+		d.deposed(s, errors.Is(err, platform.ErrUnknown))
 	case errors.Is(err, platform.ErrUnavailable) && !resolving:
 		d.unwritten(s, err)
 	default:
@@ -117,8 +117,15 @@
 }
 
 // deposed answers submissions truthfully: another owner's row stands where
-// theirs would have been, so they were not accepted.
-func (d *Desk) deposed(s *shard) {
+// theirs would have been, so they were not accepted, unless it cannot be told
+// whether the last batch was written.
+func (d *Desk) deposed(s *shard, unknown bool) {
+	if unknown {
+		for _, p := range s.frozen {
+			answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_UNKNOWN, "the job shard has changed its owner; ask again with the same idempotency key", retryPause)})
+		}
+		s.frozen = nil
+	}
 	for _, p := range append(s.frozen, s.pending...) {
 		answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the job shard has another owner", retryPause)})
 	}
--- a/job/book.go
+++ b/job/book.go
@@ -164,7 +164,7 @@
 	}
 	if e.Kind == EntryRetry {
 		t.Attempt++
-		t.Target, t.Running = "", false
+		t.Target, t.Running, t.Intended = "", false, false
 		j.setState(t, Waiting)
 		return true
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -16,7 +16,9 @@
 //     not known, the task ends as unknown.
 //   - Entries of the journal are numbered without gaps and written by
 //     conditional insert, so that an owner that lost its shard cannot append
-//     after the entry that opens the next owner's epoch.
+//     after the entry that opens the next owner's epoch. A row below the base
+//     of a snapshot could be inserted again, so every append also requires the
+//     base to be as its writer knows it.
 //
 // Usage:
 //
--- a/job/journal.go
+++ b/job/journal.go
@@ -65,8 +65,8 @@
 			return nil, fmt.Errorf("job shard %s/%s epoch %d, journal has epoch %d: %w", s.DataCentre, s.Shard, s.Epoch, epoch, ErrDeposed)
 		}
 		err = s.appendRow(ctx, []Entry{{Kind: EntryOpen, Epoch: s.Epoch}}, nil)
-		if errors.Is(err, platform.ErrConflict) {
-			continue // the previous owner appended after the replay
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, errBaseMoved) {
+			continue // the previous owner wrote after the replay
 		}
 		if err != nil {
 			return nil, err
@@ -140,10 +140,12 @@
 	return &spec, nil
 }
 
-// Append makes entries durable as one row. On ErrConflict wrapped in
-// ErrDeposed the shard is lost. On platform.ErrUnknown the same entries must
-// be appended again before any others, which succeeds whether or not the first
-// write took effect; on platform.ErrUnavailable nothing was written.
+// Append makes entries durable as one row. On ErrDeposed the shard is lost and
+// nothing was written, unless the error is platform.ErrUnknown too: then an
+// earlier try of these entries may have been. On platform.ErrUnknown alone the
+// same entries must be appended again before any others, which succeeds whether
+// or not the first write took effect; on platform.ErrUnavailable this try wrote
+// nothing.
 //
 // Accepted jobs that carry an idempotency key take the key's row in the same
 // commit; ErrKeyTaken is returned when another job has one of the keys.
@@ -162,6 +164,9 @@
 		}
 	}
 	err := s.appendRow(ctx, entries, keys)
+	for errors.Is(err, errBaseMoved) {
+		err = s.appendRow(ctx, entries, keys)
+	}
 	if errors.Is(err, platform.ErrConflict) {
 		return s.explainConflict(ctx, entries, err)
 	}
@@ -198,7 +203,8 @@
 		return err
 	}
 	key := s.rowKey(s.next)
-	_, err = s.Table.Commit(ctx, append([]platform.Op{platform.Create(key, body)}, keys...)...)
+	ops := []platform.Op{platform.Create(key, body), platform.Require(s.baseKey(), s.baseRow)}
+	_, err = s.Table.Commit(ctx, append(ops, keys...)...)
 	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict) {
 		err = s.resolve(ctx, key, body, err)
 	}
@@ -209,6 +215,10 @@
 	return nil
 }
 
+// errBaseMoved tells that the write is to be repeated, since a snapshot of this
+// owner or an earlier one has become the base of the journal meanwhile.
+var errBaseMoved = errors.New("the journal has another base")
+
 // resolve reads the row back after a lost answer or a conflict: the row may be
 // our own, written by the call whose answer was lost. A row that is absent
 // after a lost answer may still appear, so the error stays ErrUnknown.
@@ -219,6 +229,8 @@
 		return nil
 	case err == nil:
 		return platform.ErrConflict
+	case errors.Is(err, platform.ErrNotFound) && errors.Is(cause, platform.ErrConflict):
+		return s.followBase(ctx, cause)
 	case errors.Is(err, platform.ErrNotFound):
 		return cause
 	default:
@@ -226,6 +238,22 @@
 	}
 }
 
+// followBase finds out whether a conflict comes from the base. Under a later
+// owner's base the row may have been written, read and removed.
+func (s *Store) followBase(ctx context.Context, cause error) error {
+	r, version, err := s.readBase(ctx)
+	switch {
+	case err != nil:
+		return fmt.Errorf("read of the base after %v: %v: %w", cause, err, platform.ErrUnknown)
+	case version == s.baseRow:
+		return cause
+	case r.Epoch > s.Epoch:
+		return fmt.Errorf("%w: %w", ErrDeposed, platform.ErrUnknown)
+	}
+	s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
+	return errBaseMoved
+}
+
 // ErrKeyTaken is returned by Append when the idempotency keys of some entries
 // belong to other jobs. Nothing was written.
 type ErrKeyTaken struct {
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -83,16 +83,9 @@
 
 func (s *Store) loadBase(ctx context.Context, b *Book) (epoch uint64, err error) {
 	s.base, s.baseRow, s.snapshot = 0, 0, ""
-	row, err := s.Table.Get(ctx, s.baseKey())
-	if errors.Is(err, platform.ErrNotFound) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
-	}
-	var r baseRecord
-	if err := json.Unmarshal(row.Value, &r); err != nil {
-		return 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	r, version, err := s.readBase(ctx)
+	if err != nil || version == 0 {
+		return 0, err
 	}
 	body, err := s.Objects.Get(ctx, r.Object)
 	if err != nil {
@@ -101,10 +94,26 @@
 	if err := b.load(body); err != nil {
 		return 0, fmt.Errorf("snapshot %q: %w", r.Object, err)
 	}
-	s.base, s.baseRow, s.snapshot = r.Number, row.Version, r.Object
+	s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
 	return r.Epoch, nil
 }
 
+// readBase returns the base of the journal and the version of its row, 0 when
+// there is none.
+func (s *Store) readBase(ctx context.Context) (r baseRecord, version uint64, err error) {
+	row, err := s.Table.Get(ctx, s.baseKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return r, 0, nil
+	}
+	if err != nil {
+		return r, 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	return r, row.Version, nil
+}
+
 // Rows returns the number of journal rows since the last snapshot.
 func (s *Store) Rows() uint64 { return s.next - s.base }
 
@@ -136,12 +145,9 @@
 // reloadBase learns after a failed write which base is in force, so that the
 // next Compact starts from it.
 func (s *Store) reloadBase(ctx context.Context, cause error) error {
-	row, err := s.Table.Get(ctx, s.baseKey())
-	if err == nil {
-		var r baseRecord
-		if err := json.Unmarshal(row.Value, &r); err == nil && r.Number <= s.next {
-			s.base, s.baseRow, s.snapshot = r.Number, row.Version, r.Object
-		}
+	r, version, err := s.readBase(ctx)
+	if err == nil && r.Number <= s.next && r.Epoch <= s.Epoch {
+		s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
 	}
 	return fmt.Errorf("row %q: %w", s.baseKey(), cause)
 }
