dispatch: one commit never takes an idempotency key twice

Cause: two submissions under one key that met in one group commit named the key's row twice. The table rejects such a commit for good, so the job shard was wedged: no submission, no end of an attempt became durable any more (TestSameKeyAtOnce: three submissions, one run instead of two, no answer). Ruled out: the lookup in the book (holds durable jobs only), ErrKeyTaken (the first job is in the same batch). Change: a later submission joins the undecided one and shares its outcome. Run and Take met on the desk's group without order (race detector); Take may now come first. Tests: a bed of a Desk, two processes with racks and the stand-in's agents in virtual time.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -133,8 +133,9 @@
 
 type pendingEntry struct {
 	entry  job.Entry
-	done   chan<- Outcome // of a submission
-	ackTo  string         // process to acknowledge to once durable
+	done   chan<- Outcome   // of a submission or a cancellation
+	others []chan<- Outcome // of later submissions under the same idempotency key
+	ackTo  string           // process to acknowledge to once durable
 	ref    worker.Ref
 	urgent bool
 }
@@ -151,9 +152,18 @@
 
 // Run dispatches until ctx ends.
 func (d *Desk) Run(ctx context.Context) error {
-	d.group, d.ctx = errgroup.WithContext(ctx)
-	d.group.Go(func() error { return d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) }) })
-	return d.group.Wait()
+	group, inner := errgroup.WithContext(ctx)
+	err := d.Loop.Do(ctx, func() {
+		d.group, d.ctx = group, inner
+		for _, s := range d.shards {
+			d.spawn(func() { d.open(s) })
+		}
+	})
+	if err != nil {
+		return nil // ended before it began
+	}
+	group.Go(func() error { return d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) }) })
+	return group.Wait()
 }
 
 // Take starts to act for a job shard; called on the loop.
@@ -171,7 +181,9 @@
 		},
 	}
 	d.shards[name] = s
-	d.spawn(func() { d.open(s) })
+	if d.group != nil { // else Run opens it
+		d.spawn(func() { d.open(s) })
+	}
 }
 
 // Drop stops acting for a job shard, which has or will have another owner;
--- /dev/null
+++ b/dispatch/desk_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+// spec returns a job of n tasks of one core.
+func spec(n int, work string) job.Spec {
+	s := job.Spec{Organisation: "prado", Class: class.Batch, Demand: resource.Vector{MilliCPU: 1000, MemoryMB: 100}}
+	for range n {
+		s.Tasks = append(s.Tasks, job.TaskSpec{Work: json.RawMessage(work)})
+	}
+	return s
+}
+
+// submit hands a job in and returns its identifier.
+func (b *bed) submit(t *testing.T, s job.Spec) string {
+	t.Helper()
+	o := b.desk.Submit(t.Context(), testShard, s)
+	if o.Refusal != nil {
+		t.Fatalf("refused: %v", o.Refusal)
+	}
+	return o.Job
+}
+
+func TestBatchRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(2, 2)
+		b.run(3 * time.Second)
+		id := b.submit(t, spec(40, `{"run-ms":2000,"output":"x"}`))
+		b.run(30 * time.Second)
+		v, tasks, err := b.job(id)
+		if err != nil || v.States[job.Done] != 40 {
+			t.Errorf("states %v, %v", v.States, err)
+		}
+		for _, x := range tasks {
+			if string(x.Result) != "x" || x.Attempt != 1 {
+				t.Errorf("task %+v", x)
+			}
+		}
+		for _, f := range b.close() {
+			t.Error(f)
+		}
+	})
+}
+
+// Two submissions under one idempotency key at the same time are one job.
+func TestSameKeyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(1, 1)
+		b.run(3 * time.Second)
+		b.submit(t, spec(1, `{"run-ms":100}`)) // starts the pause between commits
+		s := spec(1, `{"run-ms":100}`)
+		s.Key = "k"
+		outcomes := make(chan Outcome, 3)
+		for range cap(outcomes) {
+			b.group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				outcomes <- b.desk.Submit(ctx, testShard, s)
+			})
+		}
+		b.run(10 * time.Second)
+		jobs := map[string]int{}
+		for range cap(outcomes) {
+			o := <-outcomes
+			if o.Refusal != nil {
+				t.Errorf("refused: %v", o.Refusal)
+			}
+			jobs[o.Job]++
+		}
+		if len(jobs) != 1 {
+			t.Errorf("outcomes %v, want one job", jobs)
+		}
+		if n := len(b.ledger.Entries()); n != 2 {
+			t.Errorf("%d runs, want 2", n)
+		}
+		b.close()
+	})
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -29,6 +29,27 @@
 	if p.done != nil {
 		p.done <- o
 	}
+	for _, done := range p.others {
+		again := o
+		again.Existing = o.Refusal == nil
+		done <- again
+	}
+}
+
+// join lets a submission share the outcome of an earlier one under the same
+// idempotency key that is not durable yet. It reports whether there is one.
+// Two of them in one commit would take one row twice, which no platform does.
+func (s *shard) join(spec *job.Spec, done chan<- Outcome) bool {
+	for _, list := range [][]pendingEntry{s.frozen, s.pending} {
+		for i := range list {
+			p := &list[i]
+			if first := p.entry.Spec; first != nil && first.Key == spec.Key && first.Organisation == spec.Organisation {
+				p.others = append(p.others, done)
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Submit accepts a job into a job shard that this process owns and returns
@@ -58,6 +79,9 @@
 			done <- Outcome{Job: j.ID, Existing: true}
 			return
 		}
+		if s.join(&spec, done) {
+			return
+		}
 	}
 	id := job.NewID(d.DataCentre, shardName, uuid.NewString())
 	s.pending = append(s.pending, pendingEntry{entry: job.Accept(id, spec, time.Now()), done: done})
