--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -29,6 +29,27 @@
 	if p.done != nil {
 		p.done <- o
 	}
+	for _, done := range p.others {
+		again := o
+		again.Existing = o.Refusal == nil
+		done <- again
+	}
+}
+
+// join lets a submission share the outcome of an earlier one under the same
+// idempotency key that is not durable yet. It reports whether there is one.
+// Two of them in one commit would take one row twice, which no platform does.
+func (s *shard) join(spec *job.Spec, done chan<- Outcome) bool {
+	for _, list := range [][]pendingEntry{s.frozen, s.pending} {
+		for i := range list {
+			p := &list[i]
+			if first := p.entry.Spec; first != nil && first.Key == spec.Key && first.Organisation == spec.Organisation {
+				p.others = append(p.others, done)
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Submit accepts a job into a job shard that this process owns and returns
@@ -58,6 +79,9 @@
 			done <- Outcome{Job: j.ID, Existing: true}
 			return
 		}
+		if s.join(&spec, done) {
+			return
+		}
 	}
 	id := job.NewID(d.DataCentre, shardName, uuid.NewString())
 	s.pending = append(s.pending, pendingEntry{entry: job.Accept(id, spec, time.Now()), done: done})
@@ -107,7 +131,7 @@
 		d.dropTaken(s, taken)
 	case errors.Is(err, job.ErrDeposed):
 		d.Log.Emit(event.ShardLost, "shard", s.name, "epoch", s.epoch, "error", err)
-		d.deposed(s)
+		d.deposed(s, errors.Is(err, platform.ErrUnknown))
 	case errors.Is(err, platform.ErrUnavailable) && !resolving:
 		d.unwritten(s, err)
 	default:
@@ -117,8 +141,15 @@
 }
 
 // deposed answers submissions truthfully: another owner's row stands where
-// theirs would have been, so they were not accepted.
-func (d *Desk) deposed(s *shard) {
+// theirs would have been, so they were not accepted, unless it cannot be told
+// whether the last batch was written.
+func (d *Desk) deposed(s *shard, unknown bool) {
+	if unknown {
+		for _, p := range s.frozen {
+			answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_UNKNOWN, "the job shard has changed its owner; ask again with the same idempotency key", retryPause)})
+		}
+		s.frozen = nil
+	}
 	for _, p := range append(s.frozen, s.pending...) {
 		answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the job shard has another owner", retryPause)})
 	}
