queue: pass over organisations above the best candidate

Cause: with 320 organisations a decision built a candidate of each of some 2,500 buckets of a class and counted the usage of each organisation anew. Change: buckets hang on a claim of organisation and rank; the least used organisation is tried first and those above its candidate are skipped; usage is counted again after a start or end, or after 100 ms; a class ends when no shape of it fits; the oldest task of a bucket is remembered.

--- a/queue/explain.go
+++ b/queue/explain.go
@@ -26,7 +26,7 @@
 		Item:     e.item,
 		Position: q.position(e),
 		Waited:   now.Sub(e.item.Enqueued),
-		Overdue:  !q.due(e.item).After(now),
+		Overdue:  !q.due(&e.item).After(now),
 		Behind:   q.ahead(e, now),
 	}
 	x.Reason = q.reason(e, x)
@@ -35,7 +35,7 @@
 
 func (q *Queue) position(e *entry) int {
 	n := 1
-	for _, b := range e.bucket.account.buckets {
+	for _, b := range e.bucket.account.claims[rank(e.item.Class)].buckets {
 		if b.shape.class != e.item.Class {
 			continue
 		}
--- a/queue/next.go
+++ b/queue/next.go
@@ -14,6 +14,7 @@
 func (q *Queue) Next(now time.Time, fits func(Item) bool) (Item, bool) {
 	q.sweep()
 	q.expire(now)
+	q.refresh(now)
 	q.round++
 	q.unfit = q.unfit[:0]
 	e, overdue := q.choose(now, fits)
@@ -56,16 +57,22 @@
 	}
 	var best *entry
 	var chosen Candidate
+	_, pruned := policy.(usageFirst)
 	for rank := range q.lanes {
-		for _, b := range q.lanes[rank] {
-			if b.unfit(q.round) {
-				continue
+		l := &q.lanes[rank]
+		var first *claim
+		if pruned && len(l.claims) > 0 {
+			first = q.leastUsed(l, now)
+			best, chosen = q.better(best, chosen, first, policy, now, fits)
+		}
+		for _, c := range l.claims {
+			if l.full(q.round) {
+				break
 			}
-			e := b.preferred(policy)
-			c := q.candidate(b, e, now)
-			if (best == nil || policy.Before(c, chosen)) && q.fitting(b, e, fits) {
-				best, chosen = e, c
+			if c == first || pruned && best != nil && c.least > chosen.Usage {
+				continue
 			}
+			best, chosen = q.better(best, chosen, c, policy, now, fits)
 		}
 		if best != nil && !policy.ByArrival() {
 			break
@@ -74,15 +81,41 @@
 	return best, false
 }
 
+// leastUsed returns the claim of the organisation with the lowest weighted
+// usage, and notes the usage of each.
+func (q *Queue) leastUsed(l *lane, now time.Time) *claim {
+	var least *claim
+	for _, c := range l.claims {
+		c.least = q.current(c.account, now) / c.account.weight()
+		if least == nil || c.least < least.least {
+			least = c
+		}
+	}
+	return least
+}
+
+// better returns the best fitting candidate among that found so far, if any,
+// and those of a claim.
+func (q *Queue) better(best *entry, chosen Candidate, c *claim, policy Policy, now time.Time, fits func(Item) bool) (*entry, Candidate) {
+	for _, b := range c.buckets {
+		if b.unfit(q.round) {
+			continue
+		}
+		e := b.preferred(policy)
+		x := q.candidate(b, e, now)
+		if (best == nil || policy.Before(x, chosen)) && q.fitting(b, e, fits) {
+			best, chosen = e, x
+		}
+	}
+	return best, chosen
+}
+
 // candidate takes the usage midway through the start: without its half of
 // the demand, organisations with large tasks would get more.
 func (q *Queue) candidate(b *bucket, e *entry, now time.Time) Candidate {
 	a := b.account
-	if a.round != q.round {
-		a.round, a.current = q.round, q.Usage(a.name, now)
-	}
-	midway := a.current + fairness.RunningWeight/2*e.item.Demand.DominantShare(q.Pool)
-	return Candidate{Item: &e.item, Usage: midway / float64(max(1, a.share.Weight)), sequence: e.sequence}
+	midway := q.current(a, now) + fairness.RunningWeight/2*e.item.Demand.DominantShare(q.Pool)
+	return Candidate{Item: &e.item, Usage: midway / a.weight(), sequence: e.sequence}
 }
 
 // longestDue returns the fitting task that has been due longest, and learns
@@ -91,14 +124,18 @@
 	var oldest *entry
 	q.nextDue = time.Time{}
 	for rank := range q.lanes {
-		for _, b := range q.lanes[rank] {
-			e := b.arrivals.Head()
-			due := q.due(e.item)
-			if q.nextDue.IsZero() || due.Before(q.nextDue) {
-				q.nextDue = due
-			}
-			if !due.After(now) && (oldest == nil || q.dueBefore(e, oldest)) && q.fitting(b, e, fits) {
-				oldest = e
+		l := &q.lanes[rank]
+		limit := q.ageLimit(class.All[rank])
+		for _, c := range l.claims {
+			for _, b := range c.buckets {
+				e := b.first()
+				due := e.item.Enqueued.Add(limit)
+				if q.nextDue.IsZero() || due.Before(q.nextDue) {
+					q.nextDue = due
+				}
+				if !due.After(now) && !b.unfit(q.round) && (oldest == nil || q.dueBefore(e, oldest)) && q.fitting(b, e, fits) {
+					oldest = e
+				}
 			}
 		}
 	}
@@ -119,23 +156,30 @@
 		return s.fits
 	}
 	s.round = q.round
+	l := &q.lanes[rank(s.class)]
 	for _, u := range q.unfit {
 		if u.class == s.class && u.long == s.long && s.demand.Covers(u.demand) {
 			s.fits = false
+			if !b.coarse {
+				l.countUnfit(q.round)
+			}
 			return false
 		}
 	}
 	s.fits = fits(e.item)
+	if !s.fits && !b.coarse {
+		l.countUnfit(q.round)
+	}
 	if !s.fits && len(q.unfit) < maxUnfit {
 		q.unfit = append(q.unfit, s)
 	}
 	return s.fits
 }
 
-func (q *Queue) due(i Item) time.Time { return i.Enqueued.Add(q.ageLimit(i.Class)) }
+func (q *Queue) due(i *Item) time.Time { return i.Enqueued.Add(q.ageLimit(i.Class)) }
 
 func (q *Queue) dueBefore(a, b *entry) bool {
-	x, y := q.due(a.item), q.due(b.item)
+	x, y := q.due(&a.item), q.due(&b.item)
 	if !x.Equal(y) {
 		return x.Before(y)
 	}
--- a/queue/policy.go
+++ b/queue/policy.go
@@ -20,9 +20,14 @@
 	ByArrival() bool
 }
 
+// usageFirst is a Policy that, within a class, puts organisations with lower
+// usage first, so that those above the best found so far need no look.
+type usageFirst interface{ usageFirst() }
+
 var (
-	_ Policy = Fair{}
-	_ Policy = FIFO{}
+	_ Policy     = Fair{}
+	_ Policy     = FIFO{}
+	_ usageFirst = Fair{}
 )
 
 // Fair prefers the more urgent class, then the organisation with the lower
@@ -47,6 +52,8 @@
 // ByArrival implements Policy.
 func (Fair) ByArrival() bool { return false }
 
+func (Fair) usageFirst() {}
+
 // FIFO prefers the older task, whosever it is. It is the baseline that other
 // policies are compared with.
 type FIFO struct{}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -18,8 +18,10 @@
 // than a twentieth of the pool fall behind smaller ones; for these the caller
 // asks for Overdue and keeps room, for example by placement.Shard.Earmark.
 //
-// Tasks are indexed by organisation, class and demand. A decision costs time
-// in proportion to these, and not to the number of waiting tasks. Removal and
+// Tasks are indexed by organisation, class and demand. A decision passes over
+// the organisations that use more than the best one found so far, and ends once
+// no demand of a class fits, so that its cost depends little on the number of
+// organisations and not on the number of waiting tasks. Removal and
 // the cancellation of a whole group only mark; the memory is swept later in
 // small steps.
 //
@@ -90,8 +92,8 @@
 	Policy    Policy                        // nil for Fair
 
 	accounts  map[string]*account
-	order     []*account         // accounts in the order of creation
-	lanes     [classes][]*bucket // by rank of the class
+	order     []*account    // accounts in the order of creation
+	lanes     [classes]lane // by rank of the class
 	shapes    map[shapeKey]*shape
 	items     map[string]*entry
 	groups    map[string]*group
@@ -103,6 +105,7 @@
 	sequence  uint64
 	round     uint64    // number of the current call of Next
 	sinceAged int       // starts since an overdue task was last preferred
+	refreshed time.Time // when the usage of every account was last to be counted
 	nextDue   time.Time // no waiting task is due before; zero if unknown
 	unfit     []*shape
 }
@@ -116,7 +119,10 @@
 }
 
 // SetPool replaces the capacity that dominant shares are fractions of.
-func (q *Queue) SetPool(pool resource.Vector) { q.Pool = pool }
+func (q *Queue) SetPool(pool resource.Vector) {
+	q.Pool = pool
+	q.allChanged()
+}
 
 // Len returns the number of waiting tasks.
 func (q *Queue) Len() int { return q.live }
@@ -124,11 +130,11 @@
 // Waiting returns the number of waiting tasks of a class of an organisation.
 func (q *Queue) Waiting(organisation string, c class.Class) int {
 	a, ok := q.accounts[organisation]
-	if !ok {
+	if !ok || a.claims[rank(c)] == nil {
 		return 0
 	}
 	n := 0
-	for _, b := range a.buckets {
+	for _, b := range a.claims[rank(c)].buckets {
 		if b.shape.class == c {
 			n += b.live
 		}
@@ -149,7 +155,7 @@
 	}
 	q.items[i.ID] = e
 	e.bucket.push(e)
-	if due := q.due(i); due.Before(q.nextDue) {
+	if due := q.due(&i); due.Before(q.nextDue) {
 		q.nextDue = due
 	}
 	if e.group != nil {
