--- /dev/null
+++ b/measure/experiment/tasks.go
@@ -0,0 +1,359 @@
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/directory"
+	"persimmonworks.example/persimmonworks/estimate"
+	"persimmonworks.example/persimmonworks/measure/workload"
+	"persimmonworks.example/persimmonworks/placement"
+	"persimmonworks.example/persimmonworks/quarantine"
+	"persimmonworks.example/persimmonworks/queue"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+const (
+	longAfter     = 15 * time.Second       // expected run time of long work
+	longQuantile  = 0.5                    // of the learned run times
+	failsAfter    = 100 * time.Millisecond // run time of an attempt on a failing worker
+	fairHalfLife  = time.Minute            // of the queue's memory
+	sampleEvery   = time.Second            // of packing and shares
+	sharesOver    = time.Minute
+	failAttempts  = 3 // after which a task is parked
+	placementSeed = 3
+)
+
+// Tasks is a policy for tasks on workers. The zero value is the queue and
+// placement of the product without reserve, learning and quarantine.
+type Tasks struct {
+	Name       string
+	Queue      queue.Policy     // nil for Fair
+	Placement  placement.Policy // nil for BestFit
+	Reserve    float64          // of each worker, for short work
+	Learn      bool             // run times are learned; else they are as declared
+	Late       time.Duration    // between two summaries of a shard; zero for at once
+	Quarantine bool
+	Failing    int // one worker in so many fails everything; zero for none
+}
+
+// taskEvent is an arrival, the end of an attempt, or a tick.
+type taskEvent struct {
+	arrival *workload.Arrival
+	attempt *attempt
+	tick    func(at time.Duration)
+}
+
+// attempt is a running task.
+type attempt struct {
+	arrival *workload.Arrival
+	item    queue.Item
+	rack    string
+	worker  string
+	began   time.Duration
+	failed  bool
+}
+
+// tasks is a run.
+type tasks struct {
+	p         Tasks
+	w         *workload.Workload
+	rng       *rand.Rand
+	agenda    agenda[taskEvent]
+	queue     queue.Queue
+	directory directory.Directory
+	racks     map[string]*placement.Shard
+	centre    map[string]string // by rack
+	centres   []string
+	order     []string // racks
+	rackOf    map[string]string
+	failing   map[string]bool
+	ward      quarantine.Ward
+	attempts  quarantine.Attempts
+	learned   estimate.Estimator
+	waiting   map[string]*workload.Arrival
+	attempted map[string]bool
+	running   map[string]int // by worker
+	result    *Result
+	samples   int
+	held      map[string]float64 // dominant share seconds of the minute, by organisation
+	starved   map[string]bool    // had nothing waiting in the minute
+	minute    time.Duration
+}
+
+// Run measures the policy.
+func (p Tasks) Run(w *workload.Workload, seed uint64) *Result {
+	t := &tasks{
+		p: p, w: w, rng: rand.New(rand.NewPCG(seed, placementSeed)), result: newResult(p.Name, w, seed),
+		queue:   queue.Queue{Policy: p.Queue, HalfLife: fairHalfLife, Shares: make(map[string]queue.Share)},
+		racks:   make(map[string]*placement.Shard),
+		centre:  make(map[string]string),
+		rackOf:  make(map[string]string),
+		failing: make(map[string]bool), attempts: quarantine.Attempts{Limit: failAttempts},
+		waiting: make(map[string]*workload.Arrival), attempted: make(map[string]bool),
+		running: make(map[string]int),
+		held:    make(map[string]float64), starved: make(map[string]bool),
+	}
+	t.queue.SetPool(w.Pool())
+	for _, s := range w.Streams {
+		t.queue.Shares[s.Organisation] = queue.Share{Weight: max(1, s.Weight)}
+	}
+	t.build()
+	arrivals := w.Arrivals(seed)
+	for n := range arrivals {
+		t.agenda.add(arrivals[n].At, taskEvent{arrival: &arrivals[n]})
+	}
+	t.agenda.add(sampleEvery, taskEvent{tick: t.sample})
+	if p.Late > 0 {
+		t.agenda.add(p.Late, taskEvent{tick: t.summaries})
+	}
+	t.run()
+	return t.result
+}
+
+func (t *tasks) build() {
+	for n := range t.w.DataCentres {
+		t.centres = append(t.centres, fmt.Sprint("dc-", n))
+	}
+	for n := range t.w.Workers {
+		rack := fmt.Sprint("rack-", n/t.w.WorkersPerRack)
+		s, ok := t.racks[rack]
+		if !ok {
+			s = &placement.Shard{Policy: t.p.Placement, Reserve: t.p.Reserve}
+			t.racks[rack] = s
+			t.centre[rack] = t.centres[n/t.w.WorkersPerRack%len(t.centres)]
+			t.order = append(t.order, rack)
+		}
+		id := fmt.Sprint("w-", n)
+		if err := s.AddWorker(placement.Worker{ID: id, Rack: rack, DataCentre: t.centre[rack], Capacity: t.w.Capacity()}); err != nil {
+			panic(err) // the names are distinct
+		}
+		t.rackOf[id] = rack
+		t.ward.AddWorker(id, t.centre[rack])
+		t.failing[id] = t.p.Failing > 0 && n%t.p.Failing == 0
+	}
+	for _, rack := range t.order {
+		t.advertise(rack)
+	}
+}
+
+func (t *tasks) advertise(rack string) {
+	s := t.racks[rack]
+	t.directory.Update(directory.Summary{Shard: rack, Rack: rack, DataCentre: t.centre[rack], Largest: s.Largest(), Long: s.LargestLong(), Free: s.FreeCapacity()})
+}
+
+// changed advertises a rack at once, unless summaries are late.
+func (t *tasks) changed(rack string) {
+	if t.p.Late == 0 {
+		t.advertise(rack)
+	}
+}
+
+func (t *tasks) run() {
+	for {
+		at, e, ok := t.agenda.next()
+		if !ok || at > t.w.Duration {
+			break
+		}
+		switch {
+		case e.tick != nil:
+			e.tick(at)
+		case e.attempt != nil:
+			t.end(at, e.attempt)
+		default:
+			t.result.arrived(t.w, *e.arrival)
+			t.push(at, e.arrival)
+		}
+		if t.agenda.due(at) {
+			continue // one round of decisions for all that happens at once
+		}
+		t.place(at)
+	}
+	for _, a := range t.waiting {
+		t.result.Of(a.Stream.Name).Waiting++
+	}
+	for _, c := range t.centres {
+		held, _ := t.ward.Held(c)
+		t.result.Held += held
+	}
+}
+
+func (t *tasks) push(at time.Duration, a *workload.Arrival) {
+	s := a.Stream
+	expected := a.Declared
+	if t.p.Learn {
+		expected, _ = t.learned.Estimate(s.Organisation, s.Name, a.Declared, longQuantile)
+	}
+	i := queue.Item{
+		ID: a.ID, Group: a.Job, Organisation: s.Organisation, Class: s.Class(), Kind: s.Name, Demand: s.Demand(),
+		Long: s.Class() == class.Batch && estimate.IsLong(expected, 0, longAfter), Estimate: expected, Enqueued: start.Add(a.At),
+	}
+	if s.Deadline > 0 {
+		i.Deadline = start.Add(a.At + s.Deadline)
+		if i.Deadline.Before(start.Add(at)) {
+			t.result.refused(t.w, *a)
+			return
+		}
+	}
+	t.waiting[a.ID] = a
+	t.queue.Push(i)
+}
+
+func taskOf(i queue.Item) placement.Task {
+	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
+}
+
+// place starts what fits.
+func (t *tasks) place(at time.Duration) {
+	now := start.Add(at)
+	for {
+		before := time.Now()
+		i, worker, rack, ok := t.decide(now)
+		_ = t.result.Decision.RecordValue(max(1, time.Since(before).Microseconds()))
+		for _, x := range t.queue.Expired(now) {
+			t.result.refused(t.w, *t.waiting[x.ID])
+			delete(t.waiting, x.ID)
+		}
+		if !ok {
+			break
+		}
+		t.start(at, i, worker, rack)
+	}
+}
+
+// decide chooses a task, a rack and a worker.
+func (t *tasks) decide(now time.Time) (i queue.Item, worker, rack string, ok bool) {
+	i, ok = t.queue.Next(now, func(i queue.Item) bool { return t.directory.Fits(taskOf(i), t.centres) })
+	if !ok {
+		return i, "", "", false
+	}
+	for {
+		rack, err := t.directory.Choose(taskOf(i), t.centres, t.rng)
+		if err != nil {
+			t.queue.Push(i)
+			return i, "", "", false
+		}
+		worker, err := t.racks[rack].Place(taskOf(i), t.rng)
+		if err == nil {
+			return i, worker, rack, true
+		}
+		if !errors.Is(err, placement.ErrNoRoom) {
+			panic(err) // no task is larger than a worker
+		}
+		t.directory.Refused(rack, taskOf(i))
+	}
+}
+
+func (t *tasks) start(at time.Duration, i queue.Item, worker, rack string) {
+	a := t.waiting[i.ID]
+	delete(t.waiting, i.ID)
+	t.queue.Started(i, start.Add(at))
+	t.running[worker]++
+	t.changed(rack)
+	if !t.attempted[i.ID] {
+		t.attempted[i.ID] = true
+		t.result.started(t.w, *a, at)
+	}
+	x := &attempt{arrival: a, item: i, rack: rack, worker: worker, began: at, failed: t.failing[worker]}
+	ran := a.RunTime
+	if x.failed {
+		ran = min(ran, failsAfter)
+	}
+	t.agenda.add(at+ran, taskEvent{attempt: x})
+}
+
+func (t *tasks) end(at time.Duration, x *attempt) {
+	now, a := start.Add(at), x.arrival
+	t.queue.Ended(x.item, now)
+	t.racks[x.rack].Free(a.ID)
+	t.running[x.worker]--
+	o := quarantine.Outcome{Worker: x.worker, Task: a.ID, Job: a.Job, Organisation: a.Stream.Organisation}
+	if x.failed {
+		t.result.Failures++
+		if t.p.Quarantine && t.ward.Failed(o, now) {
+			t.closeWorker(x.worker)
+		}
+		if t.attempts.Failed(a.ID, x.worker, "exit status 1") {
+			t.result.refused(t.w, *a)
+		} else {
+			t.push(at, a)
+		}
+		t.changed(x.rack)
+		return
+	}
+	if t.p.Quarantine {
+		for _, worker := range t.ward.Succeeded(o, now) {
+			t.closeWorker(worker)
+		}
+	}
+	t.learned.Observe(a.Stream.Organisation, a.Stream.Name, a.RunTime, a.Declared)
+	t.result.ended(t.w, *a, at)
+	t.result.spread(x.began, at, x.item.Demand.DominantShare(t.w.Pool()))
+	t.changed(x.rack)
+}
+
+func (t *tasks) closeWorker(worker string) {
+	if err := t.racks[t.rackOf[worker]].Close(worker, t.ward.Reason(worker)); err != nil {
+		panic(err) // the ward knows only workers of the racks
+	}
+	t.changed(t.rackOf[worker])
+}
+
+func (t *tasks) summaries(at time.Duration) {
+	for _, rack := range t.order {
+		t.advertise(rack)
+	}
+	t.agenda.add(at+t.p.Late, taskEvent{tick: t.summaries})
+}
+
+// sample takes packing and shares.
+func (t *tasks) sample(at time.Duration) {
+	t.agenda.add(at+sampleEvery, taskEvent{tick: t.sample})
+	if at < t.w.WarmUp {
+		return
+	}
+	if t.queue.Len() > 0 {
+		var free resource.Vector
+		for _, s := range t.racks {
+			free = free.Add(s.FreeCapacity())
+		}
+		t.samples++
+		t.result.Packing += (t.w.Pool().Sub(free).DominantShare(t.w.Pool()) - t.result.Packing) / float64(t.samples)
+	}
+	t.sampleShares(at)
+}
+
+func (t *tasks) sampleShares(at time.Duration) {
+	for name := range t.queue.Shares {
+		t.held[name] += t.queue.Running(name).DominantShare(t.w.Pool())
+		backlog := 0
+		for _, c := range class.All {
+			backlog += t.queue.Waiting(name, c)
+		}
+		if backlog == 0 {
+			t.starved[name] = true
+		}
+	}
+	if t.minute == 0 {
+		t.minute = at
+	}
+	if at-t.minute < sharesOver {
+		return
+	}
+	held, weights := 0.0, 0
+	for name, share := range t.queue.Shares {
+		if !t.starved[name] {
+			held += t.held[name]
+			weights += share.Weight
+		}
+	}
+	for name, share := range t.queue.Shares {
+		if !t.starved[name] && held > 0 {
+			t.result.Shares = append(t.result.Shares, Minute{name, t.minute, t.held[name] / held, float64(share.Weight) / float64(weights)})
+		}
+	}
+	t.held, t.starved, t.minute = make(map[string]float64), make(map[string]bool), at
+}
