runner, forward: give a peer's slot back when the forwarded request ends

Cause: Directory.Choose counted each forwarded request off the advertised free slots and nothing counted it back until the next advert (250 ms in the data centre, 1 s beyond), so a process forwarded at most 400 requests between two adverts of 400 free slots. Change: Directory.Release, called when the request has ended; not after a refusal, which tells that the advert was wrong.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,7 +168,9 @@
 func (f *Forwarder) unslot(g grant, now time.Time) {
 	if g.process == "" {
 		f.Pool.Release(g.runner.ID, runner.GivenUp, 0, now, f.Rand)
+		return
 	}
+	f.Peers.Release(g.process, g.target)
 }
 
 // acquire waits for a slot until ctx ends.
@@ -225,8 +227,11 @@
 	f.Loop.Post(func() {
 		now := time.Now()
 		f.Gate.Done(r.ID, took, o == runner.OK, now)
-		if g.process == "" {
+		switch {
+		case g.process == "":
 			f.Pool.Release(g.runner.ID, o, took, now, f.Rand)
+		case o != runner.NotRun: // a refusal tells that the advert was wrong
+			f.Peers.Release(g.process, g.target)
 		}
 		f.pump(r.Service, now)
 	})
--- a/runner/directory.go
+++ b/runner/directory.go
@@ -25,7 +25,7 @@
 
 // Directory holds what peers advertise. Choose takes the better of two random
 // candidates, those of the near data centre first, and counts its choice off
-// the advertised free slots until the next advert. While fresh adverts are
+// the advertised free slots until Release or the next advert. While fresh adverts are
 // missing it follows a prepared default order, rotated by chance so that the
 // processes do not all choose alike. The zero value is empty.
 type Directory struct {
@@ -83,6 +83,23 @@
 	}
 }
 
+// Release gives back the slot of a request that Choose had sent to a runner and
+// that has ended. Without it a peer could send only as many requests between
+// two adverts as slots were free. An advert from after the end counts the slot
+// as free already; the surplus of one lasts until the next advert, and the
+// runner's owner refuses what it has no slot for.
+func (d *Directory) Release(process, runner string) {
+	p := d.processes[process]
+	if p == nil {
+		return
+	}
+	for _, c := range p.candidates {
+		if c.Runner == runner && c.Free < c.Slots {
+			c.Free++
+		}
+	}
+}
+
 func (d *Directory) rebuild() {
 	d.services = make(map[string][]*candidate)
 	for _, p := range d.processes {
