--- a/ownership/shards_test.go
+++ b/ownership/shards_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -279,12 +280,16 @@
 }
 
 func BenchmarkTakeover(b *testing.B) {
-	var reads, writes int
-	var took time.Duration
-	for b.Loop() {
-		synctest.Test(&testing.T{}, func(*testing.T) { reads, writes, took = takeover(b, 138) })
+	for _, shards := range []int{17, 69, 138} {
+		b.Run(fmt.Sprint("shards-", shards), func(b *testing.B) {
+			var reads, writes int
+			var took time.Duration
+			for b.Loop() {
+				synctest.Test(&testing.T{}, func(*testing.T) { reads, writes, took = takeover(b, shards) })
+			}
+			b.ReportMetric(float64(reads), "reads")
+			b.ReportMetric(float64(writes), "writes")
+			b.ReportMetric(took.Seconds(), "virtual-s")
+		})
 	}
-	b.ReportMetric(float64(reads), "reads")
-	b.ReportMetric(float64(writes), "writes")
-	b.ReportMetric(took.Seconds(), "virtual-s")
 }
