--- /dev/null
+++ b/chain/slope_bench_test.go
@@ -0,0 +1,88 @@
+package chain
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/standin"
+)
+
+// teams returns a configuration of n organisations.
+func teams(n int) pool.Configuration {
+	c := pool.Configuration{Services: []pool.Service{{Name: "jobs", RetryPercent: 10}}}
+	for i := range n {
+		c.Organisations = append(c.Organisations, pool.Organisation{
+			Name: fmt.Sprintf("team-%03d", i), Weight: 1 + i%5,
+			TokenHashes: []string{fmt.Sprintf("%064x", i)},
+		})
+	}
+	return c
+}
+
+// BenchmarkConfiguration encodes, checks and decodes one entry of the chain,
+// which every process does for every change.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, n := range []int{10, 100, 320} {
+		b.Run(fmt.Sprint("teams-", n), func(b *testing.B) {
+			c := teams(n)
+			size := 0
+			for b.Loop() {
+				body, err := json.Marshal(Entry{Number: 1, Configuration: c})
+				if err != nil {
+					b.Fatal(err)
+				}
+				var e Entry
+				if err := json.Unmarshal(body, &e); err != nil {
+					b.Fatal(err)
+				}
+				pool.Check(&e.Configuration)
+				size = len(body)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// BenchmarkForce is the time from the publication of a configuration of 320
+// teams until all followers have it, each by its own poll of the table.
+func BenchmarkForce(b *testing.B) {
+	for _, processes := range []int{8, 24, 72} {
+		b.Run(fmt.Sprint("processes-", processes), func(b *testing.B) {
+			table := &standin.Table{}
+			publisher := Publisher{Table: table}
+			ctx, stop := context.WithCancel(b.Context())
+			var group errgroup.Group
+			defer func() { stop(); _ = group.Wait() }()
+			followers := make([]*Follower, processes)
+			for i := range followers {
+				f := &Follower{Reader: table}
+				followers[i] = f
+				group.Go(func() error { return f.Run(ctx) })
+			}
+			number := uint64(0)
+			var sum time.Duration
+			n := 0
+			for b.Loop() {
+				begin := time.Now()
+				next, err := publisher.Publish(ctx, number, teams(320), "bench", "next")
+				if err != nil {
+					b.Fatal(err)
+				}
+				number = next
+				for _, f := range followers {
+					for f.Number() < number {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				sum, n = sum+time.Since(begin), n+1
+			}
+			b.ReportMetric(sum.Seconds()/float64(n), "force-s")
+		})
+	}
+}
