confirmation: split the Desk from intent into a package of its own

Change: Desk moves to package confirmation unchanged, with Plan to read a kept plan back; intent exports Apply and does no input or output any more. Its tests move with it on a pool of their own of the same shape. Conclusion: no change of behaviour.

--- a/intent/desk.go
+++ b/confirmation/desk.go
@@ -1,4 +1,18 @@
-package intent
+// Package confirmation keeps proposed plans and brings confirmed ones into the
+// chain of configurations.
+//
+// A Desk stores plans in the platform's table and confirms them by their
+// digest. The confirmation and the new configuration are one Commit, so of
+// racing operators exactly one wins; the others are told who did. A plan whose
+// state has changed in what it touches is refused (package intent).
+//
+// Usage:
+//
+//	d := confirmation.Desk{Table: table, State: current}
+//	plan, err := d.Propose(ctx, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "ivana"})
+//	fmt.Print(plan.Text())
+//	number, err := d.Confirm(ctx, plan.Digest(), "ivana")
+package confirmation
 
 import (
 	"context"
@@ -8,6 +22,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/intent"
 	"persimmonworks.example/persimmonworks/platform"
 )
 
@@ -17,7 +32,7 @@
 	Table platform.Table
 	// State returns the hosts, attempts and waiting work as they are now. The
 	// Desk fills in the configuration from the chain itself.
-	State     func(ctx context.Context) (State, error)
+	State     func(ctx context.Context) (intent.State, error)
 	Publisher *chain.Publisher // nil is one on Table
 	Now       func() time.Time // nil is time.Now
 }
@@ -26,9 +41,9 @@
 
 // stored is the row of a plan. Number is 0 until it is confirmed.
 type stored struct {
-	Plan   Plan   `json:"plan"`
-	By     string `json:"confirmed-by,omitempty"`
-	Number uint64 `json:"confirmed-as,omitempty"`
+	Plan   intent.Plan `json:"plan"`
+	By     string      `json:"confirmed-by,omitempty"`
+	Number uint64      `json:"confirmed-as,omitempty"`
 }
 
 // ConfirmedError tells that someone else has confirmed the plan already.
@@ -44,35 +59,35 @@
 
 // Propose makes a plan against the current state and stores it. Nothing else
 // changes.
-func (d *Desk) Propose(ctx context.Context, in Intent) (Plan, error) {
+func (d *Desk) Propose(ctx context.Context, in intent.Intent) (intent.Plan, error) {
 	s, err := d.state(ctx, in)
 	if err != nil {
-		return Plan{}, fmt.Errorf("propose %s: %w", in.Kind, err)
+		return intent.Plan{}, fmt.Errorf("propose %s: %w", in.Kind, err)
 	}
 	if in.At.IsZero() {
 		in.At = d.now()
 	}
-	plan, err := Make(s, in)
+	plan, err := intent.Make(s, in)
 	if err != nil {
-		return Plan{}, err
+		return intent.Plan{}, err
 	}
 	body, err := json.Marshal(stored{Plan: plan})
 	if err != nil {
-		return Plan{}, fmt.Errorf("encode plan: %w", err)
+		return intent.Plan{}, fmt.Errorf("encode plan: %w", err)
 	}
 	_, err = d.Table.Commit(ctx, platform.Create(planPrefix+plan.Digest(), body))
 	if errors.Is(err, platform.ErrConflict) {
 		err = nil // the same plan is there already
 	}
 	if err != nil {
-		return Plan{}, fmt.Errorf("store plan %s: %w; propose it again", plan.Digest(), err)
+		return intent.Plan{}, fmt.Errorf("store plan %s: %w; propose it again", plan.Digest(), err)
 	}
 	return plan, nil
 }
 
 // Confirm brings a plan into the chain and returns the number of the new
 // configuration. It may be repeated after ErrUnknown of the platform. Errors:
-// ErrUnknown of this package for a digest without a plan; ErrStale; a
+// ErrUnknown of this package for a digest without a plan; intent.ErrStale; a
 // *ConfirmedError; a *chain.RaceError, alone or with ErrStale, if another
 // operator was first.
 func (d *Desk) Confirm(ctx context.Context, digest, by string) (uint64, error) {
@@ -87,13 +102,13 @@
 	if err != nil {
 		return 0, fmt.Errorf("confirm plan %s: %w", digest, err)
 	}
-	if err := Stale(plan.Plan, s); err != nil {
+	if err := intent.Stale(plan.Plan, s); err != nil {
 		if s.Number != plan.Plan.Number {
 			err = fmt.Errorf("%w: %w", err, chain.Raced(ctx, d.Table, plan.Plan.Number, s.Number))
 		}
 		return d.refused(ctx, digest, by, err)
 	}
-	after, err := change(&s, plan.Plan.Intent)
+	after, err := intent.Apply(&s, plan.Plan.Intent)
 	if err != nil {
 		return 0, fmt.Errorf("confirm plan %s: %w", digest, err)
 	}
@@ -132,8 +147,8 @@
 }
 
 // Undo proposes to take back what a configuration changed.
-func (d *Desk) Undo(ctx context.Context, number uint64, by string) (Plan, error) {
-	return d.Propose(ctx, Intent{Kind: Undo, Number: number, By: by})
+func (d *Desk) Undo(ctx context.Context, number uint64, by string) (intent.Plan, error) {
+	return d.Propose(ctx, intent.Intent{Kind: intent.Undo, Number: number, By: by})
 }
 
 // History returns at most limit of the newest configurations, the newest
@@ -174,6 +189,23 @@
 	return deleted, next, nil
 }
 
+// ErrUnknown is returned for a digest without a plan.
+var ErrUnknown = errors.New("no such plan")
+
+// Kept is a plan as it is kept. Number is 0 until it is confirmed.
+type Kept struct {
+	Plan   intent.Plan
+	By     string // who confirmed it
+	Number uint64 // of the configuration that it became
+}
+
+// Plan returns the plan with a digest. The error wraps ErrUnknown if there is
+// none.
+func (d *Desk) Plan(ctx context.Context, digest string) (Kept, error) {
+	_, s, err := d.plan(ctx, digest)
+	return Kept(s), err
+}
+
 func (d *Desk) plan(ctx context.Context, digest string) (platform.Row, stored, error) {
 	var s stored
 	row, err := d.Table.Get(ctx, planPrefix+digest)
@@ -191,7 +223,7 @@
 
 // state reads the newest configuration from the table, not from a Follower,
 // which may be behind.
-func (d *Desk) state(ctx context.Context, in Intent) (State, error) {
+func (d *Desk) state(ctx context.Context, in intent.Intent) (intent.State, error) {
 	s, err := d.State(ctx)
 	if err != nil {
 		return s, fmt.Errorf("read the state of the pool: %w", err)
@@ -201,7 +233,7 @@
 		return s, err
 	}
 	s.Number, s.Configuration = newest.Number, newest.Configuration
-	if in.Kind != Undo {
+	if in.Kind != intent.Undo {
 		return s, nil
 	}
 	after, err := chain.Find(ctx, d.Table, in.Number)
@@ -214,7 +246,7 @@
 			return s, err
 		}
 	}
-	s.Undone = &Undone{Before: before.Configuration, After: after.Configuration}
+	s.Undone = &intent.Undone{Before: before.Configuration, After: after.Configuration}
 	return s, nil
 }
 
@@ -232,7 +264,7 @@
 	return d.Now()
 }
 
-func why(in Intent) string {
+func why(in intent.Intent) string {
 	if in.Why == "" {
 		return string(in.Kind)
 	}
--- a/intent/desk_test.go
+++ b/confirmation/desk_test.go
@@ -1,4 +1,4 @@
-package intent
+package confirmation
 
 import (
 	"context"
@@ -15,9 +15,33 @@
 
 	"persimmonworks.example/persimmonworks/chain"
 	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/intent"
 	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/resource"
 )
 
+// small is a pool of two workers on two racks and a runner.
+func small() intent.State {
+	cores := func(n int64) resource.Vector {
+		return resource.Vector{MilliCPU: n * resource.MilliPerCore, MemoryMB: n * 1024}
+	}
+	return intent.State{
+		Configuration: pool.Configuration{Organisations: []pool.Organisation{
+			{Name: "prado", Weight: 1}, {Name: "returns", Weight: 1},
+		}},
+		Hosts: []intent.Host{
+			{ID: "w3", Kind: platform.KindWorker, Rack: "r2", DataCentre: "sofia", Capacity: cores(8)},
+			{ID: "w1", Kind: platform.KindWorker, Rack: "r1", DataCentre: "sofia", Capacity: cores(8)},
+			{ID: "u1", Kind: platform.KindRunner, Rack: "r1", DataCentre: "sofia"},
+		},
+		Attempts: []intent.Attempt{
+			{Task: "b", Number: 2, Organisation: "returns", Class: class.Batch, Host: "w1", Demand: cores(6), Checkpointable: true},
+		},
+	}
+}
+
 // open returns a desk with configuration 1 of the small pool.
 func open(t *testing.T, table *chaintest.Table) *Desk {
 	t.Helper()
@@ -27,13 +51,13 @@
 	}
 	return &Desk{
 		Table:     table,
-		State:     func(context.Context) (State, error) { return small(), nil },
+		State:     func(context.Context) (intent.State, error) { return small(), nil },
 		Publisher: &chain.Publisher{Table: table, Pause: time.Nanosecond},
 		Now:       func() time.Time { return time.Unix(1_790_000_000, 0).UTC() },
 	}
 }
 
-func propose(t *testing.T, d *Desk, in Intent) string {
+func propose(t *testing.T, d *Desk, in intent.Intent) string {
 	t.Helper()
 	p, err := d.Propose(t.Context(), in)
 	if err != nil {
@@ -54,9 +78,9 @@
 func TestConfirmUndoAndHistory(t *testing.T) {
 	var table chaintest.Table
 	d := open(t, &table)
-	heavier := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 4, By: "ivana"})
-	drain := propose(t, d, Intent{Kind: DrainRack, Target: "r1", By: "oto"})
-	rival := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 5, By: "oto"})
+	heavier := propose(t, d, intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: 4, By: "ivana"})
+	drain := propose(t, d, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "oto"})
+	rival := propose(t, d, intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: 5, By: "oto"})
 	if weightOf(t, &table, "prado") != 1 {
 		t.Fatal("a proposal changed the configuration")
 	}
@@ -70,7 +94,7 @@
 		t.Errorf("second operator: %v", err)
 	}
 	var raced *chain.RaceError
-	if _, err := d.Confirm(t.Context(), rival, "oto"); !errors.Is(err, ErrStale) || !errors.As(err, &raced) || raced.By != "ivana" {
+	if _, err := d.Confirm(t.Context(), rival, "oto"); !errors.Is(err, intent.ErrStale) || !errors.As(err, &raced) || raced.By != "ivana" {
 		t.Errorf("conflicting plan: %v", err)
 	}
 	if number, err := d.Confirm(t.Context(), drain, "oto"); number != 3 || err != nil {
@@ -94,7 +118,7 @@
 	if c.Organisation("prado").Weight != 1 || len(c.Drains) != 1 {
 		t.Errorf("after the undo: %+v", c)
 	}
-	if _, err := d.Undo(t.Context(), 2, "ivana"); !errors.Is(err, ErrInvalid) {
+	if _, err := d.Undo(t.Context(), 2, "ivana"); !errors.Is(err, intent.ErrInvalid) {
 		t.Errorf("undone twice: %v", err)
 	}
 }
@@ -103,12 +127,12 @@
 	var table chaintest.Table
 	d := open(t, &table)
 	for i := range 2 {
-		digest := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 4 + i, By: "ivana"})
+		digest := propose(t, d, intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: 4 + i, By: "ivana"})
 		if _, err := d.Confirm(t.Context(), digest, "ivana"); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, err := d.Undo(t.Context(), 2, "oto"); !errors.Is(err, ErrInvalid) {
+	if _, err := d.Undo(t.Context(), 2, "oto"); !errors.Is(err, intent.ErrInvalid) {
 		t.Errorf("undo of a change that was changed again: %v", err)
 	}
 }
@@ -116,8 +140,8 @@
 func TestPruneDeletesOldPlansOnly(t *testing.T) {
 	var table chaintest.Table
 	d := open(t, &table)
-	old := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 2, By: "ivana"})
-	young := propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 3, By: "ivana", At: d.Now().Add(time.Hour)})
+	old := propose(t, d, intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: 2, By: "ivana"})
+	young := propose(t, d, intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: 3, By: "ivana", At: d.Now().Add(time.Hour)})
 	deleted, next, err := d.Prune(t.Context(), d.Now().Add(time.Minute), "")
 	if deleted != 1 || next != "" || err != nil {
 		t.Errorf("Prune = %d, %q, %v", deleted, next, err)
@@ -231,7 +255,7 @@
 		var plans []string
 		for i := range 4 {
 			by := fmt.Sprint("operator-", i)
-			plans = append(plans, propose(t, d, Intent{Kind: SetWeight, Organisation: "prado", Weight: 2 + i, By: by}))
+			plans = append(plans, propose(t, d, intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: 2 + i, By: by}))
 		}
 		r := rand.New(rand.NewPCG(seed, 20261204))
 		table.Fault = func(call string) chaintest.Fault { return fault(r, call, seed%2 == 1) }
--- a/intent/change.go
+++ b/intent/change.go
@@ -9,8 +9,9 @@
 	"persimmonworks.example/persimmonworks/pool"
 )
 
-// change returns the configuration that the intent leads to.
-func change(s *State, in Intent) (pool.Configuration, error) {
+// Apply returns the configuration that the intent leads to. It changes nothing
+// of s. The error wraps ErrInvalid.
+func Apply(s *State, in Intent) (pool.Configuration, error) {
 	c := s.Configuration.Clone()
 	var err error
 	switch in.Kind {
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -1,5 +1,5 @@
-// Package intent turns what an operator wants into a plan, and a confirmed
-// plan into the next configuration of the chain.
+// Package intent turns what an operator wants into a plan, and a plan into the
+// next configuration of the chain.
 //
 // Make is pure: it takes a State, changes nothing, and returns a Plan that
 // lists each attempt that will move, stop or wait, with the reason, and what
@@ -8,16 +8,14 @@
 // touches. Stale compares these with a later state, so that a plan is
 // refused once something that it touches has changed, and only then.
 //
-// A Desk stores proposed plans in the platform's table and confirms them by
-// their digest. The confirmation and the new configuration are one Commit, so
-// of racing operators exactly one wins; the others are told who did.
+// Package confirmation stores plans and brings confirmed ones into the chain.
 //
 // Usage:
 //
-//	d := intent.Desk{Table: table, State: current}
-//	plan, err := d.Propose(ctx, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "ivana"})
+//	plan, err := intent.Make(state, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "ivana"})
 //	fmt.Print(plan.Text())
-//	number, err := d.Confirm(ctx, plan.Digest(), "ivana")
+//	err = intent.Stale(plan, later)
+//	next, err := intent.Apply(&later, plan.Intent)
 package intent
 
 import (
@@ -174,6 +172,5 @@
 // Failures of this package. Errors are wrapped; compare with errors.Is.
 var (
 	ErrStale   = errors.New("the plan is stale")
-	ErrUnknown = errors.New("no such plan")
 	ErrInvalid = errors.New("the intent is invalid")
 )
--- a/intent/plan.go
+++ b/intent/plan.go
@@ -24,7 +24,7 @@
 // Make returns the plan for an intent. The error wraps ErrInvalid and names
 // what is wrong, with the findings of the configuration that it would give.
 func Make(s State, in Intent) (Plan, error) {
-	after, err := change(&s, in)
+	after, err := Apply(&s, in)
 	if err != nil {
 		return Plan{}, err
 	}
