dispatch, rack, worker: pass a checkpoint to the next attempt; mark non-idempotent starts

Change: a placement carries the checkpoint in place of the work where there is one; worker.Start carries non-idempotent through the inventory; rack.Attempt tells Stopping; dispatch.Desk tells Placed for the meter.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -31,6 +31,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/event"
@@ -83,6 +84,9 @@
 	Rand      *rand.Rand
 	// Ended, when set, is told on the loop of every attempt that has ended.
 	Ended func(j *job.Job, t *job.Task, w *wire.Attempt)
+	// Placed, when set, is told on the loop of every task that got a rack and
+	// how long it waited in the queue.
+	Placed func(c class.Class, waited time.Duration)
 	// Retention is how long finished jobs can be asked about.
 	Retention time.Duration
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -46,6 +46,9 @@
 		return
 	}
 	d.Queue.Started(i, now)
+	if d.Placed != nil {
+		d.Placed(i.Class, now.Sub(i.Enqueued))
+	}
 	s.sent[ref] = &sending{item: i, rack: rackName}
 	_, j := d.lookup(i.Group)
 	if j.Spec.NonIdempotent && !t.Intended {
@@ -72,10 +75,14 @@
 		d.unsend(s, ref, now)
 		return
 	}
+	work := []byte(j.Spec.Tasks[t.Index].Work)
+	if len(t.Checkpoint) > 0 {
+		work = t.Checkpoint // goes on from where the last attempt stopped
+	}
 	l := s.link(owner)
 	l.placements = append(l.placements, &wire.Placement{
 		Task: ref.Task, Attempt: ref.Attempt, Organisation: j.Spec.Organisation, Class: string(j.Spec.Class), Kind: j.Spec.Kind,
-		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Spec.Tasks[t.Index].Work,
+		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: work,
 		NonIdempotent: j.Spec.NonIdempotent, Shard: x.rack, JobShard: d.qualified(s),
 	})
 }
--- a/rack/group.go
+++ b/rack/group.go
@@ -177,6 +177,7 @@
 	return worker.Start{
 		Ref: worker.Ref{Task: p.Task, Attempt: p.Attempt}, JobShard: p.JobShard, Organisation: p.Organisation,
 		Class: p.Class, Kind: p.Kind, Demand: VectorOf(p.Demand), Work: p.Work,
+		NonIdempotent: p.NonIdempotent,
 	}
 }
 
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -70,6 +70,9 @@
 // Final reports whether the attempt will not change any more.
 func (a *Attempt) Final() bool { return a.State != Starting && a.State != Running }
 
+// Stopping reports whether the attempt has been asked to end.
+func (a *Attempt) Stopping() bool { return a.stop != nil }
+
 // Wish is what a placement prefers.
 type Wish struct {
 	Spread string // attempts of one key keep apart
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -81,6 +81,9 @@
 	Kind         string          `json:"kind,omitempty"`
 	Demand       resource.Vector `json:"demand"`
 	Work         []byte          `json:"work,omitempty"` // passed to the task as it is
+	// NonIdempotent marks a task that may not be stopped to go on elsewhere.
+	// The worker only hands it back in its inventory.
+	NonIdempotent bool `json:"non-idempotent,omitempty"`
 }
 
 // Stop ends an attempt, after a checkpoint if asked for.
