worker, agent: report the age of an attempt

Cause: a new owner could not tell when an attempt that it finds ended had run, so it booked the time before its own first report: in TestAccountsSurviveKilledOwner the accounts had 1200.7 core-seconds, the stand-in's ledger 1152.7 (4.16% too many). Ruled out: drift between owners' clocks (attempts that still run agree). Change: an inventory entry carries the time since its begin.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -89,11 +89,11 @@
 	if t.begin.IsZero() {
 		return r
 	}
-	end := t.end
+	now, end := time.Now(), t.end
 	if end.IsZero() {
-		end = time.Now()
+		end = now
 	}
-	r.Ran = end.Sub(t.begin)
+	r.Ran, r.Age = end.Sub(t.begin), now.Sub(t.begin)
 	if time.Since(t.begin) >= t.usageLag {
 		r.Used = t.used()
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -113,12 +113,15 @@
 // Attempt is an entry of a worker's inventory.
 type Attempt struct {
 	Start
-	State      State           `json:"state"`
-	Reason     string          `json:"reason,omitempty"`
-	Result     []byte          `json:"result,omitempty"`
-	Checkpoint []byte          `json:"checkpoint,omitempty"`
-	Ran        time.Duration   `json:"ran-ns"`
-	Used       resource.Vector `json:"used"` // lags by the platform's report interval
+	State      State         `json:"state"`
+	Reason     string        `json:"reason,omitempty"`
+	Result     []byte        `json:"result,omitempty"`
+	Checkpoint []byte        `json:"checkpoint,omitempty"`
+	Ran        time.Duration `json:"ran-ns"`
+	// Age is the time since the attempt began, by the worker's clock; Age less
+	// Ran is how long ago it ended. 0 is not known, as before the begin.
+	Age  time.Duration   `json:"age-ns,omitempty"`
+	Used resource.Vector `json:"used"` // lags by the platform's report interval
 }
 
 // Report is a worker's whole inventory.
