console, accounts, drain, upkeep: plans, accounts and burn in the running product

Cause: intent, usage and burn were libraries that no process used. Change: package console serves plans, confirmations that wait until in force, progress, history, undo, usage, burn, hosts, shards and processes below /v1/operator/, asking all processes and naming those that do not answer. Package accounts keeps a process's book from worker reports and lets a worker forget an attempt only when its account is in the archive. Package drain stops checkpointable batch attempts on drained workers, 20 a second. Package upkeep compacts the chain, prunes plans and merges accounts, at the owner of the first job shard of the first data centre. Burn counts outlive their process in the object store. All instruments of the meter are called. intent gets set-tokens, set-objective, set-operator and set-service; undoing moves to pool.Revert. Command: plan, confirm, progress, history, undo, usage, burn, hosts, processes, token.

--- a/command/client.go
+++ b/command/client.go
@@ -23,6 +23,7 @@
 	address string
 	token   string
 	timeout time.Duration
+	notes   io.Writer // for what an answer lacks; nil writes nothing
 }
 
 func (c *client) flags(f *flag.FlagSet) {
@@ -34,13 +35,50 @@
 // maxAnswer bounds the answers that are read into memory.
 const maxAnswer = 64 << 20
 
+// refusal is an answer that refuses.
+type refusal struct {
+	gateway.Problem
+	status int
+	body   []byte
+}
+
+// Error says what was refused and what to do.
+func (r *refusal) Error() string {
+	if r.Outcome == "" {
+		return fmt.Sprintf("status %d: %s", r.status, r.body)
+	}
+	text := fmt.Sprintf("%s: %s (status %d)", r.Outcome, r.Reason, r.status)
+	switch {
+	case r.status == http.StatusUnauthorized:
+		text += "; pass -token or set PERSIMMONWORKS_TOKEN"
+	case r.status == http.StatusForbidden:
+		text += "; ask somebody whose role allows it"
+	case r.RetryAfterMS > 0:
+		text += fmt.Sprintf("; try again after %d ms", r.RetryAfterMS)
+	}
+	return text
+}
+
 // do sends a request and decodes a good answer into into, if that is not nil.
 func (c *client) do(ctx context.Context, method, path string, body []byte, into any) error {
+	text, err := c.send(ctx, method, path, "application/json", body)
+	if err != nil || into == nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return nil
+}
+
+// send sends a request and returns the body of a good answer. The error is a
+// *refusal if the process refused.
+func (c *client) send(ctx context.Context, method, path, accept string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, c.address+path, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	token := c.token
 	if token == "" {
@@ -48,29 +86,25 @@
 	}
 	r.Header.Set("Authorization", "Bearer "+token)
 	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Accept", accept)
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return fmt.Errorf("%s %s: no answer, the outcome is unknown: %w", method, path, err)
+		return nil, fmt.Errorf("%s %s: no answer, the outcome is unknown: %w; check -address, or name another entry process", method, path, err)
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
 	if err != nil {
-		return fmt.Errorf("%s %s: the answer broke off: %w", method, path, err)
+		return nil, fmt.Errorf("%s %s: the answer broke off: %w", method, path, err)
 	}
 	if answer.StatusCode >= http.StatusMultipleChoices {
-		var p gateway.Problem
-		if json.Unmarshal(text, &p) == nil && p.Outcome != "" {
-			return fmt.Errorf("%s: %s (status %d, retry after %d ms)", p.Outcome, p.Reason, answer.StatusCode, p.RetryAfterMS)
-		}
-		return fmt.Errorf("%s %s: status %d: %s", method, path, answer.StatusCode, text)
+		failed := &refusal{status: answer.StatusCode, body: text}
+		_ = json.Unmarshal(text, &failed.Problem) // the body itself is shown if it is no Problem
+		return nil, failed
 	}
-	if into == nil {
-		return nil
+	if missing := answer.Header.Get(gateway.HeaderMissing); missing != "" && c.notes != nil {
+		fmt.Fprintf(c.notes, "incomplete: no answer from %s\n", missing)
 	}
-	if err := json.Unmarshal(text, into); err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
-	}
-	return nil
+	return text, nil
 }
 
 // submit submits a job from a file.
--- a/confirmation/desk.go
+++ b/confirmation/desk.go
@@ -65,7 +65,7 @@
 		return intent.Plan{}, fmt.Errorf("propose %s: %w", in.Kind, err)
 	}
 	if in.At.IsZero() {
-		in.At = d.now()
+		in.At = d.Time()
 	}
 	plan, err := intent.Make(s, in)
 	if err != nil {
@@ -257,7 +257,8 @@
 	return &chain.Publisher{Table: d.Table, Now: d.Now}
 }
 
-func (d *Desk) now() time.Time {
+// Time returns the time by the desk's clock.
+func (d *Desk) Time() time.Time {
 	if d.Now == nil {
 		return time.Now().UTC()
 	}
--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/console"
+	"persimmonworks.example/persimmonworks/dispatch"
+	"persimmonworks.example/persimmonworks/intent"
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/ledger"
+	"persimmonworks.example/persimmonworks/standin"
+)
+
+// A confirmed drain moves batch work with its checkpoint, leaves the rest to
+// finish, and its progress ends in done.
+func TestDrainMovesWhatItPlanned(t *testing.T) {
+	b := newBed(t, standin.Layout{DataCentres: 1, Racks: 2, Workers: 2}, "dc1", "dc1")
+	batch := b.submit(0, "renderings", class.Batch, 2, slices.Repeat([]string{`{"run-ms":9000}`}, 8)...)
+	checks := b.submit(1, "checks", class.Interactive, 1, slices.Repeat([]string{`{"run-ms":4000}`}, 4)...)
+	ran := func() int { return len(ask[console.Gathered[console.Host]](b, 0, http.MethodGet, "/hosts", nil).Items) }
+	if n := ran(); n != 4 {
+		t.Fatalf("%d hosts, want 4", n)
+	}
+	b.until("12 attempts run", func() bool {
+		n := 0
+		for _, h := range ask[console.Gathered[console.Host]](b, 1, http.MethodGet, "/hosts", nil).Items {
+			n += h.Running
+		}
+		return n == 12
+	})
+	time.Sleep(2 * time.Second) // so that a checkpoint saves much more than a timer may be late
+
+	status, _, text := b.send(0, b.planner, http.MethodPost, "/v1/operator/plans", "text/plain", intent.Intent{Kind: intent.DrainRack, Target: "dc1-r1"})
+	if status != http.StatusCreated || !strings.Contains(string(text), "nothing changes until it is confirmed") {
+		t.Fatalf("plan as text: status %d: %s", status, text)
+	}
+	var done console.Confirmed
+	b.until("confirmed", func() bool {
+		proposed := ask[console.Proposed](b, 0, http.MethodPost, "/plans", intent.Intent{Kind: intent.DrainRack, Target: "dc1-r1", Why: "floor work"})
+		if len(proposed.Missing) > 0 {
+			return false
+		}
+		path := "/plans/" + proposed.Digest + "/confirm"
+		if status, _, _ := b.send(0, b.planner, http.MethodPost, "/v1/operator"+path, "", nil); status != http.StatusForbidden {
+			t.Fatalf("a planner's confirmation: status %d", status)
+		}
+		moves := 0
+		for _, s := range proposed.Plan.Steps {
+			if s.Action == intent.Move {
+				moves++
+			}
+		}
+		if moves == 0 {
+			t.Fatalf("the plan moves nothing: %s", proposed.Plan.Text())
+		}
+		done = ask[console.Confirmed](b, 0, http.MethodPost, path, nil)
+		return true
+	})
+	if want := []string{"e1", "e2"}; !slices.Equal(done.InForce, want) || len(done.CutOff) != 0 || done.Number != 2 {
+		t.Fatalf("confirmed: %+v, want number 2 in force at %v", done, want)
+	}
+	b.until("progress is done", func() bool {
+		return ask[console.Progress](b, 1, http.MethodGet, "/plans/"+done.Digest+"/progress", nil).Done
+	})
+	for _, h := range ask[console.Gathered[console.Host]](b, 1, http.MethodGet, "/hosts", nil).Items {
+		if h.Rack == "dc1-r1" && (h.Running != 0 || h.Drained != "ivana") {
+			t.Errorf("host %s: %d attempts, drained by %q", h.ID, h.Running, h.Drained)
+		}
+	}
+	b.finished(0, batch)
+	b.finished(0, checks)
+	checkDrain(t, b.stand.Ledger().Entries(), batch, checks)
+}
+
+// finished waits until all tasks of a job are done.
+func (b *bed) finished(i int, id string) {
+	b.t.Helper()
+	b.until("job "+id, func() bool {
+		status, _, text := b.send(i, b.caller, http.MethodGet, "/v1/jobs/"+id, "", nil)
+		var v dispatch.JobView
+		return status == http.StatusOK && decodeInto(text, &v) && v.States[job.Done] == v.Tasks
+	})
+}
+
+// checkDrain looks into the stand-in's record: stopped batch attempts went on
+// where they stopped, and nothing else was stopped.
+func checkDrain(t *testing.T, entries []ledger.Entry, batch, checks string) {
+	t.Helper()
+	for _, v := range ledger.Check(entries) {
+		t.Errorf("violation: %v", v)
+	}
+	stopped := 0
+	total := map[string]float64{} // seconds by task
+	for _, e := range entries {
+		if e.Kind != ledger.Task {
+			continue
+		}
+		total[e.Task] += e.End.Sub(e.Begin).Seconds()
+		switch {
+		case e.How == ledger.Stopped && strings.HasPrefix(e.Task, checks):
+			t.Errorf("%s cannot be checkpointed and was stopped", e.Task)
+		case e.How == ledger.Stopped:
+			stopped++
+			first := e.End.Sub(e.Begin)
+			for _, later := range entries {
+				if later.Task == e.Task && later.Attempt > e.Attempt && later.How == ledger.Done && later.End.Sub(later.Begin).Seconds() > 9-first.Seconds()/2 {
+					t.Errorf("%s attempt %d ran %v after %v of 9 s: its checkpoint was not used", e.Task, later.Attempt, later.End.Sub(later.Begin), first)
+				}
+			}
+		}
+	}
+	if stopped == 0 {
+		t.Error("the drain stopped nothing")
+	}
+	t.Log(fmt.Sprintf("%d attempts stopped; %d tasks", stopped, len(total)))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,11 +29,15 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/accounts"
 	"persimmonworks.example/persimmonworks/admission"
+	"persimmonworks.example/persimmonworks/burn"
 	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/confirmation"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/dispatch"
+	"persimmonworks.example/persimmonworks/drain"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/forward"
 	"persimmonworks.example/persimmonworks/gateway"
@@ -48,6 +52,7 @@
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/settings"
+	"persimmonworks.example/persimmonworks/upkeep"
 	"persimmonworks.example/persimmonworks/worker"
 )
 
@@ -70,6 +75,11 @@
 	desk     *dispatch.Desk
 	forward  *forward.Forwarder
 	meter    *meter.Meter
+	books    *accounts.Keeper
+	burn     *burn.Ledger
+	burnKept *burn.Archive
+	plans    *confirmation.Desk
+	upkeep   *upkeep.Upkeep
 	group    *errgroup.Group
 	ctx      context.Context
 
@@ -88,6 +98,7 @@
 	queue     queue.Queue
 	rng       *rand.Rand
 	marked    map[string]time.Time // hosts heard to be leaving from peers
+	drains    drain.Pacer
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
@@ -163,7 +174,7 @@
 	}
 	for _, part := range []func(context.Context) error{
 		p.loop.Run, p.node.Run, p.session.Run, p.shards.Run, p.follower.Run, p.desk.Run, p.forward.Run,
-		p.runHosts, p.runWorkers, p.runStatus,
+		p.runHosts, p.runWorkers, p.runStatus, p.books.Run, p.runBurn, p.runGauges, p.runDrains, p.upkeep.Run,
 	} {
 		p.group.Go(func() error { return part(p.ctx) })
 	}
@@ -201,6 +212,7 @@
 	if err := p.meter.Open(); err != nil {
 		return err
 	}
+	p.metered()
 	p.loop = control.New()
 	p.loop.Busy = p.meter.LoopBusy
 	p.marked = map[string]time.Time{}
@@ -221,6 +233,7 @@
 	p.desk = &dispatch.Desk{
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, Retention: retention,
+		Placed: p.meter.Placed, Ended: p.attemptEnded,
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
 	p.forward = &forward.Forwarder{
@@ -228,8 +241,9 @@
 		Pool: &p.runners, Peers: &p.peerSlots, Budget: &runner.RetryBudget{}, Remote: &remote{p},
 		Runners: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 		Table:   p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
-		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes,
+		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes, Observer: &observer{p},
 	}
+	p.composeConsole()
 	return nil
 }
 
@@ -245,6 +259,7 @@
 	}
 	p.queue.SetShares(shares)
 	p.forward.Gate.Weights = weights
+	p.burn.SetObjectives(e.Configuration.Objectives)
 	p.applyHosts()
 }
 
--- /dev/null
+++ b/entry/gauges.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/meter"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const gaugeInterval = time.Second
+
+// metered counts all calls to the platform.
+func (p *Process) metered() {
+	p.Table = &meter.Table{Table: p.Table, Meter: p.meter}
+	p.Objects = &meter.Objects{Objects: p.Objects, Meter: p.meter}
+	p.Hosts = &meter.Hosts{HostLister: p.Hosts, Meter: p.meter}
+}
+
+// attemptEnded counts an attempt; called on the loop.
+func (p *Process) attemptEnded(j *job.Job, _ *job.Task, w *wire.Attempt) {
+	end, ok := map[wire.AttemptState]string{
+		wire.AttemptState_ATTEMPT_STATE_DONE:    "done",
+		wire.AttemptState_ATTEMPT_STATE_FAILED:  "failed",
+		wire.AttemptState_ATTEMPT_STATE_STOPPED: "stopped",
+		wire.AttemptState_ATTEMPT_STATE_REFUSED: "refused",
+		wire.AttemptState_ATTEMPT_STATE_LOST:    "lost",
+	}[w.State]
+	if !ok {
+		end = "unknown"
+	}
+	p.meter.AttemptEnded(j.Spec.Class, end)
+}
+
+// runGauges sets the gauges until ctx ends.
+func (p *Process) runGauges(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		p.countShards()
+		if p.loop.Do(ctx, p.setGauges) != nil {
+			return nil
+		}
+	}
+}
+
+// countShards is not for the loop, which must not wait for the table's view of
+// the shards.
+func (p *Process) countShards() {
+	racks, jobs := 0, 0
+	for _, g := range p.shards.Held() {
+		if strings.HasPrefix(g.Shard, "rack-") {
+			racks++
+		} else {
+			jobs++
+		}
+	}
+	p.meter.SetShards("rack", racks)
+	p.meter.SetShards("jobs", jobs)
+}
+
+func (p *Process) setGauges() {
+	for _, c := range class.All {
+		waiting := 0
+		for _, o := range p.configuration().Organisations {
+			waiting += p.queue.Waiting(o.Name, c)
+		}
+		p.meter.SetQueue(c, waiting)
+	}
+	states := map[string]int{"open": 0, "closed": 0, "quarantined": 0, "draining": 0}
+	for r := range p.racks.All {
+		for _, id := range r.Workers() {
+			states[workerState(r.Closed(id))]++
+		}
+	}
+	for state, n := range states {
+		p.meter.SetWorkers(state, n)
+	}
+}
+
+// workerState names the state of a worker by why it is closed.
+func workerState(closed string) string {
+	switch {
+	case closed == "":
+		return "open"
+	case closed == "leaving":
+		return "draining"
+	case strings.HasPrefix(closed, "quarantine"):
+		return "quarantined"
+	}
+	return "closed"
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -57,6 +57,17 @@
 	return all
 }
 
+// all returns what is known of every peer, heard lately or not.
+func (t *peerTable) all() []peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]peer, 0, len(t.known))
+	for _, x := range t.known {
+		all = append(all, *x)
+	}
+	return all
+}
+
 // address returns the relay address of a process, "" if unknown.
 func (p *Process) address(process string) string {
 	for _, m := range p.session.Members() {
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -72,6 +72,7 @@
 
 // syncWorker sends one message to a worker and hands the answer to the loop.
 func (p *Process) syncWorker(r *rack.Rack, id string, s worker.Sync) {
+	s.Acknowledged = p.books.Settled(id, s.Acknowledged) // the rest is offered again with the next message
 	agent := p.agentAt(r.Address(id))
 	p.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(p.ctx, maxTransit)
@@ -108,6 +109,7 @@
 	if after := r.Closed(id); after != before {
 		p.logWorker(id, after)
 	}
+	p.account(r, id, report, changed, err)
 	p.racks.Changed(r, changed)
 	if r.Settled() {
 		p.shards.Settled(r.Name, r.Epoch)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -74,6 +74,8 @@
 	IntentProposed = define(1710, Info, "intent-proposed", "A plan was made; nothing changed.", "none")
 	IntentRefused  = define(1711, Info, "intent-refused", "A plan was stale or another operator was first.", "Make the plan again.")
 	IntentInForce  = define(1712, Info, "intent-in-force", "A confirmed plan is in the configuration chain.", "none")
+	UpkeepDone     = define(1720, Info, "upkeep-done", "Old configurations and plans were deleted.", "none")
+	UpkeepFailed   = define(1721, Warn, "upkeep-failed", "Old rows could not be deleted; it is tried again.", "Check the platform; nothing but space is lost.")
 )
 
 // Requests and upstreams.
@@ -93,5 +95,7 @@
 	KeysRefused     = define(2002, Error, "keys-refused", "The key files could not be used; the old keys stay.", "Read `error`; mend the files before the old ones expire.")
 	KeysExpiring    = define(2003, Warn, "keys-expiring", "The certificate expires soon.", "Renew the certificate file.")
 	AccountsClosed  = define(2101, Info, "accounts-closed", "A period of the accounts is durable.", "none")
+	DrainStop       = define(1905, Info, "drain-stop", "An attempt on a leaving worker was asked for a checkpoint; it goes on elsewhere.", "none")
+	BurnDelayed     = define(2103, Warn, "burn-delayed", "The counts of the burn report could not be stored; they are kept and repeated.", "Check the object store.")
 	AccountsDelayed = define(2102, Warn, "accounts-delayed", "A period of the accounts could not be written; it is kept and repeated.", "Check the object store.")
 )
--- a/intent/change.go
+++ b/intent/change.go
@@ -17,8 +17,14 @@
 	switch in.Kind {
 	case AddOrganisation:
 		err = addOrganisation(&c, in)
-	case SetWeight, SetQuota, SetPriority:
+	case SetWeight, SetQuota, SetPriority, SetTokens:
 		err = setOrganisation(&c, in)
+	case SetObjective:
+		err = put(&c.Objectives, in.Objective, func(o pool.Objective) string { return o.Organisation + " " + string(o.Class) })
+	case SetOperator:
+		err = put(&c.Operators, in.Operator, func(o pool.Operator) string { return o.Name })
+	case SetService:
+		err = put(&c.Services, in.Service, func(o pool.Service) string { return o.Name })
 	case DrainWorker, DrainRunner, DrainRack, DrainDataCentre:
 		err = drain(s, &c, in)
 	case Undrain:
@@ -60,12 +66,28 @@
 		o.Weight = in.Weight
 	case SetQuota:
 		o.Quota = in.Quota
+	case SetTokens:
+		o.TokenHashes = slices.Clone(in.TokenHashes)
 	default:
 		setPriority(c, in)
 	}
 	return nil
 }
 
+// put adds an item, or replaces the one with the same key.
+func put[T any](all *[]T, item *T, key func(T) string) error {
+	if item == nil {
+		return fmt.Errorf("what to set is missing")
+	}
+	i := slices.IndexFunc(*all, func(t T) bool { return key(t) == key(*item) })
+	if i < 0 {
+		*all = append(*all, *item)
+	} else {
+		(*all)[i] = *item
+	}
+	return nil
+}
+
 func setPriority(c *pool.Configuration, in Intent) {
 	for i := range c.Shares {
 		if c.Shares[i].Organisation == in.Organisation && c.Shares[i].Class == in.Class {
@@ -122,60 +144,5 @@
 	if s.Undone == nil {
 		return fmt.Errorf("configuration %d is not kept any more", in.Number)
 	}
-	b, a := &s.Undone.Before, &s.Undone.After
-	err := revert(&c.Organisations, b.Organisations, a.Organisations, func(o pool.Organisation) string { return o.Name })
-	if err == nil {
-		err = revert(&c.Operators, b.Operators, a.Operators, func(o pool.Operator) string { return o.Name })
-	}
-	if err == nil {
-		err = revert(&c.Shares, b.Shares, a.Shares, func(o pool.Share) string { return o.Organisation + " " + string(o.Class) })
-	}
-	if err == nil {
-		err = revert(&c.Services, b.Services, a.Services, func(o pool.Service) string { return o.Name })
-	}
-	if err == nil {
-		err = revert(&c.Objectives, b.Objectives, a.Objectives, func(o pool.Objective) string { return o.Organisation + " " + string(o.Class) })
-	}
-	if err == nil {
-		err = revert(&c.Drains, b.Drains, a.Drains, func(o pool.Drain) string { kind, name := o.Target(); return kind + " " + name })
-	}
-	if err == nil {
-		err = revert(&c.Capacity, b.Capacity, a.Capacity, func(o pool.Addition) string { return fmt.Sprint(o) })
-	}
-	if err == nil && a.Limits != b.Limits {
-		if c.Limits != a.Limits {
-			return fmt.Errorf("the limits have changed again since")
-		}
-		c.Limits = b.Limits
-	}
-	return err
-}
-
-// revert puts each item that differs between before and after back into now.
-func revert[T any](now *[]T, before, after []T, key func(T) string) error {
-	find := func(all []T, k string) int {
-		return slices.IndexFunc(all, func(t T) bool { return key(t) == k })
-	}
-	for _, item := range slices.Concat(before, after) {
-		k := key(item)
-		b, a, n := find(before, k), find(after, k), find(*now, k)
-		if b >= 0 && a >= 0 && reflect.DeepEqual(before[b], after[a]) {
-			continue
-		}
-		if b >= 0 && n >= 0 && reflect.DeepEqual(before[b], (*now)[n]) || b < 0 && n < 0 {
-			continue // put back already
-		}
-		if (a >= 0) != (n >= 0) || a >= 0 && !reflect.DeepEqual(after[a], (*now)[n]) {
-			return fmt.Errorf("%q has changed again since", k)
-		}
-		switch {
-		case b < 0:
-			*now = slices.Delete(*now, n, n+1)
-		case n < 0:
-			*now = append(*now, before[b])
-		default:
-			(*now)[n] = before[b]
-		}
-	}
-	return nil
+	return pool.Revert(c, &s.Undone.Before, &s.Undone.After)
 }
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -41,6 +41,10 @@
 	SetWeight       Kind = "set-weight"       // Organisation, Weight
 	SetQuota        Kind = "set-quota"        // Organisation, Quota
 	SetPriority     Kind = "set-priority"     // Organisation, Class, Priority
+	SetTokens       Kind = "set-tokens"       // Organisation, TokenHashes
+	SetObjective    Kind = "set-objective"    // Objective
+	SetOperator     Kind = "set-operator"     // Operator, new or in place of one of its name
+	SetService      Kind = "set-service"      // Service, new or in place of one of its name
 	DrainWorker     Kind = "drain-worker"     // Target
 	DrainRunner     Kind = "drain-runner"     // Target
 	DrainRack       Kind = "drain-rack"       // Target
@@ -61,6 +65,10 @@
 	Target       string             `json:"target,omitempty"` // host, rack or data centre
 	Add          *pool.Organisation `json:"add,omitempty"`
 	Capacity     *pool.Addition     `json:"capacity,omitempty"`
+	TokenHashes  []string           `json:"token-hashes,omitempty"`
+	Objective    *pool.Objective    `json:"objective,omitempty"`
+	Operator     *pool.Operator     `json:"operator,omitempty"`
+	Service      *pool.Service      `json:"service,omitempty"`
 	Number       uint64             `json:"number,omitempty"` // of the configuration to undo
 	By           string             `json:"by"`
 	At           time.Time          `json:"at"`
--- a/intent/stale.go
+++ b/intent/stale.go
@@ -15,10 +15,16 @@
 	switch in.Kind {
 	case AddOrganisation, SetWeight:
 		parts = append(parts, Part{"weights", weights(&s.Configuration)})
-	case SetQuota:
+	case SetQuota, SetTokens:
 		parts = append(parts, organisationPart(&s.Configuration, in.Organisation))
 	case SetPriority:
 		parts = append(parts, organisationPart(&s.Configuration, in.Organisation), Part{"shares", digest(s.Configuration.Shares)})
+	case SetObjective:
+		parts = append(parts, Part{"objectives", digest(s.Configuration.Objectives)})
+	case SetOperator:
+		parts = append(parts, Part{"operators", digest(s.Configuration.Operators)})
+	case SetService:
+		parts = append(parts, Part{"services", digest(s.Configuration.Services)})
 	case AddCapacity:
 		parts = append(parts, Part{"capacity", digest(s.Configuration.Capacity)})
 	case Undo:
--- /dev/null
+++ b/upkeep/upkeep.go
@@ -0,0 +1,114 @@
+// Package upkeep deletes what the platform need not keep any more: old
+// configurations of the chain, plans that nobody will confirm, and old
+// accounts. It also merges the many records of one period of the accounts.
+//
+// One process does it for all, the one for which Mine is true. Two that do it
+// at once, as during a takeover, do no harm: every deletion names the version
+// of its row.
+//
+// Usage:
+//
+//	u := upkeep.Upkeep{Publisher: publisher, Plans: desk, Mine: ownsFirstShard, Log: log}
+//	group.Go(func() error { return u.Run(ctx) })
+package upkeep
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/confirmation"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/usage"
+)
+
+const (
+	every = 10 * time.Minute
+	// kept is about a day of configurations at 4,800 a day; one that is gone
+	// cannot be undone any more.
+	kept    = 5000
+	planAge = 7 * 24 * time.Hour
+	// Accounts are merged once no process adds to their period any more, and
+	// kept for as long as a period can be asked for.
+	mergeAge   = 15 * time.Minute
+	usageAge   = 41 * 24 * time.Hour
+	mergePages = 10 // of 200 rows in one call
+)
+
+// Upkeep deletes old rows. Set the exported fields before Run.
+type Upkeep struct {
+	Publisher *chain.Publisher
+	Plans     *confirmation.Desk
+	Accounts  *usage.Archive
+	// Mine reports whether this process is the one to do it.
+	Mine  func(ctx context.Context) bool
+	Log   event.Emitter
+	Every time.Duration // 0 is 10 min
+	Kept  uint64        // configurations; 0 is 5,000
+
+	after  string // where the next Prune of plans goes on
+	merged string // where the next merge goes on
+}
+
+// Run deletes at a jittered pace until ctx ends.
+func (u *Upkeep) Run(ctx context.Context) error {
+	pace := u.Every
+	if pace == 0 {
+		pace = every
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pace/2 + rand.N(pace)):
+		}
+		if !u.Mine(ctx) {
+			continue
+		}
+		done, err := u.Once(ctx)
+		if err != nil && ctx.Err() == nil {
+			u.Log.Emit(event.UpkeepFailed, "error", err)
+		}
+		if done != (Done{}) {
+			u.Log.Emit(event.UpkeepDone, "configurations", done.Configurations, "plans", done.Plans,
+				"merged", done.Merged, "accounts", done.Accounts)
+		}
+	}
+}
+
+// Done counts what one call of Once did.
+type Done struct {
+	Configurations int // deleted
+	Plans          int // deleted
+	Merged         int // records of accounts that were replaced
+	Accounts       int // records of accounts that were deleted
+}
+
+// Once deletes and merges one batch of each kind.
+func (u *Upkeep) Once(ctx context.Context) (d Done, err error) {
+	number := u.Kept
+	if number == 0 {
+		number = kept
+	}
+	now := u.Plans.Time()
+	var errs [4]error
+	d.Configurations, errs[0] = u.Publisher.Compact(ctx, number)
+	d.Plans, u.after, errs[1] = u.Plans.Prune(ctx, now.Add(-planAge), u.after)
+	d.Merged, errs[2] = u.merge(ctx, now.Add(-mergeAge))
+	d.Accounts, errs[3] = u.Accounts.Prune(ctx, now.Add(-usageAge))
+	return d, errors.Join(errs[:]...)
+}
+
+func (u *Upkeep) merge(ctx context.Context, before time.Time) (merged int, err error) {
+	for range mergePages {
+		var n int
+		u.merged, n, err = u.Accounts.Merge(ctx, u.merged, before)
+		merged += n
+		if err != nil || u.merged == "" {
+			return merged, err
+		}
+	}
+	return merged, nil
+}
--- a/usage/record.go
+++ b/usage/record.go
@@ -2,14 +2,9 @@
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
+	"maps"
 	"slices"
 	"time"
-
-	"persimmonworks.example/persimmonworks/platform"
 )
 
 // Record is a part of one process's book for one period, as it is stored.
@@ -54,6 +49,30 @@
 	return r
 }
 
+// Periods returns the starts of the periods of a width that the book has spans
+// in, in order.
+func (b *Book) Periods(width time.Duration) []time.Time {
+	found := make(map[int64]bool)
+	note := func(spans []Span) {
+		for _, s := range spans {
+			for at := time.UnixMilli(s.From).Truncate(width).UnixMilli(); at < s.To; at += width.Milliseconds() {
+				found[at] = true
+			}
+		}
+	}
+	for _, spans := range b.workers {
+		note(spans)
+	}
+	for _, c := range b.attempts {
+		note(c.spans)
+	}
+	var starts []time.Time
+	for _, at := range slices.Sorted(maps.Keys(found)) {
+		starts = append(starts, time.UnixMilli(at).UTC())
+	}
+	return starts
+}
+
 func clip(spans []Span, from, to int64) []Span {
 	var cut []Span
 	for _, s := range spans {
@@ -79,82 +98,3 @@
 		b.End(a.Attempt, a.End)
 	}
 }
-
-// Archive stores records: the body in the object store, and a row that makes
-// it known, since the object store has no list. The pair of process and
-// incarnation never comes again, so names are unique.
-type Archive struct {
-	Table       platform.Table
-	Objects     platform.Objects
-	Process     string
-	Incarnation uint64
-}
-
-const (
-	rowPrefix = "usage/"
-	timeForm  = "20060102T150405Z"
-	pageSize  = 200 // rows of one read
-)
-
-// Close stores part (from 0) of a period; late reports make further parts. If
-// it fails, call it again with the same part and a record that holds at least
-// as much: a body whose row is durable is not written again.
-func (a *Archive) Close(ctx context.Context, part int, r Record) error {
-	name := fmt.Sprintf("%s%s/%s-%d-%d", rowPrefix, r.Period.UTC().Format(timeForm), a.Process, a.Incarnation, part)
-	if _, err := a.Table.Get(ctx, name); err == nil {
-		return nil
-	} else if !errors.Is(err, platform.ErrNotFound) {
-		return fmt.Errorf("close accounts %q: %w", name, err)
-	}
-	body, err := json.Marshal(r)
-	if err != nil {
-		return fmt.Errorf("encode accounts %q: %w", name, err)
-	}
-	if err := a.Objects.Put(ctx, name, body); err != nil {
-		return fmt.Errorf("store accounts %q: %w", name, err)
-	}
-	_, err = a.Table.Commit(ctx, platform.Create(name, nil))
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		return fmt.Errorf("list accounts %q: %w", name, err)
-	}
-	return nil
-}
-
-// Load merges all records of the periods that start from from up to to into a
-// new book.
-func (a *Archive) Load(ctx context.Context, from, to time.Time) (*Book, error) {
-	var b Book
-	after := rowPrefix + from.UTC().Format(timeForm)
-	end := rowPrefix + to.UTC().Format(timeForm)
-	for {
-		rows, err := a.Table.Range(ctx, rowPrefix, after, pageSize)
-		if err != nil {
-			return nil, fmt.Errorf("list accounts after %q: %w", after, err)
-		}
-		for _, row := range rows {
-			if row.Key >= end {
-				return &b, nil
-			}
-			if err := a.load(ctx, &b, row.Key); err != nil {
-				return nil, err
-			}
-			after = row.Key
-		}
-		if len(rows) < pageSize {
-			return &b, nil
-		}
-	}
-}
-
-func (a *Archive) load(ctx context.Context, b *Book, name string) error {
-	body, err := a.Objects.Get(ctx, name)
-	if err != nil {
-		return fmt.Errorf("read accounts %q: %w", name, err)
-	}
-	var r Record
-	if err := json.Unmarshal(body, &r); err != nil {
-		return fmt.Errorf("decode accounts %q: %w", name, err)
-	}
-	b.Merge(r)
-	return nil
-}
