dispatch, rack: nothing is placed late, nothing waits for ever

Cause, three of one kind (TestDeskUnderFaults, after 79 schedules: tasks stay 'sent'; TestGroupPlaces, TestEmptyGroupRefuses): a rack that moved to a process which the desk already knew was not asked for its inventory; a process without racks answered placements with an empty report; a placement that arrived after an inventory without it was still placed, and its next attempt ran elsewhere. Ruled out: a time after which 'sent' is taken back (no bound on messages). Change: the desk asks each new owner (process and epoch) of a rack for the inventory; a placement names the epoch of its rack shard (wire field 13) and is refused under another one; an inventory is ordered with placements and stops; a process without racks refuses. The desk's group is joined in order (race detector). Before: red as above. After: 1,000 schedules (no race detector) and the default 100 with it, no failure.

--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -214,15 +214,15 @@
 }
 
 // Owners implements Racks.
-func (b *bed) Owners() map[string]string {
+func (b *bed) Owners() map[string]Owner {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	all := make(map[string]string, len(b.owners))
+	all := make(map[string]Owner, len(b.owners))
 	for name, process := range b.owners {
+		all[name] = Owner{Process: process, Epoch: b.epochs[name]}
 		if time.Now().Before(b.cut[process]) && b.random.IntN(2) == 0 {
-			process = "" // its session may or may not have been seen to end
+			all[name] = Owner{} // its session may or may not have been seen to end
 		}
-		all[name] = process
 	}
 	return all
 }
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -8,9 +8,11 @@
 // # Invariants
 //
 //   - A job is accepted when its journal entry is durable, not before.
-//   - An attempt is sent to one rack only. It is given to another one only after
-//     the first has refused it, or its complete inventory lacks it and the next
-//     attempt has been granted durably.
+//   - An attempt is sent to one rack only, for one epoch of it. It is given to
+//     another one only after the first has refused it, or its complete inventory
+//     lacks it and the next attempt has been granted durably.
+//   - A rack that has a new owner is asked for its inventory, since what was
+//     under way to the old one may have got lost.
 //   - Nothing is sent under an epoch of a job shard after the session's
 //     deadline has passed.
 //   - A finished attempt is acknowledged to its rack after its entry is durable.
@@ -41,11 +43,17 @@
 	"persimmonworks.example/persimmonworks/worker"
 )
 
+// Owner is a process that acts for a rack shard.
+type Owner struct {
+	Process string
+	Epoch   uint64 // of the rack shard
+}
+
 // Racks tells which process owns which rack, and carries messages to it.
 type Racks interface {
 	// Owners returns the owner of every rack shard of the data centre; racks
-	// without a live owner map to "".
-	Owners() map[string]string
+	// without a live owner map to the zero Owner.
+	Owners() map[string]Owner
 	// Sync sends s to a process, which may be this one. Errors wrap
 	// relay.ErrNotSent when nothing can have arrived. It is called on
 	// traffic goroutines.
@@ -91,6 +99,7 @@
 	ctx    context.Context
 	delays []delayed
 	closed bool // nothing is accepted or placed any more
+	ended  bool // Run is about to return
 }
 
 // delayed is a task that is queued again after a pause.
@@ -118,8 +127,10 @@
 	committing bool
 	nextCommit time.Time
 	links      map[string]*link
-	sent       map[worker.Ref]*sending
-	finished   map[string]time.Time
+	// owners holds the owner of each rack that was last asked for its inventory.
+	owners   map[string]Owner
+	sent     map[worker.Ref]*sending
+	finished map[string]time.Time
 }
 
 // sending is a granted attempt that may be on a rack.
@@ -153,16 +164,21 @@
 // Run dispatches until ctx ends.
 func (d *Desk) Run(ctx context.Context) error {
 	group, inner := errgroup.WithContext(ctx)
-	err := d.Loop.Do(ctx, func() {
-		d.group, d.ctx = group, inner
-		for _, s := range d.shards {
-			d.spawn(func() { d.open(s) })
+	group.Go(func() error {
+		err := d.Loop.Do(ctx, func() {
+			d.group, d.ctx = group, inner
+			for _, s := range d.shards {
+				d.spawn(func() { d.open(s) })
+			}
+		})
+		if err != nil {
+			return nil // ended before it began
 		}
+		err = d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) })
+		// Nothing may join the group once it can be empty.
+		_ = d.Loop.Do(context.WithoutCancel(ctx), func() { d.ended = true }) // fails when the loop has ended as well
+		return err
 	})
-	if err != nil {
-		return nil // ended before it began
-	}
-	group.Go(func() error { return d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) }) })
 	return group.Wait()
 }
 
@@ -174,7 +190,7 @@
 	d.Drop(name)
 	s := &shard{
 		name: name, epoch: epoch, covered: map[string]bool{}, unresolved: map[string]bool{}, ending: map[worker.Ref]bool{},
-		links: map[string]*link{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{},
+		links: map[string]*link{}, owners: map[string]Owner{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{},
 		store: &job.Store{
 			Table: d.Table, Objects: d.Objects, DataCentre: d.DataCentre, Shard: name, Epoch: epoch,
 			Writer: fmt.Sprintf("%s-%d", d.Process, epoch),
@@ -210,6 +226,9 @@
 }
 
 func (d *Desk) spawn(f func()) {
+	if d.ended {
+		return
+	}
 	d.group.Go(func() error {
 		f()
 		return nil
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -63,7 +63,7 @@
 		return
 	}
 	owner := d.Racks.Owners()[x.rack]
-	if owner == "" {
+	if owner.Process == "" {
 		d.unsend(s, ref, now)
 		return
 	}
@@ -72,11 +72,12 @@
 		d.unsend(s, ref, now)
 		return
 	}
-	l := s.link(owner)
+	l := s.link(owner.Process)
 	l.placements = append(l.placements, &wire.Placement{
 		Task: ref.Task, Attempt: ref.Attempt, Organisation: j.Spec.Organisation, Class: string(j.Spec.Class), Kind: j.Spec.Kind,
 		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Spec.Tasks[t.Index].Work,
 		NonIdempotent: j.Spec.NonIdempotent, Shard: x.rack, JobShard: d.qualified(s),
+		ShardEpoch: owner.Epoch,
 	})
 }
 
@@ -129,7 +130,7 @@
 			continue
 		}
 		x.stopping = true
-		if owner := owners[x.rack]; owner != "" {
+		if owner := owners[x.rack].Process; owner != "" {
 			s.link(owner).stops = append(s.link(owner).stops, &wire.AttemptRef{Task: ref.Task, Attempt: ref.Attempt})
 		}
 	}
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -15,9 +15,14 @@
 // syncDue starts the messages to the owners of racks that are due.
 func (d *Desk) syncDue(s *shard, now time.Time) {
 	owners := map[string]bool{}
-	for _, process := range d.Racks.Owners() {
-		if process != "" {
-			owners[process] = true
+	for name, o := range d.Racks.Owners() {
+		if o.Process == "" {
+			continue
+		}
+		owners[o.Process] = true
+		if s.owners[name] != o {
+			s.owners[name] = o
+			s.link(o.Process).inventory = true
 		}
 	}
 	for process := range owners {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -25,35 +25,31 @@
 
 // Owners implements dispatch.Racks: what this process and its peers say of
 // themselves goes before the table's last known rows.
-func (o *rackOwners) Owners() map[string]string {
+func (o *rackOwners) Owners() map[string]dispatch.Owner {
 	p := o.p
 	v := p.hosts.Load()
 	if v == nil {
 		return nil
 	}
-	type claim struct {
-		process string
-		epoch   uint64
-	}
-	best := map[string]claim{}
+	best := map[string]dispatch.Owner{}
 	for _, s := range p.peers.live(time.Now()) {
 		if s.DataCentre != p.Settings.Process.DataCentre {
 			continue
 		}
 		for _, x := range s.Shards {
-			if x.Capacity != nil && x.Epoch >= best[x.Shard].epoch {
-				best[x.Shard] = claim{s.Process, x.Epoch}
+			if x.Capacity != nil && x.Epoch >= best[x.Shard].Epoch {
+				best[x.Shard] = dispatch.Owner{Process: s.Process, Epoch: x.Epoch}
 			}
 		}
 	}
 	for r := range p.racks.All {
-		if r.Epoch >= best[r.Name].epoch {
-			best[r.Name] = claim{p.Settings.Process.Name, r.Epoch}
+		if r.Epoch >= best[r.Name].Epoch {
+			best[r.Name] = dispatch.Owner{Process: p.Settings.Process.Name, Epoch: r.Epoch}
 		}
 	}
-	owners := make(map[string]string, len(v.racks))
+	owners := make(map[string]dispatch.Owner, len(v.racks))
 	for _, name := range v.racks {
-		owners[name] = best[name].process
+		owners[name] = best[name]
 	}
 	return owners
 }
--- a/rack/group.go
+++ b/rack/group.go
@@ -34,7 +34,7 @@
 // Add takes a rack into the group, in place of one with the same name.
 func (g *Group) Add(r *Rack) {
 	if g.racks == nil {
-		g.racks, g.jobs = map[string]*Rack{}, map[string]*correspondent{}
+		g.racks = map[string]*Rack{}
 	}
 	g.Remove(r.Name)
 	g.racks[r.Name] = r
@@ -77,6 +77,9 @@
 func (g *Group) correspondent(jobShard string) *correspondent {
 	c, ok := g.jobs[jobShard]
 	if !ok {
+		if g.jobs == nil {
+			g.jobs = map[string]*correspondent{}
+		}
 		c = &correspondent{news: map[worker.Ref]*placed{}}
 		g.jobs[jobShard] = c
 	}
@@ -94,18 +97,15 @@
 // to know. The refusal is not nil when the message is from an owner that was
 // deposed, or overtaken by a later message; nothing was done then.
 func (g *Group) Sync(s *wire.TaskSync, now time.Time, rng *rand.Rand) (*wire.TaskReport, *wire.Refusal) {
-	if g.jobs == nil {
-		return &wire.TaskReport{}, nil
-	}
 	c := g.correspondent(s.JobShard)
-	commands := len(s.Placements)+len(s.Stops) > 0
+	ordered := len(s.Placements)+len(s.Stops) > 0 || s.Inventory
 	switch {
 	case s.JobEpoch < c.epoch:
 		return nil, &wire.Refusal{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: "a later owner of the job shard is known"}
 	case s.JobEpoch > c.epoch:
 		c.epoch, c.sequence = s.JobEpoch, 0
 	}
-	if commands {
+	if ordered {
 		if s.Sequence <= c.sequence {
 			return nil, &wire.Refusal{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: "a later message was served first"}
 		}
@@ -156,6 +156,10 @@
 			refuse("rack shard " + p.Shard + " is not owned here")
 			continue
 		}
+		if p.ShardEpoch != r.Epoch {
+			refuse("rack shard " + p.Shard + " has had another owner meanwhile")
+			continue
+		}
 		_, err := r.Place(startOf(p), Wish{Spread: spreadOf(p)}, now, rng)
 		switch {
 		case errors.Is(err, placement.ErrTooLarge):
