entry: believe a restarted peer at once; learn from answers; serve while the platform is away

Cause: TestRestartWhileAway: a process started while the platform is away stayed not ready for 60 s (readyz waited for the list of hosts although peers could be forwarded to; the status in a peer's answer had sequence 0 and was never taken; seeds were asked one after the other). The runner directory compared sequences over restarts: a peer that had sent 10,000 statuses before its restart was not used until it had sent as many again (TestRestartedPeer, red before: u-1 chosen instead of u-2). A peer's old address in the table went before its own word. Without a configuration a valid token was told that it belongs to nobody. Ruled out: relay dial, which succeeds within 100 ms in the same run.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,6 +88,7 @@
 	queue     queue.Queue
 	rng       *rand.Rand
 	marked    map[string]time.Time // hosts heard to be leaving from peers
+	sequence  uint64               // of the last status
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
@@ -291,10 +292,12 @@
 		return "leaving"
 	case p.follower.Number() == 0:
 		return "no configuration is in force yet"
-	case p.hosts.Load() == nil:
-		return "the list of hosts is not known yet"
-	case !p.session.Valid(time.Now()) && len(p.peers.live(time.Now())) == 0:
+	case len(p.peers.live(time.Now())) > 0:
+		return "" // can forward, whatever it can do itself
+	case !p.session.Valid(time.Now()):
 		return "no session, and no peer to forward to"
+	case p.hosts.Load() == nil:
+		return "the list of hosts is not known yet, and no peer to forward to"
 	default:
 		return ""
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,95 +2,35 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
 
-	"persimmonworks.example/persimmonworks/chain"
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/ownership"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
-// peer is what is known of another process.
-type peer struct {
-	status *wire.Status
-	heard  time.Time
-}
-
-// peerTable holds the last status of each peer, by process.
-type peerTable struct {
-	mu    sync.Mutex
-	known map[string]*peer
-}
-
-func (t *peerTable) init() { t.known = map[string]*peer{} }
-
-// take stores a status unless a later one is known.
-func (t *peerTable) take(s *wire.Status, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old, ok := t.known[s.Process]
-	if ok && (s.Incarnation < old.status.Incarnation || s.Incarnation == old.status.Incarnation && s.Sequence <= old.status.Sequence) {
-		return false
-	}
-	t.known[s.Process] = &peer{status: s, heard: now}
-	return true
-}
-
-// live returns the last statuses of the peers heard lately.
-func (t *peerTable) live(now time.Time) []*wire.Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var all []*wire.Status
-	for _, x := range t.known {
-		if now.Sub(x.heard) < peerTimeout {
-			all = append(all, x.status)
-		}
-	}
-	return all
-}
-
-// address returns the relay address of a process, "" if unknown.
-func (p *Process) address(process string) string {
-	for _, m := range p.session.Members() {
-		if m.Process == process {
-			return m.RelayAddress
-		}
-	}
-	p.peers.mu.Lock()
-	defer p.peers.mu.Unlock()
-	if x, ok := p.peers.known[process]; ok {
-		return x.status.Address
-	}
-	return ""
-}
-
 // runStatus tells peers the state of this process until ctx ends.
 func (p *Process) runStatus(ctx context.Context) error {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
-	var sequence uint64
 	busy := &sync.Map{}
-	for {
+	for round := 1; ; round++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		sequence++
 		var s *wire.Status
-		if p.loop.Do(ctx, func() { s = p.status(sequence) }) != nil {
+		if p.loop.Do(ctx, func() { s = p.status() }) != nil {
 			return nil
 		}
 		for address, near := range p.peerAddresses() {
-			if !near && sequence%uint64(farInterval/statusInterval) != 0 {
+			if !near && round%int(farInterval/statusInterval) != 0 {
 				continue
 			}
 			if _, sending := busy.LoadOrStore(address, true); sending {
@@ -133,12 +73,14 @@
 	}
 }
 
-// status describes this process to its peers; called on the loop.
-func (p *Process) status(sequence uint64) *wire.Status {
+// status describes this process to its peers; called on the loop. Each has a
+// higher sequence than those before, whether it is sent or an answer.
+func (p *Process) status() *wire.Status {
 	now := time.Now()
+	p.sequence++
 	s := &wire.Status{
 		Process: p.Settings.Process.Name, Incarnation: p.node.Incarnation, DataCentre: p.Settings.Process.DataCentre,
-		Address: p.node.Addr(), CallerAddress: p.CallerAddress(), Sequence: sequence, ConfigNumber: p.follower.Number(),
+		Address: p.node.Addr(), CallerAddress: p.CallerAddress(), Sequence: p.sequence, ConfigNumber: p.follower.Number(),
 		Leaving: p.leaving.Load(), PlatformReachable: p.session.Reachable(), LeavingHosts: p.leavingHosts(),
 	}
 	valid := p.session.Valid(now)
@@ -168,12 +110,19 @@
 
 // learn takes in a peer's status.
 func (p *Process) learn(s *wire.Status) {
-	now := time.Now()
-	if s.Process == p.Settings.Process.Name || !p.peers.take(s, now) {
+	if s.Process == p.Settings.Process.Name {
 		return
 	}
 	p.follower.Heard(s.ConfigNumber)
 	p.loop.Post(func() {
+		now := time.Now()
+		taken, restarted := p.peers.take(s, now)
+		if !taken {
+			return
+		}
+		if restarted {
+			p.peerSlots.Remove(s.Process) // its sequence begins anew
+		}
 		adverts := make([]runner.Advert, 0, len(s.Runners))
 		for _, r := range s.Runners {
 			adverts = append(adverts, runner.Advert{
@@ -215,7 +164,7 @@
 		}
 		p.learn(body.Status)
 		var own *wire.Status
-		if p.loop.Do(ctx, func() { own = p.status(0) }) != nil {
+		if p.loop.Do(ctx, func() { own = p.status() }) != nil {
 			return refuse("stopping")
 		}
 		return &wire.Reply{Body: &wire.Reply_Status{Status: own}}
@@ -232,7 +181,7 @@
 		d, given := p.session.GivePromise(body.Promise.Session, time.Duration(body.Promise.ForMs)*time.Millisecond)
 		return &wire.Reply{Body: &wire.Reply_PromiseGiven{PromiseGiven: &wire.PromiseGiven{Given: given, ForMs: uint64(d.Milliseconds())}}}
 	case *wire.Call_FetchConfig:
-		return p.handleFetchConfig(body.FetchConfig)
+		return p.handleFetchConfig(peerName, body.FetchConfig)
 	default:
 		return refuse("unknown call")
 	}
@@ -269,107 +218,3 @@
 	}
 	return report, refused, nil
 }
-
-func (p *Process) handleFetchConfig(m *wire.FetchConfig) *wire.Reply {
-	e := p.follower.Current()
-	answer := &wire.ConfigChain{Head: e.Number}
-	if e.Number > m.After {
-		if body, err := json.Marshal(e); err == nil {
-			answer.Entries = append(answer.Entries, &wire.ConfigEntry{Number: e.Number, Body: body})
-		}
-	}
-	return &wire.Reply{Body: &wire.Reply_ConfigChain{ConfigChain: answer}}
-}
-
-// configPeers asks peers for the newest configuration.
-type configPeers struct{ p *Process }
-
-var _ chain.Peers = (*configPeers)(nil)
-
-// Newest implements chain.Peers.
-func (c *configPeers) Newest(ctx context.Context, above uint64) (*chain.Entry, error) {
-	var best *chain.Entry
-	var failure error
-	for address := range c.p.peerAddresses() {
-		reply, err := c.p.node.Call(ctx, address, &wire.Call{Body: &wire.Call_FetchConfig{FetchConfig: &wire.FetchConfig{After: above}}})
-		if err != nil {
-			failure = err
-			continue
-		}
-		for _, x := range reply.GetConfigChain().GetEntries() {
-			var e chain.Entry
-			if err := json.Unmarshal(x.Body, &e); err != nil {
-				failure = fmt.Errorf("configuration %d from %s: %w", x.Number, address, err)
-				continue
-			}
-			if e.Number > above && (best == nil || e.Number > best.Number) {
-				best = &e
-			}
-		}
-	}
-	if best == nil {
-		return nil, failure
-	}
-	return best, nil
-}
-
-// witness carries the calls of package ownership.
-type witness struct{ p *Process }
-
-var _ ownership.Witness = (*witness)(nil)
-
-// Renew implements ownership.Witness.
-func (w *witness) Renew(ctx context.Context, peerName, session string, version uint64, value []byte) (uint64, error) {
-	reply, err := w.call(ctx, peerName, &wire.Call{Body: &wire.Call_RenewSession{RenewSession: &wire.RenewSession{Session: session, Version: version, Value: value}}})
-	if err != nil {
-		return 0, err
-	}
-	return reply.GetSessionRenewed().GetVersion(), nil
-}
-
-// Promise implements ownership.Witness.
-func (w *witness) Promise(ctx context.Context, peerName, session string, d time.Duration) (time.Duration, bool, error) {
-	reply, err := w.call(ctx, peerName, &wire.Call{Body: &wire.Call_Promise{Promise: &wire.Promise{Session: session, ForMs: uint64(d.Milliseconds())}}})
-	if err != nil {
-		return 0, false, err
-	}
-	g := reply.GetPromiseGiven()
-	if g == nil {
-		return 0, false, fmt.Errorf("promise of %s: the answer holds none: %w", peerName, platform.ErrUnavailable)
-	}
-	return time.Duration(g.ForMs) * time.Millisecond, g.Given, nil
-}
-
-func (w *witness) call(ctx context.Context, peerName string, c *wire.Call) (*wire.Reply, error) {
-	address := w.p.address(peerName)
-	if address == "" {
-		return nil, fmt.Errorf("process %s has no known address: %w", peerName, platform.ErrUnavailable)
-	}
-	reply, err := w.p.node.Call(ctx, address, c)
-	switch {
-	case errors.Is(err, relay.ErrNotSent):
-		return nil, fmt.Errorf("%v: %w", err, platform.ErrUnavailable)
-	case err != nil:
-		return nil, fmt.Errorf("%v: %w", err, platform.ErrUnknown)
-	case reply.Refusal != nil && reply.Refusal.Outcome == wire.Outcome_OUTCOME_UNKNOWN:
-		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, platform.ErrUnknown)
-	case reply.Refusal != nil && reply.Refusal.Outcome == wire.Outcome_OUTCOME_FAILED:
-		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, platform.ErrConflict)
-	case reply.Refusal != nil:
-		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, platform.ErrUnavailable)
-	}
-	return reply, nil
-}
-
-// platformOutcome carries a platform failure over the inner protocol; a
-// conflict travels as failed.
-func platformOutcome(err error) wire.Outcome {
-	switch {
-	case errors.Is(err, platform.ErrConflict):
-		return wire.Outcome_OUTCOME_FAILED
-	case errors.Is(err, platform.ErrUnknown):
-		return wire.Outcome_OUTCOME_UNKNOWN
-	default:
-		return wire.Outcome_OUTCOME_NOT_RUN
-	}
-}
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -37,8 +37,14 @@
 		a.refuse(w, r, http.StatusUnauthorized, "a bearer token is needed in the header Authorization")
 		return nil
 	}
-	o := a.Current().ByToken(t.Digest().String())
+	c := a.Current()
+	o := c.ByToken(t.Digest().String())
 	switch {
+	case o == nil && len(c.Organisations) == 0:
+		Refuse(w, http.StatusServiceUnavailable, Problem{
+			Outcome: NotRun, RetryAfterMS: 1000, Reason: "no configuration is in force yet: neither the platform nor a peer has answered",
+		})
+		return nil
 	case o == nil:
 		a.refuse(w, r, http.StatusUnauthorized, "the token belongs to no organisation")
 		return nil
