testbed: restart while the platform is away; forward: an earlier failed run is not not-run

A request whose earlier send ended failed, and that then found no slot, would have been answered not-run; it now keeps its earlier outcome.

--- a/forward/request.go
+++ b/forward/request.go
@@ -181,7 +181,7 @@
 		g := f.acquire(ctx, q.Request)
 		q.waited += time.Since(waitFrom)
 		if g.refusal != nil {
-			if last.outcome == runner.Unknown {
+			if last.outcome != runner.NotRun && bounces+retries > 0 {
 				return last // an earlier send may have run: not-run would be untrue
 			}
 			return result{outcome: runner.NotRun, reason: g.refusal.Reason, retry: time.Duration(g.refusal.RetryAfterMs) * time.Millisecond}
--- a/testbed/batch_test.go
+++ b/testbed/batch_test.go
@@ -22,13 +22,18 @@
 	id    string
 	key   string
 	tasks int
-	run   time.Duration
 }
 
-func (b *bed) spec(key string, tasks int, run time.Duration) []byte {
+const (
+	smallCores = 2
+	batchCores = 8
+	parallel   = 16 // tasks of batchCores that a data centre's workers run at once
+)
+
+func (b *bed) spec(key string, tasks int, run time.Duration, cores int64) []byte {
 	s := job.Spec{
 		Name: "renderings", Organisation: organisation, Class: class.Batch, Kind: "rendering", Key: key,
-		Demand: resource.Vector{MilliCPU: 2 * resource.MilliPerCore, MemoryMB: 1024}, EstimateMS: run.Milliseconds(),
+		Demand: resource.Vector{MilliCPU: cores * resource.MilliPerCore, MemoryMB: 1024}, EstimateMS: run.Milliseconds(),
 	}
 	for i := range tasks {
 		work := fmt.Sprintf(`{"run-ms":%d,"output":"%s"}`, run.Milliseconds(), output(key, i))
@@ -44,10 +49,10 @@
 func output(key string, task int) string { return fmt.Sprintf("mould %s %d", key, task) }
 
 // submit submits a job at a process until it is accepted.
-func (b *bed) submit(p *process, key string, tasks int, run time.Duration) *batch {
+func (b *bed) submit(p *process, key string, tasks int, run time.Duration, cores int64) *batch {
 	b.t.Helper()
-	x := &batch{key: key, tasks: tasks, run: run}
-	body := b.spec(key, tasks, run)
+	x := &batch{key: key, tasks: tasks}
+	body := b.spec(key, tasks, run, cores)
 	b.await("submission of "+key, func(ctx context.Context) error {
 		var a gateway.Accepted
 		if err := b.call(ctx, p, http.MethodPost, "/v1/jobs", body, &a); err != nil {
@@ -59,6 +64,16 @@
 	return x
 }
 
+// batches submits a job in each data centre that takes at least a time.
+func (b *bed) batches(run, lasting time.Duration) []*batch {
+	b.t.Helper()
+	var all []*batch
+	for i := range dataCentres {
+		all = append(all, b.submit(b.entries[i], fmt.Sprintf("batch-%d", i), int(parallel*lasting/run), run, batchCores))
+	}
+	return all
+}
+
 // waitDone waits until all tasks of the jobs are done, asking all processes
 // in turn.
 func (b *bed) waitDone(batches ...*batch) {
--- a/testbed/bed_test.go
+++ b/testbed/bed_test.go
@@ -22,6 +22,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 	rounds        = flag.Int("rounds", 1, "times that each kill or pause is repeated in one test")
 	seed          = flag.Uint64("bed-seed", 20261204, "seed of the load and of the choice of victims")
 	keepLogs      = flag.String("keep-logs", "", "folder to which the processes' logs are copied")
+	dumpStuck     = flag.Bool("dump-stuck", false, "end a process that does not answer with a dump of its stacks in its log")
 	raceBuild     = flag.Bool("race-programs", false, "build the programs with the race detector")
 )
 
@@ -58,7 +60,7 @@
 	dataCentres  = 3
 	readyBound   = 60 * time.Second
 	settleBound  = 60 * time.Second // for whatever must happen in the end
-	bedLife      = 8 * time.Minute   // the stand-in ends by itself after this
+	bedLife      = 8 * time.Minute  // the stand-in ends by itself after this
 	organisation = "workshop"
 	service      = "jobs"
 )
@@ -358,7 +360,8 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", p.name, answer.StatusCode)
+		text, _ := io.ReadAll(answer.Body) // the status says enough
+		return fmt.Errorf("%s: status %d: %s", p.name, answer.StatusCode, bytes.TrimSpace(text))
 	}
 	return nil
 }
--- a/testbed/faults_test.go
+++ b/testbed/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -18,8 +20,8 @@
 	b := newBed(t)
 	l := b.startLoad(nil)
 	begin := time.Now()
-	x := b.submit(b.entries[0], "end-to-end", 1000, 100*time.Millisecond)
-	y := b.submit(b.entries[1], "end-to-end-2", 200, 100*time.Millisecond)
+	x := b.submit(b.entries[0], "end-to-end", 1000, 100*time.Millisecond, smallCores)
+	y := b.submit(b.entries[1], "end-to-end-2", 200, 100*time.Millisecond, smallCores)
 	b.waitDone(x, y)
 	t.Logf("1,200 tasks done after %v", time.Since(begin).Round(time.Millisecond))
 	b.verifyBatches(x, y)
@@ -30,23 +32,13 @@
 	}
 }
 
-// batches submits a job in each data centre that outlasts a fault.
-func (b *bed) batches(tasks int, run time.Duration) []*batch {
-	var all []*batch
-	for i := range dataCentres {
-		all = append(all, b.submit(b.entries[i], fmt.Sprintf("batch-%d", i), tasks, run))
-	}
-	return all
-}
-
 func TestKill(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	batches := b.batches(300, 500*time.Millisecond)
+	batches := b.batches(250*time.Millisecond, time.Duration(*rounds)*12*time.Second)
 	for range *rounds {
 		time.Sleep(warmUp)
-		victim := b.entries[b.rng.IntN(3)] // of each data centre the first
-		lost := b.ownedBy(victim.name)
+		victim, lost := b.owner()
 		at := time.Now()
 		b.kill(victim)
 		took := b.awaitTakeover(lost, at)
@@ -66,10 +58,9 @@
 func TestTerminate(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	batches := b.batches(200, 500*time.Millisecond)
+	batches := b.batches(250*time.Millisecond, 8*time.Second)
 	time.Sleep(warmUp)
-	victim := b.entries[0]
-	lost := b.ownedBy(victim.name)
+	victim, lost := b.owner()
 	at := time.Now()
 	if err := b.terminate(victim); err != nil {
 		t.Errorf("%s after SIGTERM: %v", victim.name, err)
@@ -92,11 +83,10 @@
 func TestPause(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	batches := b.batches(300, 1500*time.Millisecond)
+	batches := b.batches(time.Second, time.Duration(*rounds)*14*time.Second)
 	for range *rounds {
 		time.Sleep(warmUp)
-		victim := b.entries[b.rng.IntN(3)]
-		lost := b.ownedBy(victim.name)
+		victim, lost := b.owner()
 		at := time.Now()
 		b.signal(syscall.SIGSTOP, victim)
 		took := b.awaitTakeover(lost, at)
@@ -111,10 +101,34 @@
 	b.verdict(l.stop())
 }
 
+// TestPauseIdle pauses a process that owns nothing: the requests that it has
+// accepted are answered once it runs again.
+func TestPauseIdle(t *testing.T) {
+	b := newBed(t)
+	victim := b.idle()
+	if victim == nil {
+		t.Skip("every process owns a shard")
+	}
+	l := b.startLoad(nil)
+	time.Sleep(warmUp)
+	b.signal(syscall.SIGSTOP, victim)
+	time.Sleep(9 * time.Second)
+	b.signal(syscall.SIGCONT, victim)
+	time.Sleep(3 * warmUp)
+	b.awaitReady(victim)
+	calls := l.stop()
+	b.verdict(calls)
+	for _, c := range calls {
+		if c.outcome == outcomeBroke {
+			t.Errorf("%s at %s was never answered: %s", c.identity, c.process, c.reason)
+		}
+	}
+}
+
 func TestPlatformAway(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	before := b.batches(150, time.Second)
+	before := b.batches(500*time.Millisecond, *outage+2*warmUp)
 	time.Sleep(warmUp)
 	ctx := context.Background()
 	away := time.Now()
@@ -125,7 +139,7 @@
 	for i := 0; time.Since(away) < *outage; i++ {
 		var a gateway.Accepted
 		try, cancel := context.WithTimeout(ctx, 20*time.Second)
-		err := b.call(try, b.entries[i%entries], "POST", "/v1/jobs", b.spec(fmt.Sprintf("away-%d", i), 1, time.Millisecond), &a)
+		err := b.call(try, b.entries[i%entries], "POST", "/v1/jobs", b.spec(fmt.Sprintf("away-%d", i), 1, time.Millisecond, smallCores), &a)
 		cancel()
 		refusals[outcomeOf(err)]++
 		time.Sleep(300 * time.Millisecond)
@@ -138,7 +152,7 @@
 	if refusals[gateway.NotRun] == 0 || refusals[outcomeOK] > 0 {
 		t.Errorf("submissions while the platform was away: %v, want them refused as not run", refusals)
 	}
-	after := b.submit(b.entries[3], "after", 20, 100*time.Millisecond)
+	after := b.submit(b.entries[3], "after", 20, 100*time.Millisecond, smallCores)
 	t.Logf("a job was accepted %v after the platform came back", time.Since(back).Round(time.Millisecond))
 	b.waitDone(append(before, after)...)
 	b.verifyBatches(append(before, after)...)
@@ -177,6 +191,48 @@
 	}
 }
 
+// TestRestartWhileAway starts processes while the platform is away: with peers
+// they learn the configuration and forward, without they refuse.
+func TestRestartWhileAway(t *testing.T) {
+	b := newBed(t)
+	ctx := context.Background()
+	victim, away := b.entries[0], time.Now()
+	if err := b.control.SetPlatform(ctx, fault.Platform{Away: true}); err != nil {
+		t.Fatal(err)
+	}
+	b.kill(victim)
+	b.serve(victim)
+	b.awaitReady(victim)
+	l := b.startLoad(func(p *process) bool { return p == victim })
+	time.Sleep(3 * warmUp)
+	calls := l.stop()
+	b.verdict(calls)
+	b.during(calls, away, time.Now(), idempotent, 0.9)
+
+	b.kill(b.entries...)
+	b.serve(victim)
+	c := call{identity: "alone", process: victim.name}
+	b.await("answer of a process that is alone", func(context.Context) error {
+		if l.send(victim, &c, "alone"); c.outcome != outcomeBroke {
+			return nil
+		}
+		return errors.New(c.reason)
+	})
+	if c.outcome != gateway.NotRun || !strings.Contains(c.reason, "configuration") || ready(ctx, victim) == nil {
+		t.Errorf("a process with neither platform nor peers answers %s (%s), ready: %v", c.outcome, c.reason, ready(ctx, victim) == nil)
+	}
+	t.Logf("a process that is alone answers %s: %s", c.outcome, c.reason)
+	if err := b.control.SetPlatform(ctx, fault.Platform{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range b.entries[1:] {
+		b.serve(p)
+	}
+	for _, p := range b.entries {
+		b.awaitReady(p)
+	}
+}
+
 func TestLostAnswers(t *testing.T) {
 	b := newBed(t)
 	if err := b.control.SetPlatform(context.Background(), fault.Platform{LoseProbability: 0.2, Seed: *seed}); err != nil {
@@ -186,8 +242,8 @@
 	var batches []*batch
 	for i := range 12 {
 		key := fmt.Sprintf("lost-%d", i)
-		x := b.submit(b.entries[i%entries], key, 20, 100*time.Millisecond)
-		if again := b.submit(b.entries[(i+3)%entries], key, 20, 100*time.Millisecond); again.id != x.id && again.id[:3] == x.id[:3] {
+		x := b.submit(b.entries[i%entries], key, 20, 100*time.Millisecond, smallCores)
+		if again := b.submit(b.entries[(i+3)%entries], key, 20, 100*time.Millisecond, smallCores); again.id != x.id && again.id[:3] == x.id[:3] {
 			t.Errorf("key %s was accepted as %s and as %s", key, x.id, again.id)
 		}
 		batches = append(batches, x)
@@ -204,7 +260,7 @@
 	b := newBed(t)
 	here := func(p *process) bool { return p.dataCentre == "dc1" }
 	l := b.startLoad(here)
-	batches := b.batches(100, time.Second)
+	batches := b.batches(500*time.Millisecond, *outage)
 	time.Sleep(warmUp)
 	var cut []fault.Partition
 	var others []*process
@@ -239,7 +295,7 @@
 func TestRollingReplacement(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	batches := b.batches(300, 500*time.Millisecond)
+	batches := b.batches(500*time.Millisecond, 16*time.Second)
 	for _, p := range b.entries {
 		if err := b.terminate(p); err != nil {
 			t.Errorf("%s after SIGTERM: %v", p.name, err)
@@ -262,7 +318,7 @@
 func TestDataCentreKilled(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	batches := b.batches(150, 500*time.Millisecond)
+	batches := b.batches(500*time.Millisecond, 20*time.Second)
 	time.Sleep(warmUp)
 	var all []*process
 	for _, p := range b.entries {
@@ -300,7 +356,7 @@
 func TestLeaving(t *testing.T) {
 	b := newBed(t)
 	l := b.startLoad(nil)
-	batches := b.batches(200, 300*time.Millisecond)
+	batches := b.batches(250*time.Millisecond, 9*time.Second)
 	time.Sleep(warmUp)
 	for _, host := range []string{"u-dc1-r1-01", "u-dc2-r1-02", "w-dc1-r1-01", "w-dc3-r2-02"} {
 		if err := b.control.SetHost(context.Background(), host, fault.Host{Leaving: true}); err != nil {
--- a/testbed/load_test.go
+++ b/testbed/load_test.go
@@ -9,9 +9,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -41,6 +43,10 @@
 	kinds
 )
 
+func (k kind) String() string {
+	return [...]string{"idempotent", "once with a key", "once without a key"}[k]
+}
+
 // call is one request as its caller saw it.
 type call struct {
 	identity string // in the body, and the idempotency key unless bare
@@ -186,6 +192,9 @@
 	answer, err := l.http.Do(r)
 	if err != nil {
 		c.outcome, c.reason = outcomeBroke, err.Error()
+		if *dumpStuck && os.IsTimeout(err) {
+			_ = p.command.Process.Signal(syscall.SIGQUIT) // its stacks go to its log
+		}
 		return ""
 	}
 	defer answer.Body.Close()
@@ -237,7 +246,7 @@
 					reason = strings.ReplaceAll(reason, id, "ID")
 				}
 			}
-			n[fmt.Sprintf("%s: %.120s", c.outcome, reason)]++
+			n[fmt.Sprintf("%s %s at %s: %.160s", c.kind, c.outcome, c.process, reason)]++
 		}
 	}
 	var b strings.Builder
--- a/testbed/shards_test.go
+++ b/testbed/shards_test.go
@@ -84,6 +84,34 @@
 	return mine
 }
 
+// owner returns a process that owns a rack, and the shards it owns.
+func (b *bed) owner() (*process, []shard) {
+	b.t.Helper()
+	for _, i := range b.rng.Perm(len(b.entries)) {
+		p := b.entries[i]
+		mine := b.ownedBy(p.name)
+		for _, s := range mine {
+			if strings.Contains(s.name, "/rack-") {
+				return p, mine
+			}
+		}
+	}
+	b.t.Fatal("no process owns a rack")
+	return nil, nil
+}
+
+// idle returns a process that owns nothing, nil if there is none.
+func (b *bed) idle() *process {
+	b.t.Helper()
+	for _, i := range b.rng.Perm(len(b.entries)) {
+		p := b.entries[i]
+		if len(b.ownedBy(p.name)) == 0 {
+			return p
+		}
+	}
+	return nil
+}
+
 // takenOver is how long after a loss a shard was owned and used again.
 type takenOver struct {
 	owned  time.Duration // row taken by another owner or epoch
