--- a/entry/slope_bench_test.go
+++ b/entry/slope_bench_test.go
@@ -86,7 +86,7 @@
 			var s *wire.Status
 			b.ReportAllocs()
 			for b.Loop() {
-				s = p.status(1)
+				s = p.status()
 			}
 			b.ReportMetric(float64(proto.Size(s)), "bytes")
 		})
