placement: keep the reserve for short work on the rack, not on each worker

Change: long work may take all but the reserve of the open workers together. The rule that each worker but one keeps its reserve goes, and its exception for one oversize task with it; short work of several cores may find the reserve in pieces. The property test now wants all 16 reserved cores to be usable, not 14.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -14,8 +14,9 @@
 	}
 	var best *host
 	var lowest float64
+	room := s.room(t)
 	for _, h := range s.workers {
-		if !s.admits(h, t) {
+		if !s.admits(h, t, room) {
 			continue
 		}
 		c := Candidate{Free: h.free, Capacity: h.Capacity, Same: h.spread[t.Spread]}
@@ -27,36 +28,51 @@
 	return best
 }
 
-func (s *Shard) admits(h *host, t Task) bool {
-	if h.closed != "" || !h.free.Covers(t.Demand) || s.keeps(h, t) {
-		return false
+// admits reports whether the worker may take the task; room is that of the
+// shard for such tasks.
+func (s *Shard) admits(h *host, t Task, room resource.Vector) bool {
+	return h.closed == "" && h.free.Covers(t.Demand) && room.Covers(t.Demand) && !s.keeps(h, t)
+}
+
+// room returns what tasks like t may still take on all open workers together.
+func (s *Shard) room(t Task) resource.Vector {
+	if t.Long {
+		return s.roomForLong()
 	}
-	return !t.Long || s.roomForLong(h).Covers(t.Demand)
+	return unlimited
 }
 
-// roomForLong returns the largest demand of a long task that the worker may
-// take. A task that even an empty worker could not take beside its reserve
-// would never run, so one such task at a time may take a whole worker.
-func (s *Shard) roomForLong(h *host) resource.Vector {
-	if s.Reserve <= 0 || s.oversize == "" && h.running == 0 {
-		return h.free
+// roomForLong returns what long tasks may still take on the open workers. The
+// reserve is kept on the shard and not on each worker: a rest of each worker
+// that is smaller than the usual demand would be lost to long work besides. A
+// task that even an empty shard could not take beside the reserve would never
+// run, so a long task may always start where no other runs.
+func (s *Shard) roomForLong() resource.Vector {
+	if s.Reserve <= 0 {
+		return unlimited
+	}
+	var capacity, long resource.Vector
+	for _, h := range s.workers {
+		if h.closed == "" {
+			capacity, long = capacity.Add(h.Capacity), long.Add(h.long)
+		}
 	}
-	return minimum(h.free, h.Capacity.Sub(s.reserved(h)).Sub(h.long)).Max(resource.Vector{})
+	if long.IsZero() {
+		return unlimited
+	}
+	return capacity.Sub(s.reserved(capacity)).Sub(long).Max(resource.Vector{})
 }
 
-func (s *Shard) reserved(h *host) resource.Vector {
+func (s *Shard) reserved(capacity resource.Vector) resource.Vector {
 	share := min(s.Reserve, 1)
 	return resource.Vector{
-		MilliCPU:     int64(float64(h.Capacity.MilliCPU) * share),
-		MemoryMB:     int64(float64(h.Capacity.MemoryMB) * share),
-		Accelerators: int64(float64(h.Capacity.Accelerators) * share),
+		MilliCPU:     int64(float64(capacity.MilliCPU) * share),
+		MemoryMB:     int64(float64(capacity.MemoryMB) * share),
+		Accelerators: int64(float64(capacity.Accelerators) * share),
 	}
 }
 
 func (s *Shard) take(h *host, t Task) {
-	if t.Long && s.Reserve > 0 && !h.Capacity.Sub(s.reserved(h)).Covers(t.Demand) {
-		s.oversize = t.ID
-	}
 	h.free = h.free.Sub(t.Demand)
 	h.running++
 	if t.Long {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -106,9 +106,9 @@
 	})
 }
 
-// Whatever long work is offered, all workers but at most one keep the
-// reserved share free of it, so that short work of that size never waits
-// behind long work; and a long task that needs a whole worker can still run.
+// Whatever long work is offered, the reserved share of the shard stays free of
+// it, so that short work never waits behind long work; and a long task that
+// needs a whole worker can still run.
 func TestReserveForShortWork(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := Shard{Reserve: 0.125}
@@ -125,9 +125,9 @@
 				t.Fatalf("%d cores are advertised to long work: %v, but: %v", c, covered, err)
 			}
 		}
-		for n := range 14 {
+		for n := range 16 {
 			if _, err := s.Place(Task{ID: fmt.Sprint("short", n), Demand: cores(1)}, rng); err != nil {
-				t.Fatalf("short task %d of 14 waits behind long work: %v", n+1, err)
+				t.Fatalf("short task %d of 16 waits behind long work: %v", n+1, err)
 			}
 		}
 	})
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -38,16 +39,15 @@
 // zero value is a shard without workers, with the BestFit policy.
 //
 // Invariants: the demands placed on a worker never exceed its capacity,
-// except by what Restore found running there; and on all workers but at most
-// one, long work leaves the reserved share free.
+// except by what Restore found running there; and long work leaves the
+// reserved share of all open workers together free, unless it is one task.
 type Shard struct {
 	Policy  Policy  // nil for BestFit
-	Reserve float64 // share of each worker that long work may not take, 0 to 1
+	Reserve float64 // share of the open workers together that long work may not take, 0 to 1
 
-	workers  []*host
-	byID     map[string]*host
-	tasks    map[string]placed
-	oversize string // the long task that took a worker's reserve, if any
+	workers []*host
+	byID    map[string]*host
+	tasks   map[string]placed
 
 	marked    *host // kept for the task markedFor, if not nil
 	markedFor string
@@ -154,8 +154,9 @@
 
 // Fits reports whether Place would succeed now.
 func (s *Shard) Fits(t Task) bool {
+	room := s.room(t)
 	for _, h := range s.workers {
-		if s.admits(h, t) {
+		if s.admits(h, t, room) {
 			return true
 		}
 	}
@@ -181,9 +182,6 @@
 			delete(p.host.spread, p.task.Spread)
 		}
 	}
-	if s.oversize == task {
-		s.oversize = ""
-	}
 	return true
 }
 
@@ -217,9 +215,10 @@
 // LargestLong is Largest for long tasks, which leave the reserve alone.
 func (s *Shard) LargestLong() resource.Vector {
 	var v resource.Vector
+	room := s.roomForLong()
 	for _, h := range s.workers {
 		if h.closed == "" && s.marked != h {
-			v = v.Max(s.roomForLong(h))
+			v = v.Max(minimum(h.free, room).Max(resource.Vector{}))
 		}
 	}
 	return v
@@ -255,6 +254,9 @@
 	return p.host.ID, true
 }
 
+// unlimited covers every demand.
+var unlimited = resource.Vector{MilliCPU: math.MaxInt64, MemoryMB: math.MaxInt64, Accelerators: math.MaxInt64}
+
 func unknownWorker(worker string) error {
 	return fmt.Errorf("worker %q is not in the shard: add it first", worker)
 }
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -88,7 +88,7 @@
 	Lease time.Duration
 	// Transit is the longest time that a message to a worker is under way.
 	Transit time.Duration
-	// Reserve is the share of each worker that long work may not take.
+	// Reserve is the share of the rack's open workers that long work may not take.
 	Reserve float64
 
 	shard    placement.Shard
