placement: count work that outlasts its estimate as long

Cause: batch work declared ten times too short was placed as short work and held the reserve for up to ten minutes. Ruled out: the size of the reserve (7 racks kept 45 cores, short work used 16). Change: MarkLong; the experiment calls it once a task has run for 15 s.

--- a/measure/experiment/tasks.go
+++ b/measure/experiment/tasks.go
@@ -172,6 +172,11 @@
 		}
 		t.place(at)
 	}
+	for _, h := range t.agenda.list {
+		if x := h.event.attempt; x != nil && !x.failed {
+			t.result.worked(t.w, *x.arrival, x.began, t.w.Duration, cores(x.arrival))
+		}
+	}
 	for _, a := range t.waiting {
 		t.result.Of(a.Stream.Name).Waiting++
 	}
@@ -181,6 +186,10 @@
 	}
 }
 
+func cores(a *workload.Arrival) float64 {
+	return float64(a.Stream.MilliCPU) / resource.MilliPerCore
+}
+
 func (t *tasks) push(at time.Duration, a *workload.Arrival) {
 	s := a.Stream
 	expected := a.Declared
@@ -263,6 +272,17 @@
 		ran = min(ran, failsAfter)
 	}
 	t.agenda.add(at+ran, taskEvent{attempt: x})
+	if t.p.Learn && i.Class == class.Batch && !i.Long && ran > longAfter {
+		t.agenda.add(at+longAfter, taskEvent{tick: func(time.Duration) { t.outlasted(x) }})
+	}
+}
+
+// outlasted counts a task as long that was expected to be short. It still
+// runs, since its end comes later.
+func (t *tasks) outlasted(x *attempt) {
+	if t.racks[x.rack].MarkLong(x.item.ID) {
+		t.changed(x.rack)
+	}
 }
 
 func (t *tasks) end(at time.Duration, x *attempt) {
@@ -289,6 +309,7 @@
 			t.closeWorker(worker)
 		}
 	}
+	t.result.worked(t.w, *a, x.began, at, cores(a))
 	t.learned.Observe(a.Stream.Organisation, a.Stream.Name, a.RunTime, a.Declared)
 	t.result.ended(t.w, *a, at)
 	t.result.spread(x.began, at, x.item.Demand.DominantShare(t.w.Pool()))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -133,6 +133,30 @@
 	})
 }
 
+// Work that has outlasted its estimate counts against what long work may
+// take, so that it does not use up the reserve for good.
+func TestOutlastingWorkCountsAsLong(t *testing.T) {
+	s := Shard{Reserve: 0.25}
+	rng := rand.New(rand.NewPCG(1, 1))
+	rack(t, &s, 2, cores(8))
+	for n := range 16 {
+		if _, err := s.Place(Task{ID: fmt.Sprint(n), Demand: cores(1), Long: n >= 4}, rng); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !s.MarkLong("0") || s.MarkLong("0") || s.MarkLong("absent") {
+		t.Error("task 0 was not marked exactly once")
+	}
+	s.Free("15")
+	if _, err := s.Place(Task{ID: "long", Demand: cores(1), Long: true}, rng); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("long work holds 12 of 16 cores, 4 are reserved, but: %v", err)
+	}
+	s.Free("0")
+	if _, err := s.Place(Task{ID: "long", Demand: cores(1), Long: true}, rng); err != nil {
+		t.Errorf("long work holds 11 of 16 cores, 4 are reserved, but: %v", err)
+	}
+}
+
 // Restore counts what is there even beyond the capacity, and nothing more is
 // placed until there is room again.
 func TestRestoreBeyondCapacity(t *testing.T) {
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -185,6 +185,20 @@
 	return true
 }
 
+// MarkLong counts a placed task as long from now on, and reports whether it was
+// placed as short. It is for work that has outlasted its estimate: until
+// enough of it has ended, other long work does not start.
+func (s *Shard) MarkLong(task string) bool {
+	p, ok := s.tasks[task]
+	if !ok || p.task.Long {
+		return false
+	}
+	p.task.Long = true
+	p.host.long = p.host.long.Add(p.task.Demand)
+	s.tasks[task] = p
+	return true
+}
+
 // Restore counts a task that was found running on a worker. It is never
 // refused for lack of room: the task is there, and the worker takes nothing
 // new until it has room again.
