admission: keep slots for urgent requests, leave deadlines room for the tail

Cause: (a) pigment checks shared the slots kept for short work with pattern matching; (b) a queue under a burst stands at the deadline, and the check of mean and deviation let in every request whose run time lies above them: 23.5 % of the capacity of the burst went into answers that came too late; (c) the default of a quarter of the slots took more than 5 % from batch work. Ruled out: the estimates that callers declare (same figures without). Change: two fifths of the slots kept for short requests are kept for urgent ones; deadlines leave room for the 99th percentile; the default is a twentieth.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -11,9 +11,10 @@
 //     urgency is worth AgeStep of waiting. Organisations of one class share by
 //     weight (start-time fair queueing on estimated run time).
 //   - Long requests never take the share of slots that is kept for short ones,
-//     which bounds head-of-line blocking.
-//   - A request that would not end by its deadline is refused early, with a
-//     jittered time after which to come back; one whose deadline comes too near
+//     and two fifths of these are kept for urgent ones, which bounds head-of-line
+//     blocking.
+//   - A request of which 99 in 100 would not end by their deadline is refused
+//     early, with a jittered time after which to come back; one whose deadline comes too near
 //     in the queue is dropped, so that a slot is spent only on answers that
 //     somebody still waits for.
 //   - The number of requests at work is bounded by the slots, where they are
@@ -48,7 +49,7 @@
 	defaultMaxQueued  = 1024
 	defaultAgeStep    = 2 * time.Second
 	defaultMaxWait    = 30 * time.Second
-	defaultShortShare = 0.25
+	defaultShortShare = 0.05
 	minRetryAfter     = time.Second
 	maxRetryAfter     = 30 * time.Second
 )
@@ -95,7 +96,7 @@
 	// MaxWait bounds the wait of requests without a deadline, 0 means 30 s.
 	MaxWait time.Duration
 	// ShortShare is the share of slots that long requests never take, 0 means
-	// a quarter. One slot at least is left to long requests if there are two.
+	// a twentieth. One slot at least is left to long requests if there are two.
 	ShortShare float64
 	// LongAfter makes a request long that is declared to run longer, or learned
 	// to where nothing is declared, whatever its class; 0 counts only batch and service as long.
@@ -111,6 +112,7 @@
 	Request
 	offered time.Time
 	cost    time.Duration // estimated run time
+	latest  time.Duration // run time that nearly all such requests end within
 	queue   *queue        // where it waits, nil once admitted
 	long    bool
 	node    node[*item]
@@ -136,6 +138,7 @@
 	cost := c.estimate(r.Expected)
 	long := r.Class == class.Batch || r.Class == class.Service || g.LongAfter > 0 && orDefault(r.Expected, cost) > g.LongAfter
 	key := queueKey{r.Organisation, long}
+	latest := c.latest(r.Expected)
 	wait := s.wait(c, key, g)
 	limit := orDefault(g.MaxQueued, defaultMaxQueued)
 	q := c.queue(key)
@@ -144,11 +147,11 @@
 		return refuse(wait, rng, "the %s queue of service %q is full with %d requests", r.Class, r.Service, c.queued)
 	case q.len() >= max(1, limit/2):
 		return refuse(wait, rng, "organisation %q has %d requests in the %s queue of service %q", r.Organisation, q.len(), r.Class, r.Service)
-	case now.Add(wait + cost).After(r.Deadline):
+	case now.Add(wait + latest).After(r.Deadline):
 		return refuse(wait, rng, "estimated wait %v and run time %v go past the deadline in %v",
-			wait.Round(time.Millisecond), cost.Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond))
+			wait.Round(time.Millisecond), latest.Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond))
 	}
-	i := &item{Request: r, offered: now, cost: cost, queue: q, long: long}
+	i := &item{Request: r, offered: now, cost: cost, latest: latest, queue: q, long: long}
 	if g.items == nil {
 		g.items = make(map[string]*item)
 	}
@@ -168,7 +171,7 @@
 			break
 		}
 		i.queue.class.remove(i)
-		if now.Add(i.cost).After(i.Deadline) {
+		if now.Add(i.latest).After(i.Deadline) {
 			delete(g.items, i.ID)
 			g.dropped = append(g.dropped, i)
 			continue
@@ -210,7 +213,7 @@
 // those included whose deadline can no longer be met now.
 func (g *Gate) Expire(now time.Time, rng *rand.Rand) []Refusal {
 	for _, i := range g.items {
-		if i.queue != nil && now.Add(i.cost).After(i.Deadline) {
+		if i.queue != nil && now.Add(i.latest).After(i.Deadline) {
 			i.queue.class.remove(i)
 			delete(g.items, i.ID)
 			g.dropped = append(g.dropped, i)
@@ -248,7 +251,7 @@
 	var best *item
 	var bestRank time.Duration
 	for rank, c := range s.classes {
-		i := c.head(func(i *item) bool { return !i.long || s.long < s.longLimit(g.shortShare()) })
+		i := c.head(func(i *item) bool { return s.mayTake(i, g.shortShare()) })
 		if i == nil {
 			continue
 		}
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -18,6 +18,10 @@
 	tolerance   = 2           // by which the present may exceed the usual
 	limitWeight = 0.1         // of a new limit
 	failureCut  = 0.98        // factor of the limit for each failure
+
+	urgentPart   = 0.4      // of the slots kept for short requests, kept for urgent ones
+	tailQuantile = 0.99     // of the run time that a deadline must leave room for
+	tailStep     = 1.0 / 16 // by which a new run time moves the quantile, as a share of the mean
 )
 
 // runTime learns the run time of one class, in nanoseconds.
@@ -26,6 +30,7 @@
 	mean      float64 // present
 	deviation float64 // mean absolute deviation of the present
 	usual     float64 // mean without waiting at the runners
+	tail      float64 // tailQuantile of the present
 }
 
 // add takes in a run time. While the service is saturated, waiting at the
@@ -34,9 +39,14 @@
 func (r *runTime) add(latency time.Duration, saturated bool) {
 	x := float64(latency)
 	if r.samples++; r.samples == 1 {
-		r.mean, r.usual = x, x
+		r.mean, r.usual, r.tail = x, x, x
 		return
 	}
+	if x > r.tail {
+		r.tail += tailStep * r.mean * tailQuantile
+	} else {
+		r.tail = max(0, r.tail-tailStep*r.mean*(1-tailQuantile))
+	}
 	r.deviation += (math.Abs(x-r.mean) - r.deviation) * shortWeight
 	r.mean += (x - r.mean) * shortWeight
 	switch {
@@ -56,6 +66,7 @@
 	adaptive float64       // limit when the slots are not known
 	running  int
 	long     int // of running
+	urgent   int // of running
 }
 
 func newService() *service {
@@ -89,12 +100,34 @@
 	return max(min(1, limit-1), limit-kept)
 }
 
+// mayTake reports whether a request may take a slot beside what is kept for
+// short and, of that, for urgent ones.
+func (s *service) mayTake(i *item, shortShare float64) bool {
+	switch limit := s.limit(); {
+	case i.long:
+		return s.long < s.longLimit(shortShare) && s.running-s.urgent < s.patientLimit(shortShare)
+	case i.Class == class.Urgent:
+		return s.running < limit
+	default:
+		return s.running-s.urgent < s.patientLimit(shortShare)
+	}
+}
+
+// patientLimit returns how many requests other than urgent ones may be at work.
+func (s *service) patientLimit(shortShare float64) int {
+	limit := s.limit()
+	return max(min(1, limit), limit-int(float64(limit)*shortShare*urgentPart))
+}
+
 // admit counts i in (1) or out (-1) of those at work.
 func (s *service) admit(i *item, by int) {
 	s.running += by
 	if i.long {
 		s.long += by
 	}
+	if i.Class == class.Urgent {
+		s.urgent += by
+	}
 }
 
 // wait estimates how long a new request of the organisation waits in class c:
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -128,6 +128,12 @@
 	return time.Duration(c.learned.mean + c.learned.deviation)
 }
 
+// latest returns the run time that nearly all requests end within, or what was
+// declared while nothing is known.
+func (c *classQueue) latest(declared time.Duration) time.Duration {
+	return max(c.estimate(declared), time.Duration(c.learned.tail))
+}
+
 // before orders queues whose virtual time is the same as that of i.
 func (k queueKey) before(i *item) bool {
 	if k.organisation != i.Organisation {
--- a/measure/experiment/requests.go
+++ b/measure/experiment/requests.go
@@ -136,6 +136,11 @@
 			r.agenda.add(at+s.arrival.RunTime, s)
 		}
 	}
+	for _, h := range r.agenda.list {
+		if h.event.runner != "" {
+			r.result.worked(r.w, *h.event.arrival, h.event.began, r.w.Duration, 1)
+		}
+	}
 	for id := range r.arrivals {
 		r.result.Of(r.arrivals[id].Stream.Name).Waiting++
 	}
@@ -196,6 +201,7 @@
 func (r *requests) end(at time.Duration, e requestEvent) {
 	a := e.arrival
 	now := start.Add(at)
+	r.result.worked(r.w, *a, e.began, at, 1)
 	r.pool.Release(e.runner, runner.OK, a.RunTime, now, r.rng)
 	r.gate.done(a.ID, a.RunTime, now)
 	if a.Stream.Deadline > 0 && at > a.At+a.Stream.Deadline {
--- a/measure/experiment/result.go
+++ b/measure/experiment/result.go
@@ -49,7 +49,7 @@
 	Finished int
 	Refused  int     // not run, by admission or because the deadline passed
 	Waiting  int     // at the end
-	Work     float64 // seconds of run time finished in the measured time
+	Work     float64 // core seconds, or slot seconds of requests, run in the measured time by attempts that do not fail
 }
 
 // Minute is the share of the pool that an organisation had over one minute.
@@ -117,9 +117,6 @@
 // ended counts a useful end.
 func (r *Result) ended(w *workload.Workload, a workload.Arrival, at time.Duration) {
 	s := r.Of(a.Stream.Name)
-	if at >= w.WarmUp && at <= w.Duration {
-		s.Work += a.RunTime.Seconds()
-	}
 	if a.At < w.WarmUp {
 		return
 	}
@@ -135,6 +132,14 @@
 	}
 }
 
+// worked counts what an attempt has run on a number of cores or slots.
+func (r *Result) worked(w *workload.Workload, a workload.Arrival, from, to time.Duration, width float64) {
+	from, to = max(from, w.WarmUp), min(to, w.Duration)
+	if from < to {
+		r.Of(a.Stream.Name).Work += (to - from).Seconds() * width
+	}
+}
+
 // spread adds work that was done at an even rate from one time to another to
 // the seconds.
 func (r *Result) spread(from, to time.Duration, share float64) {
--- a/measure/steps.go
+++ b/measure/steps.go
@@ -90,7 +90,7 @@
 	return nil
 }
 
-// batchWork returns the seconds of batch work that a run has done.
+// batchWork returns the core or slot seconds of batch work that a run has done.
 func batchWork(w *workload.Workload, r *experiment.Result) float64 {
 	sum := 0.0
 	for _, s := range w.Streams {
