quarantine: let strong evidence reach a third of a data centre

Cause: a tenth of 17 workers is one, so that of five bad workers in three data centres three were held, and in a data centre of fewer than ten none is. Ruled out: no evidence (the others had it, and met the cap). Change: the share limit is a third by default; weak evidence still holds no more than a tenth. What succeeds elsewhere is not the fault of the work. TestCap is unchanged.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -22,8 +22,8 @@
 	if len(r.failures) <= len(r.finished) {
 		return false
 	}
-	reason := w.evidence(r)
-	if reason == "" || r.centre.held >= w.limit(r.centre) {
+	reason, strong := w.evidence(r)
+	if reason == "" || r.centre.held >= w.limit(r.centre, strong) {
 		return false
 	}
 	r.centre.held++
@@ -31,7 +31,9 @@
 	return true
 }
 
-func (w *Ward) evidence(r *record) string {
+// evidence returns the reason to quarantine a worker, or "", and whether it is
+// strong.
+func (w *Ward) evidence(r *record) (reason string, isStrong bool) {
 	strong := make(map[string]bool)
 	weak := make(map[string]bool)
 	organisations := make(map[string]bool)
@@ -46,10 +48,10 @@
 	}
 	switch {
 	case len(strong) >= strongTasks:
-		return fmt.Sprintf("failed %d tasks that succeeded on other workers", len(strong))
+		return fmt.Sprintf("failed %d tasks that succeeded on other workers", len(strong)), true
 	case len(weak) >= weakJobs && len(organisations) >= weakOrganisations:
-		return fmt.Sprintf("failed %d jobs of %d organisations that failed nowhere else", len(weak), len(organisations))
+		return fmt.Sprintf("failed %d jobs of %d organisations that failed nowhere else", len(weak), len(organisations)), false
 	default:
-		return ""
+		return "", false
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -15,8 +15,11 @@
 // more tasks than it finished within the window. At most a share of the
 // workers of a data centre is in quarantine or on probation at once, so that
 // no bad job can empty a data centre; the one bad job that fails everywhere
-// quarantines nothing at all. After a while the worker is on probation: it
-// runs one task at a time, and a few successes bring it back.
+// quarantines nothing at all. Weak evidence reaches a tenth at most, so that it
+// holds nothing in a data centre of fewer than ten workers; strong evidence, which
+// only work that succeeds elsewhere can give, reaches the whole share. After a
+// while the worker is on probation: it runs one task at a time, and a few
+// successes bring it back.
 //
 // Memory is bounded by the number of workers and by MaxJobs.
 //
@@ -34,7 +37,8 @@
 import "time"
 
 const (
-	defaultShareLimit = 0.1              // of the workers of a data centre
+	defaultShareLimit = 1.0 / 3          // of the workers of a data centre
+	weakShareLimit    = 0.1              // of the same, on weak evidence
 	defaultWindow     = 30 * time.Minute // age after which evidence is forgotten
 	defaultPause      = 10 * time.Minute // first stay in quarantine; doubles
 	maxPause          = 4 * time.Hour
@@ -69,7 +73,7 @@
 // Ward keeps the evidence on every worker. The zero value has no workers and
 // default limits.
 type Ward struct {
-	ShareLimit float64       // of the workers of a data centre, 0 to 1
+	ShareLimit float64       // of the workers of a data centre, 0 to 1; weak evidence reaches a tenth at most
 	Window     time.Duration // age after which evidence is forgotten
 	Pause      time.Duration // first stay in quarantine
 	MaxJobs    int           // jobs with failures that are remembered
@@ -274,11 +278,16 @@
 	return d
 }
 
-func (w *Ward) limit(c *centre) int {
+// limit returns how many workers of a data centre may be held before strong or
+// weak evidence holds no more.
+func (w *Ward) limit(c *centre, strong bool) int {
 	share := w.ShareLimit
 	if share <= 0 {
 		share = defaultShareLimit
 	}
+	if !strong {
+		share = min(share, weakShareLimit)
+	}
 	return int(share * float64(c.workers))
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -68,6 +68,36 @@
 	})
 }
 
+// Strong evidence holds bad workers also in a data centre of few workers, up to
+// a third of them; weak evidence holds no more than a tenth.
+func TestEvidenceReachesItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := rapid.IntRange(1, 40).Draw(t, "workers")
+		strong := rapid.Bool().Draw(t, "strong")
+		w := ward(workers)
+		for n := range workers - 1 {
+			for k := range 8 {
+				o := Outcome{fmt.Sprint("w", n), fmt.Sprint("t", n, "-", k), fmt.Sprint("j", n, "-", k), fmt.Sprint("o", k%2)}
+				if strong {
+					o.Job = fmt.Sprint("j", n)
+				}
+				w.Failed(o, start)
+				if strong {
+					o.Worker = fmt.Sprint("w", workers-1)
+					w.Succeeded(o, start)
+				}
+			}
+		}
+		want := workers / 10
+		if strong {
+			want = workers / 3
+		}
+		if held, _ := w.Held("sofia"); held != want {
+			t.Fatalf("%d of %d workers are held (strong evidence: %v), want %d", held, workers, strong, want)
+		}
+	})
+}
+
 // A worker that fails what succeeds elsewhere, or the jobs of several
 // organisations, is quarantined; a flaky job or too few failures do not do it.
 func TestEvidence(t *testing.T) {
