--- a/entry/operators.go
+++ b/entry/operators.go
@@ -132,8 +132,13 @@
 	return nil
 }
 
+// rememberPeers is how long a process that fell silent without leaving is named
+// as cut off. Its session may be over, but it may still run and have an old
+// configuration.
+const rememberPeers = 10 * time.Minute
+
 // Standings implements console.Surroundings. A process is known by its session
-// until that ends, and by its status as long as that is fresh.
+// until that ends, and by its status, which is remembered for a time.
 func (v *view) Standings(now time.Time) []console.Standing {
 	p := v.p
 	all := map[string]console.Standing{}
@@ -146,7 +151,7 @@
 		s := x.status
 		_, live := all[s.Process]
 		heard := now.Sub(x.heard) < peerTimeout
-		if live || heard {
+		if live || heard || !s.Leaving && now.Sub(x.heard) < rememberPeers {
 			all[s.Process] = console.Standing{
 				Process: s.Process, DataCentre: s.DataCentre, Number: s.ConfigNumber, Heard: heard, Leaving: s.Leaving,
 				PlatformReachable: s.PlatformReachable, Shards: len(s.Shards),
