burn, intent: mend what a look at the page and at real processes showed

Cause: seen in a browser with three processes and 1500 requests: the axis of the plots spanned one minute around a single point with three like labels, the budget was a bare fraction, latencies had nanoseconds and the highest dot was cut off; plans and history named the kind of an intent but not what it wanted; undo of an unknown number showed a path of the platform. Change: axis of 3 days with midnights and noons, percent, milliseconds, a caption; Intent.String in plans and history; an error that names the number. The history of TestConfirmUndoAndHistory now has the full sentence.

--- a/burn/page.go
+++ b/burn/page.go
@@ -7,6 +7,7 @@
 	"image/color"
 	"io"
 	"strings"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -20,7 +21,7 @@
 	plotHeight = 5 * vg.Centimeter
 )
 
-var page = template.Must(template.New("burn").Funcs(template.FuncMap{"plot": plotLine}).Parse(`<!DOCTYPE html>
+var page = template.Must(template.New("burn").Funcs(template.FuncMap{"plot": plotLine, "percent": percent}).Parse(`<!DOCTYPE html>
 <html lang="en">
 <head>
 <meta charset="utf-8">
@@ -29,20 +30,23 @@
 body { font-family: sans-serif; margin: 2em; }
 table { border-collapse: collapse; margin: 1em 0; }
 th, td { border: 1px solid #999; padding: 0.2em 0.6em; text-align: right; }
+td:first-child, th:first-child { text-align: left; }
 .page { background: #f8c0c0; } .ticket { background: #f8ecc0; }
 </style>
 </head>
 <body>
 <h1>Service-level burn at {{.At.Format "2006-01-02 15:04:05 MST"}}</h1>
+<p>A burn rate of 1, the red line, spends exactly the budget of the objective's window. State: page is 14.4 or more over 5 m and 1 h;
+ticket is 1 or more over 3 d, or no budget left.</p>
 <table>
 <tr><th>organisation</th><th>class</th><th>objective</th><th>good</th><th>bad</th><th>5 m</th><th>1 h</th><th>6 h</th><th>3 d</th><th>budget left</th><th>state</th></tr>
-{{range .Lines}}<tr class="{{.State}}"><td>{{.Objective.Organisation}}</td><td>{{.Objective.Class}}</td><td>{{.Objective.Percent}} % in {{.Objective.Latency}}</td><td>{{.Good}}</td><td>{{.Bad}}</td>{{range .Rates}}<td>{{printf "%.2f" .}}</td>{{end}}<td>{{printf "%.3f" .Left}}</td><td>{{.State}}</td></tr>
+{{range .Lines}}<tr class="{{.State}}"><td>{{.Objective.Organisation}}</td><td>{{.Objective.Class}}</td><td>{{.Objective.Percent}} % in {{.Objective.Latency}}</td><td>{{.Good}}</td><td>{{.Bad}}</td>{{range .Rates}}<td>{{printf "%.2f" .}}</td>{{end}}<td>{{percent .Left}}</td><td>{{.State}}</td></tr>
 {{end}}</table>
-{{range .Lines}}<h2>{{.Objective.Organisation}} {{.Objective.Class}}</h2>
+{{range .Lines}}<h2>{{.Objective.Organisation}} {{.Objective.Class}}: burn rate of each hour</h2>
 {{plot .}}
 {{if .Exemplars}}<table>
 <tr><th>request</th><th>at</th><th>latency</th><th>answered</th></tr>
-{{range .Exemplars}}<tr><td>{{.ID}}</td><td>{{.At.Format "2006-01-02 15:04:05"}}</td><td>{{.Latency}}</td><td>{{.Answered}}</td></tr>
+{{range .Exemplars}}<tr><td>{{.ID}}</td><td>{{.At.Format "2006-01-02 15:04:05"}}</td><td>{{.Latency.Round 1000000}}</td><td>{{.Answered}}</td></tr>
 {{end}}</table>
 {{else}}<p>No request spent the budget.</p>
 {{end}}{{end}}</body>
@@ -61,7 +65,8 @@
 // that spends exactly the budget.
 func plotLine(l Line) (template.HTML, error) {
 	p := plot.New()
-	p.X.Tick.Marker = plot.TimeTicks{Format: "01-02 15:04"}
+	p.X.Tick.Marker = halfDays{}
+	p.X.Min, p.X.Max = float64(l.at.Add(-Windows[len(Windows)-1]).Unix()), float64(l.at.Unix())
 	p.Y.Label.Text = "burn rate"
 	p.Y.Min = 0
 	points := make(plotter.XYs, len(l.points))
@@ -78,7 +83,7 @@
 	budget := plotter.NewFunction(func(float64) float64 { return 1 })
 	budget.Color = color.RGBA{R: 200, A: 255}
 	p.Add(budget)
-	p.Y.Max = max(p.Y.Max, 2)
+	p.Y.Max = max(p.Y.Max*1.1, 2) // room for the highest dot
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var b bytes.Buffer
@@ -88,6 +93,28 @@
 	return inline(b.String()), nil
 }
 
+// halfDays marks midnights and noons (UTC) with their names, and 6 h between
+// them.
+type halfDays struct{}
+
+var _ plot.Ticker = halfDays{}
+
+// Ticks implements plot.Ticker.
+func (halfDays) Ticks(from, to float64) []plot.Tick {
+	const step = 6 * 3600 // s
+	var ticks []plot.Tick
+	for at := int64(from)/step*step + step; at <= int64(to); at += step {
+		tick := plot.Tick{Value: float64(at)}
+		if at%(2*step) == 0 {
+			tick.Label = time.Unix(at, 0).UTC().Format("01-02 15h")
+		}
+		ticks = append(ticks, tick)
+	}
+	return ticks
+}
+
+func percent(part float64) string { return fmt.Sprintf("%.1f %%", part*100) }
+
 // inline drops what stands before the svg element. The drawing holds numbers
 // and fixed words only, nothing that a caller chose.
 func inline(svg string) template.HTML {
--- a/burn/report.go
+++ b/burn/report.go
@@ -30,6 +30,7 @@
 	Left      float64        `json:"budget-left"` // 1 is all of it, below 0 is overspent
 	Exemplars []Exemplar     `json:"exemplars,omitempty"`
 	points    []point
+	at        time.Time
 }
 
 // point is the burn rate of one hour.
@@ -60,7 +61,7 @@
 }
 
 func newLine(o pool.Objective, s Series, now time.Time) Line {
-	l := Line{Objective: o}
+	l := Line{Objective: o, at: now}
 	total := s.within(o.Window, now)
 	l.Good, l.Bad, l.Exemplars = total.Good, total.Bad, total.Exemplars
 	l.Left = 1 - rate(o, total)
--- a/confirmation/desk.go
+++ b/confirmation/desk.go
@@ -237,6 +237,9 @@
 		return s, nil
 	}
 	after, err := chain.Find(ctx, d.Table, in.Number)
+	if errors.Is(err, platform.ErrNotFound) {
+		return s, fmt.Errorf("configuration %d was never published or is not kept any more; see the history: %w", in.Number, platform.ErrNotFound)
+	}
 	if err != nil {
 		return s, err
 	}
@@ -267,7 +270,7 @@
 
 func why(in intent.Intent) string {
 	if in.Why == "" {
-		return string(in.Kind)
+		return in.String()
 	}
-	return fmt.Sprintf("%s: %s", in.Kind, in.Why)
+	return fmt.Sprintf("%v: %s", in, in.Why)
 }
--- a/confirmation/desk_test.go
+++ b/confirmation/desk_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -110,8 +111,11 @@
 	if number, err := d.Confirm(t.Context(), back.Digest(), "ivana"); number != 4 || err != nil {
 		t.Fatalf("undo: %d, %v", number, err)
 	}
+	if _, err := d.Undo(t.Context(), 99, "ivana"); !errors.Is(err, platform.ErrNotFound) || !strings.Contains(err.Error(), "configuration 99") {
+		t.Errorf("undo of a number that is not there: %v", err)
+	}
 	entries, err := d.History(t.Context(), 2)
-	if err != nil || len(entries) != 2 || entries[0].Why != "undo" || entries[1].By != "oto" {
+	if err != nil || len(entries) != 2 || entries[0].Why != "undo configuration 2" || entries[1].By != "oto" {
 		t.Errorf("history %v, %v", entries, err)
 	}
 	c := entries[0].Configuration
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -75,6 +75,42 @@
 	Why          string             `json:"why,omitempty"`
 }
 
+// String says in one line what is wanted.
+func (in Intent) String() string {
+	text := string(in.Kind)
+	for _, part := range []string{in.Organisation, string(in.Class), in.Target} {
+		if part != "" {
+			text += " " + part
+		}
+	}
+	switch {
+	case in.Add != nil:
+		return fmt.Sprintf("%s %s with weight %d", text, in.Add.Name, in.Add.Weight)
+	case in.Capacity != nil:
+		return fmt.Sprintf("%s of %d workers with %v on rack %s of %s", text, in.Capacity.Workers, in.Capacity.Each, in.Capacity.Rack, in.Capacity.DataCentre)
+	case in.Objective != nil:
+		o := in.Objective
+		return fmt.Sprintf("%s %s %s: %g%% within %v over %v", in.Kind, o.Organisation, o.Class, o.Percent, o.Latency, o.Window)
+	case in.Operator != nil:
+		return fmt.Sprintf("%s %s as %s", text, in.Operator.Name, in.Operator.Role)
+	case in.Service != nil:
+		return text + " " + in.Service.Name
+	}
+	switch in.Kind {
+	case SetWeight:
+		text += fmt.Sprintf(" to %d", in.Weight)
+	case SetQuota:
+		text += fmt.Sprintf(" to %v", in.Quota)
+	case SetPriority:
+		text += fmt.Sprintf(" to %d", in.Priority)
+	case SetTokens:
+		text += fmt.Sprintf(" to %d tokens", len(in.TokenHashes))
+	case Undo:
+		text += fmt.Sprintf(" configuration %d", in.Number)
+	}
+	return text
+}
+
 // Host is a worker or runner as a plan sees it.
 type Host struct {
 	ID         string            `json:"id"`
--- a/intent/plan.go
+++ b/intent/plan.go
@@ -204,7 +204,7 @@
 // Text returns the plan as tables for a terminal.
 func (p Plan) Text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "plan %s\n%s by %s on configuration %d; nothing changes until it is confirmed\n\n", p.Digest(), p.Intent.Kind, p.Intent.By, p.Number)
+	fmt.Fprintf(&b, "plan %s\n%s by %s on configuration %d; nothing changes until it is confirmed\n\n", p.Digest(), p.Intent, p.Intent.By, p.Number)
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "action\torganisation\ttask\tfrom\tto\treason")
 	for _, s := range p.Steps {
