--- /dev/null
+++ b/accounts/keeper_test.go
@@ -0,0 +1,162 @@
+package accounts
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/rack"
+	"persimmonworks.example/persimmonworks/resource"
+	"persimmonworks.example/persimmonworks/usage"
+	"persimmonworks.example/persimmonworks/worker"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// objects is a fake object store that is away while away is set.
+type objects struct {
+	kept map[string][]byte
+	away bool
+}
+
+var _ platform.Objects = (*objects)(nil)
+
+var errAway = errors.New("away")
+
+func (o *objects) Put(_ context.Context, name string, body []byte) error {
+	if o.away {
+		return errAway
+	}
+	o.kept[name] = body
+	return nil
+}
+
+func (o *objects) Get(_ context.Context, name string) ([]byte, error) { return o.kept[name], nil }
+func (o *objects) Delete(context.Context, string) error               { return nil }
+
+// task is an attempt on the model worker, in milliseconds.
+type task struct {
+	begin, length int
+	cores         int64
+	used, gone    bool // gone: the worker was told to forget it
+}
+
+func (x *task) ref(i int) worker.Ref { return worker.Ref{Task: fmt.Sprint("t", i), Attempt: 1} }
+
+// report returns the worker's inventory at a time; use shows with a lag.
+func report(tasks []*task, now int) worker.Report {
+	r := worker.Report{Capacity: resource.Vector{MilliCPU: 64_000}}
+	for i, x := range tasks {
+		if x.gone || x.begin >= now {
+			continue
+		}
+		a := worker.Attempt{State: worker.Running, Age: time.Duration(now-x.begin) * time.Millisecond}
+		a.Ref, a.Organisation, a.Class, a.Demand = x.ref(i), "prado", "batch", resource.Vector{MilliCPU: x.cores * 1000}
+		a.Ran = a.Age
+		if now >= x.begin+x.length {
+			a.State, a.Ran = worker.Done, time.Duration(x.length)*time.Millisecond
+		}
+		if now-x.begin >= 700 {
+			a.Used = resource.Vector{MilliCPU: x.cores * 500}
+		}
+		r.Attempts = append(r.Attempts, a)
+	}
+	return r
+}
+
+// round is one report to the owner, who may close its accounts and lets the
+// worker forget what it may.
+func round(k *Keeper, epoch uint64, tasks []*task, now int, closes bool) {
+	r := report(tasks, now)
+	k.Report(epoch, "w", r, at(now))
+	if closes {
+		_, _ = k.Close(context.Background()) // a failure is what is tested
+	}
+	var ended []worker.Ref
+	for _, a := range r.Attempts {
+		if a.State != worker.Running {
+			ended = append(ended, a.Ref)
+		}
+	}
+	settled := k.Settled("w", ended)
+	for i, x := range tasks {
+		x.gone = x.gone || slices.Contains(settled, x.ref(i))
+	}
+}
+
+// Whatever owner is killed, and whenever the archive fails, the accounts hold
+// exactly what ran, counted once.
+func TestAccountsHoldWhatRan(t *testing.T) { rapid.Check(t, checkAccounts) }
+
+func checkAccounts(t *rapid.T) {
+	var tasks []*task
+	var want int64
+	for range rapid.IntRange(1, 6).Draw(t, "tasks") {
+		x := &task{
+			begin: rapid.IntRange(1, 30_000).Draw(t, "begin"), length: rapid.IntRange(1, 40_000).Draw(t, "length"),
+			cores: rapid.Int64Range(1, 8).Draw(t, "cores"),
+		}
+		tasks = append(tasks, x)
+		want += int64(x.length) * x.cores * 1000
+	}
+	store := &objects{kept: map[string][]byte{}}
+	var table chaintest.Table
+	keeper := func(owner uint64) *Keeper {
+		return &Keeper{Archive: &usage.Archive{Table: &table, Objects: store, Process: fmt.Sprint("e", owner), Incarnation: owner}}
+	}
+	owner := uint64(1)
+	k := keeper(owner)
+	for now := 0; now < 90_000; now += rapid.IntRange(100, 2000).Draw(t, "interval") {
+		if rapid.IntRange(0, 9).Draw(t, "killed") == 0 {
+			owner++
+			k = keeper(owner) // all that the last one had not stored is gone
+		}
+		store.away = rapid.IntRange(0, 2).Draw(t, "away") == 0
+		round(k, owner, tasks, now, rapid.Bool().Draw(t, "closes"))
+	}
+	store.away = false
+	round(k, owner, tasks, 90_000, true)
+	book, err := k.Archive.Load(context.Background(), start.Add(-time.Hour), start.Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := book.Summary(start, at(90_000))
+	if got := s.Reserved().MilliCPU; got != want {
+		t.Fatalf("reserved %d, want %d", got, want)
+	}
+	if err := s.Closed(); err != nil || !s.Uncovered.IsZero() {
+		t.Fatalf("closed: %v, uncovered %v", err, s.Uncovered)
+	}
+}
+
+// An attempt that is lost with its worker counts as unknown from its last
+// report on, and the capacity that it held counts too.
+func TestLostAttemptIsUnknown(t *testing.T) {
+	k := &Keeper{}
+	tasks := []*task{{begin: 0, length: 60_000, cores: 2}}
+	k.Report(3, "w", report(tasks, 1000), at(1000))
+	lost := &rack.Attempt{Worker: "w", State: rack.Lost}
+	lost.Ref = tasks[0].ref(0)
+	k.Lost(3, lost, at(5000))
+	k.Lost(3, lost, at(6000)) // told twice
+	var book usage.Book
+	for _, r := range k.Live() {
+		book.Merge(r)
+	}
+	s := book.Summary(start, at(60_000))
+	if s.Lines[0].Reserved.MilliCPU != 5*2000*1000 || s.Lines[0].Unknown.MilliCPU != 4*2000*1000 || !s.Uncovered.IsZero() {
+		t.Errorf("lines %+v, uncovered %v", s.Lines, s.Uncovered)
+	}
+	if s.Lines[0].Waste.MilliCPU != 1000*1000 {
+		t.Errorf("waste %v, want the use of the lost attempt", s.Lines[0].Waste)
+	}
+}
--- /dev/null
+++ b/upkeep/upkeep_test.go
@@ -0,0 +1,81 @@
+package upkeep
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/confirmation"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/intent"
+	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/usage"
+)
+
+// counter counts events.
+type counter map[*event.Event]int
+
+func (c counter) Emit(e *event.Event, _ ...any) { c[e]++ }
+
+// The process that it is for deletes old configurations and plans; another
+// one deletes nothing.
+func TestUpkeepDeletesOnlyWhatIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var table chaintest.Table
+		publisher := &chain.Publisher{Table: &table}
+		c := pool.Configuration{Organisations: []pool.Organisation{{Name: "prado", Weight: 1}}}
+		for n := range uint64(130) {
+			c.Organisations[0].Weight = int(n) + 1
+			if _, err := publisher.Publish(t.Context(), n, c, "ivana", "test"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		desk := &confirmation.Desk{Table: &table, Publisher: publisher, State: func(context.Context) (intent.State, error) { return intent.State{}, nil }}
+		propose := func(weight int) string {
+			p, err := desk.Propose(t.Context(), intent.Intent{Kind: intent.SetWeight, Organisation: "prado", Weight: weight, By: "ivana"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return p.Digest()
+		}
+		old := propose(1000)
+		time.Sleep(8 * 24 * time.Hour)
+		fresh := propose(2000)
+		mine, log := false, counter{}
+		u := Upkeep{
+			Publisher: publisher, Plans: desk, Accounts: &usage.Archive{Table: &table}, Log: log, Kept: 1,
+			Mine: func(context.Context) bool { return mine },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return u.Run(ctx) })
+		time.Sleep(time.Hour)
+		if _, err := desk.Plan(t.Context(), old); err != nil {
+			t.Errorf("a process that upkeep is not for deleted a plan: %v", err)
+		}
+		mine = true
+		time.Sleep(time.Hour)
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if _, err := desk.Plan(t.Context(), old); err == nil {
+			t.Error("the old plan is still there")
+		}
+		if _, err := desk.Plan(t.Context(), fresh); err != nil {
+			t.Errorf("the fresh plan: %v", err)
+		}
+		past, err := desk.History(t.Context(), 1000)
+		if err != nil || len(past) != chain.MinKept {
+			t.Errorf("%d configurations are kept, want %d: %v", len(past), chain.MinKept, err)
+		}
+		if log[event.UpkeepDone] == 0 || log[event.UpkeepFailed] != 0 {
+			t.Errorf("events %v", log)
+		}
+	})
+}
