intent: test the new kinds, keep the last operator

Cause: set-operator could take the role from the last operator who can confirm a plan, after which no plan could bring one back. Change: such an intent is refused. Red before (no error), green after.

--- a/intent/change.go
+++ b/intent/change.go
@@ -22,7 +22,7 @@
 	case SetObjective:
 		err = put(&c.Objectives, in.Objective, func(o pool.Objective) string { return o.Organisation + " " + string(o.Class) })
 	case SetOperator:
-		err = put(&c.Operators, in.Operator, func(o pool.Operator) string { return o.Name })
+		err = setOperator(&c, in)
 	case SetService:
 		err = put(&c.Services, in.Service, func(o pool.Service) string { return o.Name })
 	case DrainWorker, DrainRunner, DrainRack, DrainDataCentre:
@@ -74,6 +74,18 @@
 	return nil
 }
 
+// setOperator refuses to take the last operator who can confirm a plan, since
+// no plan could bring one back.
+func setOperator(c *pool.Configuration, in Intent) error {
+	if err := put(&c.Operators, in.Operator, func(o pool.Operator) string { return o.Name }); err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(c.Operators, func(o pool.Operator) bool { return o.Role == pool.RoleOperator }) {
+		return fmt.Errorf("nobody with the role %q would be left", pool.RoleOperator)
+	}
+	return nil
+}
+
 // put adds an item, or replaces the one with the same key.
 func put[T any](all *[]T, item *T, key func(T) string) error {
 	if item == nil {
--- a/intent/intent_test.go
+++ b/intent/intent_test.go
@@ -28,7 +28,7 @@
 		Number: 7,
 		Configuration: pool.Configuration{Organisations: []pool.Organisation{
 			{Name: "prado", Weight: 1}, {Name: "returns", Weight: 1},
-		}},
+		}, Operators: []pool.Operator{{Name: "ivana", TokenHash: strings.Repeat("ef", 32), Role: pool.RoleOperator}}},
 		Hosts: []Host{
 			{"w3", platform.KindWorker, "r2", "sofia", cores(8)},
 			{"w1", platform.KindWorker, "r1", "sofia", cores(8)},
@@ -61,6 +61,10 @@
 		{Intent{Kind: SetQuota, Organisation: "prado", Quota: cores(11)}, []string{"wait:prado:"}, 0.5},
 		{Intent{Kind: SetQuota, Organisation: "prado", Quota: cores(12)}, nil, 0.5},
 		{Intent{Kind: SetPriority, Organisation: "prado", Class: class.Urgent, Priority: 5}, nil, 0.5},
+		{Intent{Kind: SetTokens, Organisation: "prado", TokenHashes: []string{strings.Repeat("ab", 32)}}, nil, 0.5},
+		{Intent{Kind: SetObjective, Objective: &pool.Objective{Organisation: "prado", Class: class.Urgent, Latency: time.Second, Percent: 99, Window: time.Hour}}, nil, 0.5},
+		{Intent{Kind: SetOperator, Operator: &pool.Operator{Name: "oto", TokenHash: strings.Repeat("cd", 32), Role: pool.RolePlanner}}, nil, 0.5},
+		{Intent{Kind: SetService, Service: &pool.Service{Name: "jobs", RetryPercent: 10}}, nil, 0.5},
 		{Intent{Kind: AddOrganisation, Add: &pool.Organisation{Name: "court", Weight: 2}}, []string{"wait:prado:"}, 0.25},
 		{Intent{Kind: AddCapacity, Capacity: &pool.Addition{DataCentre: "sofia", Rack: "r3", Workers: 8, Each: cores(16)}}, nil, 0.5},
 	} {
@@ -104,6 +108,10 @@
 		{Kind: AddOrganisation},
 		{Kind: AddCapacity},
 		{Kind: Undo, Number: 3},
+		{Kind: SetTokens, Organisation: "prado", TokenHashes: []string{"a secret in place of its hash"}},
+		{Kind: SetObjective},
+		{Kind: SetObjective, Objective: &pool.Objective{Organisation: "prado", Class: class.Urgent, Percent: 101}},
+		{Kind: SetOperator, Operator: &pool.Operator{Name: "ivana", TokenHash: strings.Repeat("ef", 32), Role: pool.RoleViewer}}, // the only operator
 	} {
 		if _, err := Make(small(), in); !errors.Is(err, ErrInvalid) {
 			t.Errorf("%+v: %v", in, err)
