entry: statuses at the pace of a budget, sums to other data centres

Cause: each process sent its full status (1.4 KB with 17 racks and runners) 4 times a second to 7 near peers and once to 64 far ones, and got and gave another one as the answer, which the receiver dropped. Change: what is urgent (ownership, leaving, circuits, configuration) goes out with the next tick, free capacity as often as a budget in bytes allows (0.25 to 1 s near, 1 to 1.5 s far); other data centres get one sum for each service and no racks, which they never use (93 bytes); a status is answered by one only if the caller is not being told anyway. Workers' connections are kept (the default client keeps 100 in all).

--- a/command/load.go
+++ b/command/load.go
@@ -25,7 +25,7 @@
 	token     string
 }
 
-func (*generate) Name() string { return "load" }
+func (*generate) Name() string     { return "load" }
 func (*generate) Synopsis() string { return "send requests and a batch to a test bed on this machine" }
 
 func (*generate) Usage() string {
--- a/command/try.go
+++ b/command/try.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -207,8 +208,13 @@
 	}
 }
 
+// The first shards are taken in the first seconds.
+const (
+	startTries = 100
+	startPause = 100 * time.Millisecond
+)
+
 func (t *try) request(ctx context.Context, address, token, service string, n int) error {
-	const tries = 100 // the first shards are taken in the first seconds
 	for i := 0; ; i++ {
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, address+"/v1/services/"+service+"/match", bytes.NewReader([]byte(fmt.Sprintf("pattern %d", n))))
 		if err != nil {
@@ -230,13 +236,30 @@
 			fmt.Fprintf(t.out, "  %q answered by runner %s in %v\n", body, answer.Header.Get(gateway.HeaderRunner), time.Since(begin).Round(time.Millisecond))
 			return nil
 		}
-		if i == tries {
+		if i == startTries {
 			return fmt.Errorf("request %d: status %d: %s", n, answer.StatusCode, body)
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(startPause):
+		}
+	}
+}
+
+// submit submits a job, again while it is refused as not run: requests are
+// answered as soon as any data centre has a runner, which can be before the
+// job's own data centre has taken its job shards.
+func (t *try) submit(ctx context.Context, c *client, body []byte, a *gateway.Accepted) error {
+	for i := 0; ; i++ {
+		err := c.do(ctx, http.MethodPost, "/v1/jobs", body, a)
+		if err == nil || i == startTries || !strings.HasPrefix(err.Error(), gateway.NotRun) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(startPause):
 		}
 	}
 }
@@ -255,7 +278,7 @@
 	}
 	begin := time.Now()
 	var a gateway.Accepted
-	if err := c.do(ctx, http.MethodPost, "/v1/jobs", body, &a); err != nil {
+	if err := t.submit(ctx, c, body, &a); err != nil {
 		return err
 	}
 	fmt.Fprintf(t.out, "\nbatch of %d tasks accepted as %s in %v\n", t.tasks, a.Job, time.Since(begin).Round(time.Millisecond))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -24,13 +24,34 @@
 	heard  time.Time
 }
 
+const maxCalled = 1024 // addresses that are remembered
+
 // peerTable holds the last status of each peer, by process.
 type peerTable struct {
-	mu    sync.Mutex
-	known map[string]*peer
+	mu     sync.Mutex
+	known  map[string]*peer
+	called map[string]time.Time // by address, when it last took a status from here
 }
 
-func (t *peerTable) init() { t.known = map[string]*peer{} }
+func (t *peerTable) init() { t.known, t.called = map[string]*peer{}, map[string]time.Time{} }
+
+// tell notes that the process at an address has taken a status from here.
+func (t *peerTable) tell(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.called) > maxCalled {
+		clear(t.called) // of processes long gone
+	}
+	t.called[address] = now
+}
+
+// told reports whether the process at an address takes statuses from here.
+func (t *peerTable) told(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.called[address]
+	return ok && now.Sub(at) < peerTimeout
+}
 
 // take stores a status unless a later one is known.
 func (t *peerTable) take(s *wire.Status, now time.Time) bool {
@@ -77,6 +98,7 @@
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	var sequence uint64
+	var pace statusPace
 	busy := &sync.Map{}
 	for {
 		select {
@@ -89,8 +111,15 @@
 		if p.loop.Do(ctx, func() { s = p.status(sequence) }) != nil {
 			return nil
 		}
-		for address, near := range p.peerAddresses() {
-			if !near && sequence%uint64(farInterval/statusInterval) != 0 {
+		peers := p.peerAddresses()
+		near, far := pace.due(s, peers, time.Now())
+		distant := forFar(s)
+		for address, isNear := range peers {
+			told := distant
+			if isNear {
+				told = s
+			}
+			if isNear && !near || !isNear && !far {
 				continue
 			}
 			if _, sending := busy.LoadOrStore(address, true); sending {
@@ -98,7 +127,7 @@
 			}
 			p.group.Go(func() error {
 				defer busy.Delete(address)
-				p.exchange(address, s)
+				p.exchange(address, told)
 				return nil
 			})
 		}
@@ -128,7 +157,11 @@
 	defer cancel()
 	reply, err := p.node.Call(ctx, address, &wire.Call{Body: &wire.Call_Status{Status: s}})
 	p.meter.RelayCall(resultOf(err))
-	if err == nil && reply.GetStatus() != nil {
+	if err != nil {
+		return
+	}
+	p.peers.tell(address, time.Now())
+	if reply.GetStatus() != nil {
 		p.learn(reply.GetStatus())
 	}
 }
@@ -214,6 +247,9 @@
 			return refuse("a status of another process")
 		}
 		p.learn(body.Status)
+		if p.peers.told(body.Status.Address, time.Now()) {
+			return &wire.Reply{} // it has a later status from a call of this process
+		}
 		var own *wire.Status
 		if p.loop.Do(ctx, func() { own = p.status(0) }) != nil {
 			return refuse("stopping")
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
@@ -122,11 +123,15 @@
 	p.Log.Emit(event.WorkerClosed, "worker", id, "reason", closed)
 }
 
+// workerClient keeps one connection to every worker of the racks that a process
+// may own; the default client keeps 100 in all and two to one address.
+var workerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute}}
+
 func (p *Process) agentAt(address string) worker.Agent {
 	if a, ok := p.agent.Load(address); ok {
 		return a.(worker.Agent)
 	}
-	var a worker.Agent = &worker.Client{Address: address, Name: p.Settings.Process.Name}
+	var a worker.Agent = &worker.Client{Address: address, Name: p.Settings.Process.Name, HTTP: workerClient}
 	if p.Agent != nil {
 		a = p.Agent(address)
 	}
