--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -83,6 +83,9 @@
 	Rand      *rand.Rand
 	// Ended, when set, is told on the loop of every attempt that has ended.
 	Ended func(j *job.Job, t *job.Task, w *wire.Attempt)
+	// CommitRate, when set, bounds the commits of all job shards of this process
+	// in commits a second; those that a caller or a start waits for go first.
+	CommitRate func() float64
 	// Retention is how long finished jobs can be asked about.
 	Retention time.Duration
 
@@ -90,6 +93,7 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	delays []delayed
+	pace   commitPace
 	closed bool // nothing is accepted or placed any more
 }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -70,6 +70,9 @@
 		return
 	}
 	resolving := len(s.frozen) > 0
+	if !d.pace.take(d.commitRate(), resolving || s.awaited(), now) {
+		return
+	}
 	if !resolving {
 		s.frozen, s.pending = s.pending, nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -106,6 +106,8 @@
 	retention      = time.Hour
 	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
+	journalWrites  = 150.0 // a second in all processes, half of the platform's 300
+	maxSharers     = 150   // processes among which they are shared
 )
 
 // Prepare opens the listeners, so that the addresses are known before Run.
@@ -219,8 +221,8 @@
 	p.follower.Subscribe(func(e *chain.Entry) { p.loop.Post(func() { p.configured(e) }) })
 	p.queue = queue.Queue{HalfLife: usageHalfLife}
 	p.desk = &dispatch.Desk{
-		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p},
-		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, Retention: retention,
+		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p: p},
+		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, CommitRate: p.commitRate, Retention: retention,
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
 	p.forward = &forward.Forwarder{
@@ -233,6 +235,13 @@
 	return nil
 }
 
+// commitRate is this process's share of the journal's writes. It falls with the
+// number of processes that are known to live, never below the share of so many
+// that a wrong count stalls nobody.
+func (p *Process) commitRate() float64 {
+	return journalWrites / float64(min(max(p.session.LiveCount(), 1), maxSharers))
+}
+
 func (p *Process) configuration() *pool.Configuration { return &p.follower.Current().Configuration }
 
 // configured brings a configuration into force on the loop.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -19,14 +19,30 @@
 	"persimmonworks.example/persimmonworks/wire"
 )
 
-// rackOwners tells the desk who owns which rack.
-type rackOwners struct{ p *Process }
+// rackOwners tells the desk who owns which rack. The desk asks for every task
+// that it sends; the answer holds for a moment.
+type rackOwners struct {
+	p    *Process
+	last map[string]string
+	at   time.Time
+}
+
+// ownersHold is how long an answer is given again; peers tell of a change no
+// faster than each statusInterval.
+const ownersHold = 20 * time.Millisecond
 
 var _ dispatch.Racks = (*rackOwners)(nil)
 
-// Owners implements dispatch.Racks: what this process and its peers say of
+// Owners implements dispatch.Racks, on the loop: what this process and its peers say of
 // themselves goes before the table's last known rows.
 func (o *rackOwners) Owners() map[string]string {
+	if o.last == nil || time.Since(o.at) >= ownersHold {
+		o.last, o.at = o.owners(), time.Now()
+	}
+	return o.last
+}
+
+func (o *rackOwners) owners() map[string]string {
 	p := o.p
 	v := p.hosts.Load()
 	if v == nil {
--- a/entry/slope_bench_test.go
+++ b/entry/slope_bench_test.go
@@ -108,7 +108,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				(&rackOwners{p}).Owners()
+				(&rackOwners{p: p}).owners()
 			}
 		})
 	}
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -47,6 +47,19 @@
 	return ms
 }
 
+// LiveCount returns the number of live sessions of all data centres, as last seen.
+func (s *Session) LiveCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.members {
+		if s.fresh(e) {
+			n++
+		}
+	}
+	return n
+}
+
 // fresh reports whether the row was live and not due to be expired when the
 // sessions were last read; mu is held.
 func (s *Session) fresh(e *seen) bool {
