--- a/relay/call.go
+++ b/relay/call.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"persimmonworks.example/persimmonworks/buffer"
+	"persimmonworks.example/persimmonworks/framing"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -29,9 +30,9 @@
 		return nil, err
 	}
 	var reply wire.Reply
-	if err := read(e.r, &reply, n.maxMessage()); err != nil {
+	if err := framing.Read(e.r, &reply, n.maxMessage()); err != nil {
 		e.abandon()
-		return nil, afterSend(address, c.GetRequest(), e.cause(noEOF(err)))
+		return nil, afterSend(address, c.GetRequest(), e.cause(framing.NoEOF(err)))
 	}
 	if reply.GetRequest() != c.GetRequest() {
 		e.abandon()
@@ -61,9 +62,9 @@
 		return nil, afterSend(address, c.GetRequest(), fmt.Errorf("the relay of process %q has stopped", n.Process))
 	}
 	var head wire.Head
-	if err := read(e.r, &head, n.maxMessage()); err != nil {
+	if err := framing.Read(e.r, &head, n.maxMessage()); err != nil {
 		e.abandon()
-		return nil, afterSend(address, c.GetRequest(), e.cause(noEOF(err)))
+		return nil, afterSend(address, c.GetRequest(), e.cause(framing.NoEOF(err)))
 	}
 	if head.GetRequest() != c.GetRequest() {
 		e.abandon()
@@ -73,7 +74,7 @@
 		e.end(io.EOF)
 		return &Answer{&head, io.NopCloser(eofReader{})}, nil
 	}
-	return &Answer{&head, &answerBody{newBodyReader(e.r, e.end), e}}, nil
+	return &Answer{&head, &answerBody{framing.NewReader(e.r, e.end), e}}, nil
 }
 
 type eofReader struct{}
@@ -94,7 +95,7 @@
 	}
 	e := &exchange{ctx: ctx, s: s, r: bufio.NewReader(s)}
 	e.watch()
-	if err := write(s, c); err != nil {
+	if err := framing.Write(s, c); err != nil {
 		e.abandon()
 		return nil, afterSend(address, c.GetRequest(), e.cause(err))
 	}
@@ -116,14 +117,14 @@
 // sendBody streams the request's body. A body that cannot be read to its end
 // is cut off without its last chunk.
 func (e *exchange) sendBody(body io.Reader) {
-	w := newBodyWriter(e.s)
+	w := framing.NewWriter(e.s)
 	if body != nil {
 		if _, err := buffer.Copy(w, body); err != nil {
 			e.s.CancelWrite(codeAborted)
 			return
 		}
 	}
-	if err := w.finish(); err != nil {
+	if err := w.Finish(); err != nil {
 		e.s.CancelWrite(codeAborted)
 		return
 	}
@@ -178,7 +179,7 @@
 
 // answerBody is the body of an answer.
 type answerBody struct {
-	*bodyReader
+	*framing.Reader
 	e *exchange
 }
 
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/quic-go/quic-go"
+
+	"persimmonworks.example/persimmonworks/framing"
 )
 
 // Failures of calls. Errors are wrapped; compare with errors.Is.
@@ -13,12 +15,10 @@
 	ErrNotSent = errors.New("not sent")
 	// ErrUnknown: the call was sent and its outcome is not known.
 	ErrUnknown = errors.New("outcome unknown")
-	// ErrTruncated: a body ended before its last chunk.
-	ErrTruncated = errors.New("body truncated")
-	// ErrAltered: a body's length or checksum differs from its last chunk.
-	ErrAltered = errors.New("body altered")
-	// ErrMalformed: the peer broke the protocol.
-	ErrMalformed = errors.New("malformed message")
+	// ErrTruncated, ErrAltered and ErrMalformed are those of package framing.
+	ErrTruncated = framing.ErrTruncated
+	ErrAltered   = framing.ErrAltered
+	ErrMalformed = framing.ErrMalformed
 )
 
 // Codes with which a side resets a stream.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -11,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 	"google.golang.org/protobuf/proto"
 
+	"persimmonworks.example/persimmonworks/framing"
 	"persimmonworks.example/persimmonworks/keys"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -112,7 +113,7 @@
 	_ = s.SetReadDeadline(time.Now().Add(n.idle()))
 	r := bufio.NewReader(s)
 	var c wire.Call
-	if err := read(r, &c, n.maxMessage()); err != nil {
+	if err := framing.Read(r, &c, n.maxMessage()); err != nil {
 		s.CancelRead(codeNotRun)
 		s.CancelWrite(codeNotRun)
 		return
@@ -156,7 +157,7 @@
 	if proto.Size(reply) > n.maxMessage() {
 		reply = &wire.Reply{Request: c.GetRequest(), Refusal: unknown("the reply is larger than a message may be")}
 	}
-	finish(s, write(s, reply))
+	finish(s, framing.Write(s, reply))
 }
 
 func (n *Node) serveForward(name string, c *wire.Call, refusal *wire.Refusal, r *bufio.Reader, s *quic.Stream) {
@@ -165,7 +166,7 @@
 		finish(s, w.Refuse(refusal))
 		return
 	}
-	err := n.Forwarder.Forward(s.Context(), name, c, newBodyReader(r, nil), w)
+	err := n.Forwarder.Forward(s.Context(), name, c, framing.NewReader(r, nil), w)
 	finish(s, w.end(err))
 }
 
@@ -196,7 +197,7 @@
 	request string
 	limit   int
 	refused bool
-	body    *bodyWriter // set by Head
+	body    *framing.Writer // set by Head
 }
 
 // Refuse implements AnswerWriter.
@@ -205,7 +206,7 @@
 		return fmt.Errorf("answer to %q: refused after it was begun", w.request)
 	}
 	w.refused = true
-	return write(w.s, &wire.Head{Request: w.request, Refusal: r})
+	return framing.Write(w.s, &wire.Head{Request: w.request, Refusal: r})
 }
 
 // Head implements AnswerWriter.
@@ -217,10 +218,10 @@
 	if size := proto.Size(h); size > w.limit {
 		return fmt.Errorf("answer to %q: head has %d bytes, more than %d", w.request, size, w.limit)
 	}
-	if err := write(w.s, h); err != nil {
+	if err := framing.Write(w.s, h); err != nil {
 		return err
 	}
-	w.body = newBodyWriter(w.s)
+	w.body = framing.NewWriter(w.s)
 	return nil
 }
 
@@ -240,7 +241,7 @@
 	case w.body != nil && err != nil:
 		return err
 	case w.body != nil:
-		return w.body.finish()
+		return w.body.Finish()
 	case errors.Is(err, ErrNotSent):
 		return w.Refuse(&wire.Refusal{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: err.Error()})
 	case err != nil:
