--- a/entry/entry.go
+++ b/entry/entry.go
@@ -106,8 +106,9 @@
 	retention      = time.Hour
 	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
-	journalWrites  = 150.0 // a second in all processes, half of the platform's 300
-	maxSharers     = 150   // processes among which they are shared
+	sessionBudget  = 6 << 10 // bytes a second for reading the sessions
+	journalWrites  = 150.0   // a second in all processes, half of the platform's 300
+	maxSharers     = 150     // processes among which they are shared
 )
 
 // Prepare opens the listeners, so that the addresses are known before Run.
@@ -209,7 +210,7 @@
 	p.peers.init()
 	p.session = &ownership.Session{
 		Table: p.Table, Process: name, DataCentre: dataCentre, RelayAddress: p.node.Addr(), CallerAddress: p.CallerAddress(),
-		RenewEvery: s.Session.RenewEvery, TTL: s.Session.TTL, Margin: s.Session.Margin, Peers: &witness{p},
+		RenewEvery: s.Session.RenewEvery, TTL: s.Session.TTL, Margin: s.Session.Margin, Peers: &witness{p}, ReadBudget: sessionBudget,
 		OnLost:  func(id string) { p.Log.Emit(event.SessionLost, "session", id) },
 		OnError: func(err error) { p.Log.Emit(event.SessionLate, "error", err) },
 	}
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -69,6 +69,19 @@
 // observation is how long a row must stay unchanged before it is expired.
 func (s *Session) observation() time.Duration { return s.TTL + s.Margin }
 
+// readDue reports whether the sessions are to be read again. A later read only
+// delays the expiry of others, since a row's age counts from the read that
+// first returned it.
+func (s *Session) readDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ReadBudget <= 0 || s.observed != s.self.id() {
+		return true
+	}
+	every := time.Duration(float64(s.readBytes) / float64(s.ReadBudget) * float64(time.Second))
+	return now.Sub(s.observedAt) >= min(every, s.TTL/2)-s.RenewEvery/2
+}
+
 // observe reads all session rows and expires those that were silent for too
 // long. Reads start after the call's time, so a row's commit precedes since.
 func (s *Session) observe(ctx context.Context) error {
@@ -102,6 +115,7 @@
 		s.learnRow(r, row, now)
 	}
 	s.observed, s.observedAt = s.self.id(), now
+	s.readBytes = readSize(rows)
 	return errors.Join(errs...)
 }
 
@@ -224,6 +238,19 @@
 	}
 }
 
+// rowOverhead is about what a row costs on the wire beside its key and value.
+const rowOverhead = 40 // bytes
+
+// readSize estimates the bytes that reading rows has moved, with their values
+// in base64.
+func readSize(rows []platform.Row) int {
+	n := 0
+	for _, r := range rows {
+		n += len(r.Key) + len(r.Value)*4/3 + rowOverhead
+	}
+	return n
+}
+
 func readPage(ctx context.Context, t platform.Reader, prefix, after string, timeout time.Duration) ([]platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/ownership/schedule_test.go
+++ b/ownership/schedule_test.go
@@ -112,7 +112,7 @@
 	return c.problems
 }
 
-func checkSchedules(t *testing.T, noPeers bool) {
+func checkSchedules(t *testing.T, noPeers bool, prepare func(*node)) {
 	rapid.Check(t, func(rt *rapid.T) {
 		processes := rapid.IntRange(1, 4).Draw(rt, "processes")
 		faults := drawFaults(rt, processes)
@@ -120,7 +120,7 @@
 		var problems []string
 		synctest.Test(t, func(*testing.T) {
 			c := newCluster(seed, 6)
-			c.noPeers = noPeers
+			c.noPeers, c.prepare = noPeers, prepare
 			problems = c.run(faults, processes)
 		})
 		if len(problems) > 0 {
@@ -129,9 +129,14 @@
 	})
 }
 
-func TestSchedulesWithWitnesses(t *testing.T) { checkSchedules(t, false) }
+func TestSchedulesWithWitnesses(t *testing.T) { checkSchedules(t, false, nil) }
 
-func TestSchedulesWithoutPeersHaveOneHolder(t *testing.T) { checkSchedules(t, true) }
+func TestSchedulesWithoutPeersHaveOneHolder(t *testing.T) { checkSchedules(t, true, nil) }
+
+// Processes that read the sessions as seldom as they may.
+func TestSchedulesWithSeldomReads(t *testing.T) {
+	checkSchedules(t, false, func(n *node) { n.session.ReadBudget = 1 })
+}
 
 // Schedules that failed once.
 func TestKnownSchedules(t *testing.T) {
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -26,10 +26,14 @@
 	Process, DataCentre         string
 	RelayAddress, CallerAddress string
 	RenewEvery, TTL, Margin     time.Duration
-	Peers                       Witness         // nil for none
-	Rand                        *rand.Rand      // nil for a random seed
-	OnLost                      func(id string) // a session ended against the process's will
-	OnError                     func(err error) // failures that are retried
+	// ReadBudget bounds, in bytes a second, what reading the sessions of many
+	// processes may cost: they are then read less often than renewed, but at
+	// least each half TTL. 0 reads them with every renewal.
+	ReadBudget int
+	Peers      Witness         // nil for none
+	Rand       *rand.Rand      // nil for a random seed
+	OnLost     func(id string) // a session ended against the process's will
+	OnError    func(err error) // failures that are retried
 
 	once  sync.Once
 	nonce uint64        // of this process start
@@ -46,6 +50,7 @@
 	witnesses  map[string]bool      // named by any row that may be the durable one
 	members    map[string]*seen
 	observedAt time.Time            // receipt of the last read of members
+	readBytes  int                  // of that read
 	observed   string               // session under which members were last read
 	promised   map[string]time.Time // session to the end of this process's promise
 	condemned  map[string]bool      // sessions that get no promise
@@ -116,7 +121,7 @@
 		s.lose()
 		return err
 	}
-	if err != nil {
+	if err != nil || !s.readDue(time.Now()) {
 		return err
 	}
 	return s.observe(ctx)
--- a/ownership/shards_test.go
+++ b/ownership/shards_test.go
@@ -243,8 +243,9 @@
 }
 
 // takeover measures the table calls of one process that takes over n shards.
-func takeover(t testing.TB, n int) (reads, writes int, took time.Duration) {
+func takeover(t testing.TB, n, readBudget int) (reads, writes int, took time.Duration) {
 	c := newCluster(1, n)
+	c.prepare = func(n *node) { n.session.ReadBudget = readBudget }
 	defer c.stop()
 	a := c.start("entry-0")
 	c.watch(10 * time.Second)
@@ -271,7 +272,7 @@
 
 func TestTakeoverIsBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		reads, writes, took := takeover(t, 138)
+		reads, writes, took := takeover(t, 138, 0)
 		t.Logf("138 shards: %d reads, %d writes, %v of virtual time", reads, writes, took)
 		if writes > 20 { // 3 takeovers, 1 expiry and a renewal each 2 s
 			t.Errorf("%d writes, want at most 20", writes)
@@ -281,15 +282,17 @@
 
 func BenchmarkTakeover(b *testing.B) {
 	for _, shards := range []int{17, 69, 138} {
-		b.Run(fmt.Sprint("shards-", shards), func(b *testing.B) {
-			var reads, writes int
-			var took time.Duration
-			for b.Loop() {
-				synctest.Test(&testing.T{}, func(*testing.T) { reads, writes, took = takeover(b, shards) })
-			}
-			b.ReportMetric(float64(reads), "reads")
-			b.ReportMetric(float64(writes), "writes")
-			b.ReportMetric(took.Seconds(), "virtual-s")
-		})
+		for _, budget := range []int{0, 1} {
+			b.Run(fmt.Sprintf("shards-%d-budget-%d", shards, budget), func(b *testing.B) {
+				var reads, writes int
+				var took time.Duration
+				for b.Loop() {
+					synctest.Test(&testing.T{}, func(*testing.T) { reads, writes, took = takeover(b, shards, budget) })
+				}
+				b.ReportMetric(float64(reads), "reads")
+				b.ReportMetric(float64(writes), "writes")
+				b.ReportMetric(took.Seconds(), "virtual-s")
+			})
+		}
 	}
 }
