--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -95,6 +95,9 @@
 	// Placed, when set, is told on the loop of every task that got a rack and
 	// how long it waited in the queue.
 	Placed func(c class.Class, waited time.Duration)
+	// CommitRate, when set, bounds the commits of all job shards of this process
+	// in commits a second; those that a caller or a start waits for go first.
+	CommitRate func() float64
 	// Retention is how long finished jobs can be asked about.
 	Retention time.Duration
 
@@ -102,6 +105,7 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	delays []delayed
+	pace   commitPace
 	closed bool // nothing is accepted or placed any more
 	ended  bool // Run is about to return
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -18,8 +18,9 @@
 func (p *Process) runStatus(ctx context.Context) error {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
+	var pace statusPace
 	busy := &sync.Map{}
-	for round := 1; ; round++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -29,8 +30,15 @@
 		if p.loop.Do(ctx, func() { s = p.status() }) != nil {
 			return nil
 		}
-		for address, near := range p.peerAddresses() {
-			if !near && round%int(farInterval/statusInterval) != 0 {
+		peers := p.peerAddresses()
+		near, far := pace.due(s, peers, time.Now())
+		distant := forFar(s)
+		for address, isNear := range peers {
+			told := distant
+			if isNear {
+				told = s
+			}
+			if isNear && !near || !isNear && !far {
 				continue
 			}
 			if _, sending := busy.LoadOrStore(address, true); sending {
@@ -38,7 +46,7 @@
 			}
 			p.group.Go(func() error {
 				defer busy.Delete(address)
-				p.exchange(address, s)
+				p.exchange(address, told)
 				return nil
 			})
 		}
@@ -68,7 +76,11 @@
 	defer cancel()
 	reply, err := p.node.Call(ctx, address, &wire.Call{Body: &wire.Call_Status{Status: s}})
 	p.meter.RelayCall(resultOf(err))
-	if err == nil && reply.GetStatus() != nil {
+	if err != nil {
+		return
+	}
+	p.peers.tell(address, time.Now())
+	if reply.GetStatus() != nil {
 		p.learn(reply.GetStatus())
 	}
 }
@@ -163,6 +175,9 @@
 			return refuse("a status of another process")
 		}
 		p.learn(body.Status)
+		if p.peers.told(body.Status.Address, time.Now()) {
+			return &wire.Reply{} // it has a later status from a call of this process
+		}
 		var own *wire.Status
 		if p.loop.Do(ctx, func() { own = p.status() }) != nil {
 			return refuse("stopping")
