job: a new owner grants new attempts

Cause: the grant of attempt 1 needs no write before it is sent, so a new owner of a job shard that found it on no rack used the number again. Where the attempt had run and gone with its host, unrecorded, attempt 1 ran twice, one after the other (TestDeskUnderFaults: attempt-once, two tasks). Ruled out: a durable note of each send (a write a placement). Change: one entry a job, regrant, grants the next attempt of all its tasks that run nowhere; their placement waits for it. Non-idempotent tasks without an intent were never sent and keep their attempt. Before: red as above. After: 300 schedules, no failure.

--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -205,6 +205,13 @@
 		d.stopJob(s, e.Job)
 		d.Log.Emit(event.JobCancelled, "job", e.Job)
 		answer(p, Outcome{Job: e.Job})
+	case job.EntryRegrant:
+		s.book.Apply(e)
+		if j, ok := s.book.Job(e.Job); ok {
+			for _, i := range e.Others(j) {
+				d.Queue.Push(item(j, i, now))
+			}
+		}
 	case job.EntryIntent:
 		s.book.Apply(e)
 		d.send(s, p.ref, now)
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -192,6 +192,7 @@
 	}
 	s.covered = nil
 	now := time.Now()
+	regrant := map[string]bool{}
 	for task := range s.unresolved {
 		j, t := d.unresolvedTask(s, task)
 		if j == nil {
@@ -203,13 +204,32 @@
 			d.endAttempt(s, ref, job.End{Outcome: job.Cancelled, Reason: "cancelled"}, "")
 		case j.Spec.NonIdempotent && t.Intended:
 			d.endAttempt(s, ref, job.End{Outcome: job.Unknown, MayHaveRun: true, Reason: "was being sent when the job's owner was lost"}, "")
-		default:
+		case j.Spec.NonIdempotent: // without an intent it was never sent
 			d.Queue.Push(item(j, t.Index, now))
+		default:
+			regrant[j.ID] = true
 		}
 	}
+	for id := range regrant {
+		d.regrant(s, id)
+	}
 	clear(s.unresolved)
 }
 
+// regrant grants the next attempt of a job's tasks that were not found. Their
+// granted attempt may have run and ended with its host, unrecorded, so that
+// its number must not be used again.
+func (d *Desk) regrant(s *shard, id string) {
+	j, _ := s.book.Job(id)
+	e := job.Entry{Kind: job.EntryRegrant, Job: id}
+	for _, t := range j.Tasks() {
+		if !t.State.Final() && (!s.unresolved[job.TaskID(id, t.Index)] || t.CancelAsked) {
+			e.Open = append(e.Open, t.Index)
+		}
+	}
+	s.pending = append(s.pending, pendingEntry{entry: e})
+}
+
 func (d *Desk) unresolvedTask(s *shard, task string) (*job.Job, *job.Task) {
 	id, index, err := job.SplitTaskID(task)
 	if err != nil {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -95,6 +95,9 @@
 		return v
 	}
 	v.Needs = "the task pauses after a failure: " + t.Reason
+	if t.Reason == "" {
+		v.Needs = "the job has a new owner, which makes the grant of the next attempt durable"
+	}
 	return v
 }
 
--- a/job/book.go
+++ b/job/book.go
@@ -52,6 +52,8 @@
 		return b.applyForget(e.Job)
 	case EntryCancel:
 		return b.applyCancel(e)
+	case EntryRegrant:
+		return b.applyRegrant(e)
 	case EntryIntent:
 		return b.applyIntent(e)
 	case EntryEnd, EntryRetry:
@@ -121,6 +123,34 @@
 	return true
 }
 
+func (b *Book) applyRegrant(e Entry) bool {
+	j, ok := b.jobs[e.Job]
+	if !ok {
+		return false
+	}
+	for _, i := range e.Others(j) {
+		j.tasks[i].Attempt++
+		j.tasks[i].Intended = false
+	}
+	return true
+}
+
+// Others returns the indexes of the tasks of j that are neither final nor in
+// e.Open.
+func (e *Entry) Others(j *Job) []int {
+	open := make(map[int]bool, len(e.Open))
+	for _, i := range e.Open {
+		open[i] = true
+	}
+	var others []int
+	for i := range j.tasks {
+		if !open[i] && !j.tasks[i].State.Final() {
+			others = append(others, i)
+		}
+	}
+	return others
+}
+
 // Cancel returns the entry that cancels a job. mayRun tells of a task that is
 // not final whether its attempt may have been sent.
 func (b *Book) Cancel(id string, mayRun func(*Task) bool) (e Entry, ok bool) {
--- a/job/entry.go
+++ b/job/entry.go
@@ -22,6 +22,9 @@
 	EntryEnd EntryKind = "end"
 	// EntryRetry ends an attempt and grants the next one.
 	EntryRetry EntryKind = "retry"
+	// EntryRegrant grants the next attempt of all open tasks of a job but those
+	// in Open, after a new owner has found that their attempts run nowhere.
+	EntryRegrant EntryKind = "regrant"
 	// EntryCancel records that the caller cancelled a job.
 	EntryCancel EntryKind = "cancel"
 	// EntryForget drops a finished job from the book.
@@ -46,8 +49,8 @@
 	Worker  string        `json:"worker,omitempty"`
 	Result  []byte        `json:"result,omitempty"`
 	Ran     time.Duration `json:"ran-ns,omitempty"`
-	// Open lists the tasks that may be running when their job is cancelled; all
-	// others end at once.
+	// Open lists the tasks that may be running when their job is cancelled or
+	// granted anew; all others end, or get their next attempt, at once.
 	Open []int `json:"open,omitempty"`
 	// Failure is set when the ended attempt ran and failed, as opposed to
 	// having been lost, refused or preempted.
--- a/job/job.go
+++ b/job/job.go
@@ -10,8 +10,9 @@
 //
 //   - A job is accepted only when the entry that accepts it is durable.
 //   - An accepted job grants attempt 1 of each of its tasks; attempt n + 1 is
-//     granted by the durable entry that ends attempt n. So at most one attempt
-//     of a task is ever granted and not ended.
+//     granted by the durable entry that ends attempt n, or by one that says,
+//     after a change of the owner, that attempt n runs nowhere. So at most one
+//     attempt of a task is ever granted and not ended.
 //   - A non-idempotent task has no attempt 2: when the end of its attempt 1 is
 //     not known, the task ends as unknown.
 //   - Entries of the journal are numbered without gaps and written by
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -247,6 +247,8 @@
 			if j.Open() == 0 {
 				batch = append(batch, job.Entry{Kind: job.EntryForget, Job: j.ID})
 			}
+		case 8:
+			batch = append(batch, job.Entry{Kind: job.EntryRegrant, Job: j.ID, Open: []int{t.Index}})
 		case 2:
 			batch = append(batch, job.Entry{Kind: job.EntryIntent, Job: j.ID, Task: t.Index, Attempt: t.Attempt})
 		default:
