dispatch: a refused cancellation leaves the job as it was

Cause: Cancel took the job's tasks out of the queue before its entry was durable. When the platform refused the entry nobody queued them again (TestCancel/refused: 8 of 12 tasks wait for ever). A task that came back from its rack, or was retried, between the cancellation and its record stayed as well, and one that was queued in that time could be sent and yet be noted as not run. Ruled out: taking them out only once durable (they could be sent meanwhile). Change: while a cancellation is undecided nothing of the job is sent; refused, its tasks are queued again; recorded, tasks that came back meanwhile end.

--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -86,3 +86,40 @@
 		b.close()
 	})
 }
+
+// A cancellation that the platform does not take leaves the job as it was, and
+// one that it takes ends the job, also where tasks are on their way back into
+// the queue.
+func TestCancel(t *testing.T) {
+	cases := []struct {
+		name string
+		away time.Duration // of the table, from the cancellation on
+		want job.State
+	}{
+		{"taken", 0, job.Cancelled},
+		{"refused", 5 * time.Second, job.Done},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(1, 1)
+				b.run(3 * time.Second)
+				id := b.submit(t, spec(12, `{"run-ms":3000}`))
+				b.run(time.Second)
+				b.table.mutex.Lock()
+				b.table.away = time.Now().Add(c.away)
+				b.table.mutex.Unlock()
+				var o Outcome
+				b.group.Go(func() { o = b.desk.Cancel(context.Background(), id) })
+				b.run(time.Minute)
+				v, _, err := b.job(id)
+				if err != nil || v.Open > 0 || v.States[c.want] == 0 || (o.Refusal != nil) != (c.want == job.Done) {
+					t.Errorf("states %v, waits for %q, refusal %v, %v", v.States, v.Waiting, o.Refusal, err)
+				}
+				for _, f := range b.close() {
+					t.Error(f)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -22,7 +22,7 @@
 			return
 		}
 		s, t := d.find(i.ID)
-		if s == nil || t.State != job.Waiting || t.CancelAsked {
+		if s == nil || t.State != job.Waiting || t.CancelAsked || s.cancelling[i.Group] > 0 {
 			continue
 		}
 		name, err := d.Directory.Choose(wanted(i), here, d.Rand)
@@ -115,8 +115,7 @@
 	if err := s.book.MarkUnsent(ref.Task, ref.Attempt); err != nil {
 		return
 	}
-	if _, t := d.taskOf(ref); t != nil && t.CancelAsked {
-		d.endAttempt(s, ref, job.End{Outcome: job.Cancelled, Reason: "cancelled before it ran"}, "")
+	if _, t := d.taskOf(ref); t != nil && d.endCancelled(s, ref.Task, t) {
 		return
 	}
 	d.Queue.Push(x.item)
@@ -186,6 +185,9 @@
 	}
 	i := item(j, e.Task, now)
 	t := j.Tasks()[e.Task]
+	if d.endCancelled(s, i.ID, &t) {
+		return
+	}
 	if !e.Failure {
 		d.Queue.Push(i)
 		return
--- a/dispatch/schedule_test.go
+++ b/dispatch/schedule_test.go
@@ -27,7 +27,7 @@
 }
 
 var happenings = []string{
-	"submit", "submit", "submit", "cancel", "unfair", "unfair", "cut", "move-rack", "restart", "kill-desk", "table-flaky", "table-away", "freeze-late", "lose",
+	"submit", "submit", "submit", "cancel", "cancel", "unfair", "unfair", "cut", "move-rack", "restart", "kill-desk", "table-flaky", "table-away", "freeze-late", "lose",
 }
 
 func drawHappenings(t *rapid.T) []happening {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -162,15 +162,22 @@
 func (d *Desk) unwritten(s *shard, err error) {
 	d.Log.Emit(event.JournalFailed, "shard", s.name, "epoch", s.epoch, "error", err)
 	var kept []pendingEntry
+	var refused []string
 	for _, p := range s.frozen {
 		if p.done == nil {
 			kept = append(kept, p)
 			continue
 		}
 		answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the platform does not take writes now", 5*retryPause)})
+		if p.entry.Kind == job.EntryCancel {
+			refused = append(refused, p.entry.Job)
+		}
 	}
 	s.frozen, s.pending = nil, append(kept, s.pending...)
 	s.nextCommit = time.Now().Add(retryPause)
+	for _, id := range refused {
+		d.cancelRefused(s, id)
+	}
 }
 
 // dropTaken answers submissions whose idempotency key belongs to another job;
@@ -200,10 +207,7 @@
 		d.Log.Emit(event.JobAccepted, "job", e.Job, "organisation", j.Spec.Organisation, "tasks", len(j.Tasks()))
 		answer(p, Outcome{Job: e.Job})
 	case job.EntryCancel:
-		s.book.Apply(e)
-		d.Queue.CancelGroup(e.Job)
-		d.stopJob(s, e.Job)
-		d.Log.Emit(event.JobCancelled, "job", e.Job)
+		d.applyCancel(s, e)
 		answer(p, Outcome{Job: e.Job})
 	case job.EntryRegrant:
 		s.book.Apply(e)
@@ -228,38 +232,6 @@
 	}
 }
 
-// Cancel records a caller's cancellation; it returns once that is durable.
-func (d *Desk) Cancel(ctx context.Context, id string) Outcome {
-	done := make(chan Outcome, 1)
-	err := d.Loop.Do(ctx, func() {
-		s, j := d.lookup(id)
-		switch {
-		case s == nil:
-			done <- Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "job "+id+" is not known here", retryPause)}
-			return
-		case j.Open() == 0:
-			done <- Outcome{Job: id}
-			return
-		}
-		e, _ := s.book.Cancel(id, func(t *job.Task) bool {
-			task := job.TaskID(id, t.Index)
-			return t.State == job.Sent || s.unresolved[task] || t.Attempt > 1 && t.State == job.Sent
-		})
-		s.pending = append(s.pending, pendingEntry{entry: e, done: done})
-		d.Queue.CancelGroup(id)
-		d.commitDue(s, time.Now())
-	})
-	if err != nil {
-		return Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the process is busy or stopping", retryPause)}
-	}
-	select {
-	case o := <-done:
-		return o
-	case <-ctx.Done():
-		return Outcome{Refusal: refusal(wire.Outcome_OUTCOME_UNKNOWN, "the platform has not answered; ask again", retryPause)}
-	}
-}
-
 // lookup returns the shard and the job, nil if the job is not here.
 func (d *Desk) lookup(id string) (*shard, *job.Job) {
 	_, name, err := job.SplitID(id)
