watch: log the changes that the person on call looks for

Cause: 26 numbered events of the catalogue were written by nobody, among them platform-away, peer-lost, drain-done and process-ready. Change: package watch compares the surroundings twice a second and logs each change once; worker-lost and control-loop-slow are logged too. Runs: TestChangesAreLoggedOnce; the drain test now demands drain-notice and drain-done in the log. 14 events are left without a writer; they belong to ownership, quarantine, admission, forward, keys and relay.

--- a/entry/accounts.go
+++ b/entry/accounts.go
@@ -26,13 +26,17 @@
 // the loop.
 func (p *Process) account(r *rack.Rack, id string, report worker.Report, changed []*rack.Attempt, err error) {
 	now := time.Now()
+	lost := 0
 	for _, a := range changed {
 		if a.State == rack.Lost {
 			p.books.Lost(r.Epoch, a, now)
+			lost++
 		}
 	}
 	if err == nil {
 		p.books.Report(r.Epoch, id, report, now)
+	} else if lost > 0 {
+		p.Log.Emit(event.WorkerLost, "worker", id, "attempts", lost)
 	}
 }
 
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -75,6 +75,9 @@
 	}
 	b.finished(0, batch)
 	b.finished(0, checks)
+	b.until("the log tells the end of the drain", func() bool {
+		return strings.Contains(b.log.String(), "drain-notice") && strings.Contains(b.log.String(), "drain-done")
+	})
 	checkDrain(t, b.stand.Ledger().Entries(), checks)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -174,7 +174,7 @@
 	}
 	for _, part := range []func(context.Context) error{
 		p.loop.Run, p.node.Run, p.session.Run, p.shards.Run, p.follower.Run, p.desk.Run, p.forward.Run,
-		p.runHosts, p.runWorkers, p.runStatus, p.books.Run, p.runBurn, p.runGauges, p.runDrains, p.upkeep.Run,
+		p.runHosts, p.runWorkers, p.runStatus, p.books.Run, p.runBurn, p.runGauges, p.runDrains, p.runWatch, p.upkeep.Run,
 	} {
 		p.group.Go(func() error { return part(p.ctx) })
 	}
@@ -214,7 +214,7 @@
 	}
 	p.metered()
 	p.loop = control.New()
-	p.loop.Busy = p.meter.LoopBusy
+	p.loop.Busy = p.busy
 	p.marked = map[string]time.Time{}
 	p.peers.init()
 	p.session = &ownership.Session{
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/runner"
+	"persimmonworks.example/persimmonworks/watch"
+)
+
+const (
+	watchInterval = 500 * time.Millisecond
+	slowStep      = 100 * time.Millisecond // of the control loop, worth an event
+)
+
+// busy tells the meter how long a step of the loop took, and the log if it was
+// long.
+func (p *Process) busy(took time.Duration) {
+	p.meter.LoopBusy(took)
+	if took > slowStep {
+		p.Log.Emit(event.LoopSlow, "ms", took.Milliseconds())
+	}
+}
+
+// runWatch logs changes of the surroundings until ctx ends.
+func (p *Process) runWatch(ctx context.Context) error {
+	w := watch.Watch{Log: p.Log}
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if p.leaving.Load() {
+			continue // what ends now ends on purpose
+		}
+		s := p.surroundings(time.Now())
+		if p.loop.Do(ctx, func() { p.watchHosts(&s) }) != nil {
+			return nil
+		}
+		w.See(s)
+	}
+}
+
+func (p *Process) surroundings(now time.Time) watch.State {
+	s := watch.State{Ready: p.notReady() == "", Platform: p.session.Reachable(), Peers: map[string]bool{}}
+	if p.session.Valid(now) {
+		s.Session = p.session.ID()
+	}
+	for _, x := range p.peers.all() {
+		if !x.status.Leaving && now.Sub(x.heard) < rememberPeers {
+			s.Peers[x.status.Process] = now.Sub(x.heard) < peerTimeout
+		}
+	}
+	return s
+}
+
+// watchHosts adds what the loop knows of the hosts of owned racks.
+func (p *Process) watchHosts(s *watch.State) {
+	s.Leaving, s.Open = map[string]int{}, map[string]bool{}
+	busy := map[string]int{}
+	for _, r := range p.runners.All(time.Now()) {
+		busy[r.ID] = r.Busy
+		if r.Circuit == runner.Open {
+			s.Open[r.ID] = true
+		}
+	}
+	for r := range p.racks.All {
+		for _, a := range r.Attempts() {
+			if !a.Final() {
+				busy[a.Worker]++
+			}
+		}
+	}
+	v := p.hosts.Load()
+	if v == nil {
+		return
+	}
+	c := p.configuration()
+	for _, h := range v.hosts {
+		if !p.ownsRackOf(h) {
+			continue
+		}
+		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || h.Leaving {
+			s.Leaving[h.ID] = busy[h.ID]
+		}
+	}
+}
+
+func (p *Process) ownsRackOf(h platform.Host) bool {
+	_, owned := p.racks.Rack(rackShard(h.Rack))
+	return owned && h.DataCentre == p.Settings.Process.DataCentre
+}
