job, dispatch, gateway: an idempotency key with another body is refused

Cause: a repeated key got the first job whatever its body was, so a caller who reused a key by mistake was told that its work was accepted. Ruled out: the caller's identity (keys are separate for each organisation). Change: the key's row holds the digest of the specification; another body is answered with 409, names the field and the first job, and stores nothing. Before: the second body got the first job's identifier.

--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -18,7 +18,18 @@
 	Job string
 	// Existing is set when the idempotency key had been used before.
 	Existing bool
-	Refusal  *wire.Refusal
+	// Different is set when the idempotency key belongs to a job with another
+	// specification, named by Job; nothing was accepted.
+	Different bool
+	Refusal   *wire.Refusal
+}
+
+// existing answers a submission whose idempotency key belongs to a job.
+func existing(id, digest string, spec *job.Spec) Outcome {
+	if digest != spec.Digest() {
+		return Outcome{Job: id, Different: true}
+	}
+	return Outcome{Job: id, Existing: true}
 }
 
 func refusal(o wire.Outcome, reason string, retry time.Duration) *wire.Refusal {
@@ -31,7 +42,7 @@
 	}
 	for _, done := range p.others {
 		again := o
-		again.Existing = o.Refusal == nil
+		again.Existing = o.Refusal == nil && !o.Different
 		done <- again
 	}
 }
@@ -44,6 +55,10 @@
 		for i := range list {
 			p := &list[i]
 			if first := p.entry.Spec; first != nil && first.Key == spec.Key && first.Organisation == spec.Organisation {
+				if first.Digest() != spec.Digest() {
+					done <- Outcome{Job: p.entry.Job, Different: true}
+					return true
+				}
 				p.others = append(p.others, done)
 				return true
 			}
@@ -76,7 +91,7 @@
 	}
 	if spec.Key != "" {
 		if j, ok := s.book.ByKey(spec.Organisation, spec.Key); ok {
-			done <- Outcome{Job: j.ID, Existing: true}
+			done <- existing(j.ID, j.Spec.Digest(), &spec)
 			return
 		}
 		if s.join(&spec, done) {
@@ -189,7 +204,7 @@
 	var kept []pendingEntry
 	for _, p := range s.frozen {
 		if first, ok := taken.Jobs[p.entry.Job]; ok && p.entry.Kind == job.EntryAccept {
-			answer(p, Outcome{Job: first, Existing: true})
+			answer(p, existing(first.ID, first.Digest, p.entry.Spec))
 			continue
 		}
 		kept = append(kept, p)
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -55,6 +55,13 @@
 		RefuseWire(w, "", out.Refusal)
 		return
 	}
+	if out.Different {
+		Refuse(w, http.StatusConflict, Problem{
+			Outcome: NotRun, Reason: "idempotency-key: belongs to job " + out.Job + ", which was submitted with another body",
+			Findings: []job.FieldError{{Field: "idempotency-key", Problem: "belongs to job " + out.Job + ", which was submitted with another body"}},
+		})
+		return
+	}
 	status := http.StatusCreated
 	if out.Existing {
 		status = http.StatusOK
--- a/job/book_test.go
+++ b/job/book_test.go
@@ -92,11 +92,11 @@
 	next := b.Next()
 	err := b.Append(t.Context(), []job.Entry{accept("dc1.jobs-2.1", "other"), accept("dc1.jobs-2.2", "k")})
 	var taken *job.ErrKeyTaken
-	if !errors.As(err, &taken) || len(taken.Jobs) != 1 || taken.Jobs["dc1.jobs-2.2"] != "dc1.jobs-1.1" || b.Next() != next {
+	if !errors.As(err, &taken) || len(taken.Jobs) != 1 || taken.Jobs["dc1.jobs-2.2"].ID != "dc1.jobs-1.1" || b.Next() != next {
 		t.Fatalf("%v, next row %d, was %d", err, b.Next(), next)
 	}
 	for key, want := range map[string]string{"k": "dc1.jobs-1.1", "other": "", "none": ""} {
-		if got, err := job.LookupKey(t.Context(), &table, "prado", key); got != want || err != nil {
+		if got, err := job.LookupKey(t.Context(), &table, "prado", key); got.ID != want || err != nil {
 			t.Errorf("key %q belongs to %q, %v, want %q", key, got, err, want)
 		}
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -33,6 +33,7 @@
 package job
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -76,6 +77,16 @@
 	Work json.RawMessage `json:"work,omitempty"`
 }
 
+// Digest returns the SHA-256 of the specification in hex. Two submissions
+// under one idempotency key are the same only if their digests are.
+func (s *Spec) Digest() string {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return "" // a Spec that was parsed can always be encoded
+	}
+	return fmt.Sprintf("%x", sha256.Sum256(body))
+}
+
 // DefaultAttempts bounds the attempts of a task whose job states no bound.
 const DefaultAttempts = 4
 
--- a/job/journal.go
+++ b/job/journal.go
@@ -160,7 +160,11 @@
 			return err
 		}
 		if e.Spec.Key != "" {
-			keys = append(keys, platform.Create(keyRow(e.Spec.Organisation, e.Spec.Key), []byte(e.Job)))
+			body, err := encodeKey(e.Job, e.Spec)
+			if err != nil {
+				return err
+			}
+			keys = append(keys, platform.Create(keyRow(e.Spec.Organisation, e.Spec.Key), body))
 		}
 	}
 	err := s.appendRow(ctx, entries, keys)
@@ -257,8 +261,23 @@
 // ErrKeyTaken is returned by Append when the idempotency keys of some entries
 // belong to other jobs. Nothing was written.
 type ErrKeyTaken struct {
-	// Jobs maps the identifier of a refused job to that of the first one.
-	Jobs map[string]string
+	// Jobs maps the identifier of a refused job to the first one.
+	Jobs map[string]FirstJob
+}
+
+// FirstJob is the job that first used an idempotency key.
+type FirstJob struct {
+	ID string `json:"job"`
+	// Digest of its Spec.
+	Digest string `json:"digest"`
+}
+
+func encodeKey(id string, s *Spec) ([]byte, error) {
+	body, err := json.Marshal(FirstJob{ID: id, Digest: s.Digest()})
+	if err != nil {
+		return nil, fmt.Errorf("idempotency key %q of organisation %q: %w", s.Key, s.Organisation, err)
+	}
+	return body, nil
 }
 
 // Error implements error.
@@ -267,20 +286,17 @@
 }
 
 func (s *Store) explainConflict(ctx context.Context, entries []Entry, cause error) error {
-	taken := &ErrKeyTaken{Jobs: map[string]string{}}
+	taken := &ErrKeyTaken{Jobs: map[string]FirstJob{}}
 	for _, e := range entries {
 		if e.Kind != EntryAccept || e.Spec.Key == "" {
 			continue
 		}
-		row, err := s.Table.Get(ctx, keyRow(e.Spec.Organisation, e.Spec.Key))
-		if errors.Is(err, platform.ErrNotFound) {
-			continue
-		}
+		first, err := LookupKey(ctx, s.Table, e.Spec.Organisation, e.Spec.Key)
 		if err != nil {
 			return fmt.Errorf("conflict not explained: %v: %w", err, platform.ErrUnavailable)
 		}
-		if string(row.Value) != e.Job {
-			taken.Jobs[e.Job] = string(row.Value)
+		if first.ID != "" && first.ID != e.Job {
+			taken.Jobs[e.Job] = first
 		}
 	}
 	if len(taken.Jobs) > 0 {
@@ -289,14 +305,19 @@
 	return fmt.Errorf("%v: %w", cause, ErrDeposed)
 }
 
-// LookupKey returns the job that first used an idempotency key, "" for none.
-func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (string, error) {
+// LookupKey returns the job that first used an idempotency key; its ID is ""
+// for none.
+func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (FirstJob, error) {
 	row, err := t.Get(ctx, keyRow(organisation, key))
 	if errors.Is(err, platform.ErrNotFound) {
-		return "", nil
+		return FirstJob{}, nil
 	}
 	if err != nil {
-		return "", fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
+		return FirstJob{}, fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
+	}
+	var first FirstJob
+	if err := json.Unmarshal(row.Value, &first); err != nil {
+		return FirstJob{}, fmt.Errorf("row of idempotency key %q of organisation %q: %w", key, organisation, err)
 	}
-	return string(row.Value), nil
+	return first, nil
 }
