--- a/model/acceptance.pml
+++ b/model/acceptance.pml
@@ -31,7 +31,7 @@
   assert(ran <= 1); \
   assert(!((answer[0] == ACCEPTED || answer[1] == ACCEPTED) && row != RECORD && row != DONE))
 
-/* platform.Table: Create(row) takes effect once, if the row is absent */
+/* platform.Client.Commit of platform.Create: takes effect once, if the row is absent */
 proctype Platform() {
   byte i;
   end: do
@@ -48,15 +48,15 @@
     goto end }
 }
 
-/* job: accept */
+/* dispatch.Desk.submit, commitDue; job.Store.Append, appendRow */
 proctype Entry(byte e) {
   atomic { write[e] = FLYING };
 #ifdef NO_INTENT
   atomic { ran++; TRUTHFUL };
 #endif
   if
-  :: atomic { write[e] == TOOK -> goto durable }
-  :: atomic { write[e] == CONFLICT -> goto back }
+  :: atomic { write[e] == TOOK -> goto durable } /* dispatch.Desk.committed */
+  :: atomic { write[e] == CONFLICT -> goto back } /* job.Store.resolve */
   :: atomic { true -> /* platform.ErrUnknown: the write may still arrive */
 #ifdef NO_READ_BACK
        answer[e] = NOTRUN; TRUTHFUL; goto end_stop
@@ -66,10 +66,12 @@
      }
   :: goto end_stop /* the process dies, the caller hears nothing */
   fi;
-back:
+back: /* job.Store.resolve, explainConflict; job.LookupKey for the key of another job */
   if
   :: atomic { (row == RECORD || row == DONE) && author == e -> goto durable }
   :: atomic { (row == RECORD || row == DONE) && author != e -> answer[e] = ACCEPTED; TRUTHFUL; goto end_stop }
+  /* No Go function writes a tombstone: the same row is appended again
+   * (dispatch.shard.frozen) and the caller hears unknown. */
   :: atomic { row == TOMBSTONE -> answer[e] = NOTRUN; TRUTHFUL; goto end_stop }
   :: atomic { row == ABSENT ->
 #ifdef NO_TOMBSTONE
@@ -82,14 +84,14 @@
        goto end_stop
 #endif
      }
-  :: atomic { answer[e] = UNKNOWN; goto end_stop } /* the row cannot be read */
+  :: atomic { answer[e] = UNKNOWN; goto end_stop } /* dispatch.Desk.Submit: the row cannot be read */
   fi;
 durable:
-  atomic { answer[e] = ACCEPTED; TRUTHFUL };
+  atomic { answer[e] = ACCEPTED; TRUTHFUL }; /* dispatch.Desk.apply */
 end_stop: skip
 }
 
-/* job and rack: whoever owns the job shard runs what is recorded, once; the
+/* dispatch.Desk.place, rack.Group.Sync, job.Book.Ended: whoever owns the job shard runs what is recorded, once; the
  * attempts model shows that the start is not repeated */
 proctype Run() {
   end: do
@@ -98,7 +100,8 @@
   od
 }
 
-/* chain: an entry hears numbers from the table and from its peer, late */
+/* chain.Publisher.Publish, Follower.pollTable, Heard, Poll and Apply: an entry
+ * hears numbers from the table and from its peer, late */
 proctype Chain(byte e) {
   byte heard = 1;
   end: do
@@ -111,7 +114,7 @@
 #else
        heard > applied[e] ->
 #endif
-       applied[e] = heard;
+       applied[e] = heard; /* Follower.Apply; floor: SetFloor */
        assert(applied[e] >= floor[e]);
        floor[e] = applied[e] }
   od
--- a/model/attempts.pml
+++ b/model/attempts.pml
@@ -27,7 +27,7 @@
 #define STARTED(a) (AT(a, 0) != NONE || AT(a, 1) != NONE)
 #define ENDED(a) (STARTED(a) && AT(a, 0) != RUNNING && AT(a, 1) != RUNNING)
 
-/* worker.Agent: an attempt not above one seen is refused */
+/* worker.Agent.Sync with Starts (agent.Agent.start): an attempt not above one seen is refused */
 inline start(a, r) {
   if
   :: a > seen[r] -> seen[r] = a; AT(a, r) = RUNNING; ran++
@@ -36,7 +36,7 @@
   CHECK
 }
 
-/* rack: TaskSync with placements */
+/* rack.Group.Sync, place; rack.Rack.Place, Outbox, Answer */
 proctype Rack(byte r) {
   byte i;
   end: do
@@ -63,8 +63,9 @@
     goto end }
 }
 
-/* job: places the granted attempt once, at one rack; a retry goes after the
- * commit that grants it. J1 may stop at any step. */
+/* dispatch.Desk.place, send, sync: places the granted attempt once, at one rack;
+ * dispatch.Desk.endAttempt, job.Book.Ended: a retry goes after the commit that
+ * grants it. J1 may stop at any step. */
 proctype J1() {
   byte a = 1; bool placed = false;
   end: do
@@ -78,12 +79,14 @@
        idempotent &&
 #endif
        sentAttempt[0] == 0 && sentAttempt[1] == 0 ->
-       granted = a + 1; a = granted; placed = false } /* commit with Require(owner row) */
-  :: atomic { placed && a < granted -> a = granted } /* read back */
+       granted = a + 1; a = granted; placed = false } /* job.Store.Append, dispatch.Desk.apply */
+  :: atomic { placed && a < granted -> a = granted } /* job.Store.resolve */
   od
 }
 
-/* job: the next owner raises the job epoch at every rack owner, then decides */
+/* dispatch.Desk.Take, open, opened: the next owner raises the job epoch at every
+ * rack owner (dispatch.Desk.sync, rack.Group.Sync), then decides
+ * (dispatch.Desk.resolve, missing) */
 proctype J2() {
   byte a;
   owner = 2;
--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -85,7 +85,8 @@
   od
 }
 
-/* The table and the network: effects that no process waits for. */
+/* platform.Client.Commit and worker.Client.Sync under way: effects that no
+ * process waits for. */
 proctype Platform() {
   end: do
   :: atomic { renewal == SENT ->
@@ -143,7 +144,7 @@
   wait = TRANSIT + LEASE
 }
 
-/* D, then E */
+/* D, then E: Session.expireSilent; Shards.taking, Session.gone */
 proctype D() {
   end: do
   :: atomic { rowA == LIVE && age >= OBSERVE -> rowA = EXPIRED; expiredBy = 2 }
@@ -164,7 +165,8 @@
   od
 }
 
-/* The present owner after A: fences W and reads its inventory, or waits it out. */
+/* The present owner after A, rack.Rack.Outbox and Answer: fences W and reads its
+ * inventory, or waits it out (Rack.expire, AllowWaitOut). */
 proctype Owner() {
   end: do
   :: atomic { owner > 0 && !settledW ->
