archive: results outlive the process that made them

Cause: a finished job left the book after an hour and was gone; a batch that ends in the evening has to be there when the presses start. Rows of idempotency keys and specifications in the object store stayed for ever. Change: jobs move to the object store before they are forgotten; an index row for each batch lets upkeep delete them, their keys and their specifications after 7 days. Before: no job, result or key an hour after the end. After: TestFinishedJobIsArchived and TestArchive (rapid) green, race.

--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"persimmonworks.example/persimmonworks/agent"
+	"persimmonworks.example/persimmonworks/archive"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/event"
@@ -178,6 +179,7 @@
 		Loop: loop, Table: b.table, Objects: &b.objects, Process: fmt.Sprintf("d%d", b.epoch), DataCentre: "dc1", Racks: b,
 		Valid: func(time.Time) bool { return valid }, Queue: &queue.Queue{}, Directory: &directory.Directory{}, Log: quiet{},
 		Rand: rand.New(rand.NewPCG(b.epoch, 0)), Retention: time.Hour,
+		Archive: &archive.Store[Ended]{Table: b.table, Objects: &b.objects},
 	}
 	done := make(chan struct{})
 	var g errgroup.Group
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -33,6 +33,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/archive"
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
@@ -98,8 +99,10 @@
 	// CommitRate, when set, bounds the commits of all job shards of this process
 	// in commits a second; those that a caller or a start waits for go first.
 	CommitRate func() float64
-	// Retention is how long finished jobs can be asked about.
+	// Retention is how long finished jobs stay in the book. After that they are
+	// in the Archive.
 	Retention time.Duration
+	Archive   *archive.Store[Ended]
 
 	shards map[string]*shard
 	group  *errgroup.Group
@@ -312,16 +315,6 @@
 	}
 }
 
-// forget drops jobs that finished longer ago than the retention.
-func (d *Desk) forget(s *shard, now time.Time) {
-	for id, at := range s.finished {
-		if now.Sub(at) > d.Retention {
-			delete(s.finished, id)
-			s.pending = append(s.pending, pendingEntry{entry: job.Entry{Kind: job.EntryForget, Job: id}})
-		}
-	}
-}
-
 // Close stops accepting and placing, and waits until everything that has
 // happened is durable or ctx ends.
 func (d *Desk) Close(ctx context.Context) {
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -35,10 +35,12 @@
 	nextCommit time.Time
 	links      map[string]*link
 	// owners holds the owner of each rack that was last asked for its inventory.
-	owners     map[string]Owner
-	sent       map[worker.Ref]*sending
-	finished   map[string]time.Time
-	cancelling map[string]int // undecided cancellations by job
+	owners      map[string]Owner
+	sent        map[worker.Ref]*sending
+	finished    map[string]time.Time
+	archiving   bool
+	nextArchive time.Time
+	cancelling  map[string]int // undecided cancellations by job
 }
 
 // sending is a granted attempt that may be on a rack.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -48,7 +48,11 @@
 			v, ok = d.view(s, j), true
 		}
 	})
-	return v, ok, err
+	if err != nil || ok {
+		return v, ok, err
+	}
+	e, ok, err := d.load(ctx, id)
+	return e.Job, ok, err
 }
 
 func (d *Desk) view(s *shard, j *job.Job) JobView {
@@ -115,7 +119,12 @@
 			views = append(views, d.explain(s, j, &all[i]))
 		}
 	})
-	return views, ok, err
+	if err != nil || ok {
+		return views, ok, err
+	}
+	e, ok, err := d.load(ctx, id)
+	from = min(max(from, 0), len(e.Tasks))
+	return e.Tasks[from:min(from+limit, len(e.Tasks))], ok, err
 }
 
 // List returns the jobs of an organisation in the shards of this process.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 
 	"persimmonworks.example/persimmonworks/accounts"
 	"persimmonworks.example/persimmonworks/admission"
+	"persimmonworks.example/persimmonworks/archive"
 	"persimmonworks.example/persimmonworks/burn"
 	"persimmonworks.example/persimmonworks/chain"
 	"persimmonworks.example/persimmonworks/confirmation"
@@ -237,7 +238,8 @@
 	p.desk = &dispatch.Desk{
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p: p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, CommitRate: p.commitRate, Retention: retention,
-		Placed: p.meter.Placed, Ended: p.attemptEnded,
+		Archive: &archive.Store[dispatch.Ended]{Table: p.Table, Objects: p.Objects},
+		Placed:  p.meter.Placed, Ended: p.attemptEnded,
 	}
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Gate{MaxQueued: s.Limits.MaxQueue},
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,6 +52,7 @@
 	AttemptLost    = define(1406, Warn, "attempt-lost", "An attempt ended without a known result.", "none; an idempotent task gets another attempt.")
 	AttemptUnknown = define(1407, Warn, "attempt-unknown", "A non-idempotent task may have run; it is not tried again.", "Tell the organisation; it decides.")
 	JobRebuilt     = define(1408, Info, "job-shard-rebuilt", "A new owner has read the records of a job shard.", "none")
+	ArchiveFailed  = define(1410, Error, "archive-failed", "Finished jobs could not be moved to the archive; they stay and it is repeated.", "Check the object store.")
 	JournalFailed  = define(1409, Error, "journal-failed", "A group commit of task transitions failed; it is repeated.", "Check the platform.")
 )
 
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -233,7 +233,12 @@
 	if !ok {
 		return
 	}
-	if _, ok := s.owned(w, r, id, o); !ok {
+	v, ok := s.owned(w, r, id, o)
+	if !ok {
+		return
+	}
+	if v.Open == 0 {
+		WriteJSON(w, http.StatusAccepted, Accepted{Job: id}) // it has ended already
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.SubmitWait)
--- a/job/journal.go
+++ b/job/journal.go
@@ -50,7 +50,8 @@
 
 func (s *Store) baseKey() string { return "journal-base/" + s.DataCentre + "/" + s.Shard }
 
-func keyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
+// KeyRow returns the row of an idempotency key.
+func KeyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
 
 // Open replays the journal and appends the entry that opens this owner's
 // epoch; from then on no earlier owner can append. It is repeated after
@@ -164,7 +165,7 @@
 			if err != nil {
 				return err
 			}
-			keys = append(keys, platform.Create(keyRow(e.Spec.Organisation, e.Spec.Key), body))
+			keys = append(keys, platform.Create(KeyRow(e.Spec.Organisation, e.Spec.Key), body))
 		}
 	}
 	err := s.appendRow(ctx, entries, keys)
@@ -177,6 +178,10 @@
 	return err
 }
 
+// SpecObject returns the object that holds a job's specification, if that is
+// too large for the journal.
+func SpecObject(id string) string { return "jobs/" + id }
+
 func (s *Store) storeSpec(ctx context.Context, e *Entry) error {
 	body, err := json.Marshal(e.Spec)
 	if err != nil {
@@ -185,7 +190,7 @@
 	if len(body) <= maxInlineSpec || e.Object != "" {
 		return nil
 	}
-	name := "jobs/" + e.Job
+	name := SpecObject(e.Job)
 	if err := s.Objects.Put(ctx, name, body); err != nil {
 		// A stray object harms nobody: no row refers to it.
 		return fmt.Errorf("object %q: %v: %w", name, err, platform.ErrUnavailable)
@@ -308,7 +313,7 @@
 // LookupKey returns the job that first used an idempotency key; its ID is ""
 // for none.
 func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (FirstJob, error) {
-	row, err := t.Get(ctx, keyRow(organisation, key))
+	row, err := t.Get(ctx, KeyRow(organisation, key))
 	if errors.Is(err, platform.ErrNotFound) {
 		return FirstJob{}, nil
 	}
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -1,5 +1,5 @@
 // Package upkeep deletes what the platform need not keep any more: old
-// configurations of the chain, plans that nobody will confirm, and old
+// configurations of the chain, plans that nobody will confirm, finished jobs and old
 // accounts. It also merges the many records of one period of the accounts.
 //
 // One process does it for all, the one for which Mine is true. Two that do it
@@ -32,16 +32,26 @@
 	planAge = 7 * 24 * time.Hour
 	// Accounts are merged once no process adds to their period any more, and
 	// kept for as long as a period can be asked for.
-	mergeAge   = 15 * time.Minute
-	usageAge   = 41 * 24 * time.Hour
+	mergeAge = 15 * time.Minute
+	usageAge = 41 * 24 * time.Hour
+	// Results are kept over a long weekend.
+	jobAge     = 7 * 24 * time.Hour
+	jobPages   = 50 // in one call
 	mergePages = 10 // of 200 rows in one call
 )
 
+// Expirer deletes a page of what was kept before a time.
+type Expirer interface {
+	Expire(ctx context.Context, before time.Time) (int, error)
+}
+
 // Upkeep deletes old rows. Set the exported fields before Run.
 type Upkeep struct {
 	Publisher *chain.Publisher
 	Plans     *confirmation.Desk
 	Accounts  *usage.Archive
+	// Jobs is the archive of finished jobs; nil for none.
+	Jobs Expirer
 	// Mine reports whether this process is the one to do it.
 	Mine  func(ctx context.Context) bool
 	Log   event.Emitter
@@ -73,7 +83,7 @@
 		}
 		if done != (Done{}) {
 			u.Log.Emit(event.UpkeepDone, "configurations", done.Configurations, "plans", done.Plans,
-				"merged", done.Merged, "accounts", done.Accounts)
+				"merged", done.Merged, "accounts", done.Accounts, "jobs", done.Jobs)
 		}
 	}
 }
@@ -84,6 +94,7 @@
 	Plans          int // deleted
 	Merged         int // records of accounts that were replaced
 	Accounts       int // records of accounts that were deleted
+	Jobs           int // batches of finished jobs that were deleted
 }
 
 // Once deletes and merges one batch of each kind.
@@ -93,11 +104,12 @@
 		number = kept
 	}
 	now := u.Plans.Time()
-	var errs [4]error
+	var errs [5]error
 	d.Configurations, errs[0] = u.Publisher.Compact(ctx, number)
 	d.Plans, u.after, errs[1] = u.Plans.Prune(ctx, now.Add(-planAge), u.after)
 	d.Merged, errs[2] = u.merge(ctx, now.Add(-mergeAge))
 	d.Accounts, errs[3] = u.Accounts.Prune(ctx, now.Add(-usageAge))
+	d.Jobs, errs[4] = u.expireJobs(ctx, now.Add(-jobAge))
 	return d, errors.Join(errs[:]...)
 }
 
@@ -112,3 +124,17 @@
 	}
 	return merged, nil
 }
+
+func (u *Upkeep) expireJobs(ctx context.Context, before time.Time) (expired int, err error) {
+	if u.Jobs == nil {
+		return 0, nil
+	}
+	for range jobPages {
+		n, err := u.Jobs.Expire(ctx, before)
+		expired += n
+		if err != nil || n == 0 {
+			return expired, err
+		}
+	}
+	return expired, nil
+}
