rack, dispatch: learn soon that short tasks have ended

Cause: an end was learned with the regular Sync of 1 s, its room was advertised with the status, and the desk polled each 250 ms: about 1.25 s a round. Change: a worker is asked again after a quarter of an attempt's age, at least 100 ms apart, with a budget of 2 such messages a second and bursts of 10; a report of a rack's owner carries what is free on each rack; the desk polls each 100 ms for 2 s after a start or an end. Inventories still repeat what has not changed.

--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -29,7 +30,7 @@
 const (
 	testLease = 10 * time.Second
 	testShard = "jobs-1"
-	rackTick  = 100 * time.Millisecond
+	rackTick  = 50 * time.Millisecond
 	syncEvery = time.Second
 )
 
@@ -63,6 +64,8 @@
 	// unfair holds until when messages between processes are dropped, late, or
 	// answered in vain.
 	unfairUntil time.Time
+	messages    int // to workers
+	bytes       int
 	cut         map[string]time.Time // processes that cannot be reached
 
 	desk  *Desk
@@ -116,12 +119,15 @@
 
 // newBed returns a bed with so many processes, each with one rack.
 func newBed(processes, workers int) *bed {
+	return newBedOf(processes, workers, resource.Vector{MilliCPU: 4000, MemoryMB: 4000})
+}
+
+func newBedOf(processes, workers int, capacity resource.Vector) *bed {
 	b := &bed{
 		board: fault.NewBoard(), agents: map[string]*agent.Agent{}, hosts: map[string][]platform.Host{},
 		random: rand.New(rand.NewPCG(1, 2)), groups: map[string]*rack.Group{}, owners: map[string]string{}, epochs: map[string]uint64{},
 		cut: map[string]time.Time{}, table: &bedTable{Table: &standin.Table{}, random: rand.New(rand.NewPCG(3, 4))},
 	}
-	capacity := resource.Vector{MilliCPU: 4000, MemoryMB: 4000}
 	for i := range processes {
 		name, process := fmt.Sprintf("rack-%d", i), fmt.Sprintf("e%d", i)
 		b.groups[process] = &rack.Group{}
@@ -296,6 +302,7 @@
 	report, err := b.agents[id].Sync(ctx, s)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.messages, b.bytes = b.messages+1, b.bytes+size(s)+size(report)+headerBytes
 	if current, ok := g.Rack(r.Name); !ok || current != r {
 		return
 	}
@@ -305,6 +312,24 @@
 	}
 }
 
+// headerBytes is about what a call and its answer need besides their bodies.
+const headerBytes = 400
+
+func size(v any) int {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return len(body)
+}
+
+// counted returns the messages to workers so far, and their bytes.
+func (b *bed) counted() (messages, bytes int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.messages, b.bytes
+}
+
 func (b *bed) apply(change string) {
 	if err := b.board.Apply([]byte(change)); err != nil {
 		panic(err)
--- a/dispatch/schedule_test.go
+++ b/dispatch/schedule_test.go
@@ -17,6 +17,9 @@
 	"persimmonworks.example/persimmonworks/wire"
 )
 
+// scheduleTick is the unit of the times in a schedule.
+const scheduleTick = 100 * time.Millisecond
+
 type happening struct {
 	After time.Duration
 	Kind  string
@@ -33,10 +36,10 @@
 func drawHappenings(t *rapid.T) []happening {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) happening {
 		return happening{
-			After: time.Duration(rapid.IntRange(0, 50).Draw(t, "after")) * rackTick,
+			After: time.Duration(rapid.IntRange(0, 50).Draw(t, "after")) * scheduleTick,
 			Kind:  rapid.SampledFrom(happenings).Draw(t, "kind"),
 			Place: rapid.IntRange(0, 1).Draw(t, "place"),
-			For:   time.Duration(rapid.IntRange(1, 200).Draw(t, "for")) * rackTick,
+			For:   time.Duration(rapid.IntRange(1, 200).Draw(t, "for")) * scheduleTick,
 			Tasks: rapid.IntRange(1, 8).Draw(t, "tasks"),
 			Once:  rapid.Bool().Draw(t, "once"),
 		}
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -67,4 +67,13 @@
 	inventory  bool
 	busy       bool
 	next       time.Time
+	lively     time.Time // when an attempt last started or ended
+}
+
+// interval returns how long to wait for the next quiet sync.
+func (l *link) interval(now time.Time) time.Duration {
+	if now.Sub(l.lively) < livelyTime {
+		return livelyInterval
+	}
+	return pollInterval
 }
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -5,8 +5,10 @@
 	"errors"
 	"time"
 
+	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/wire"
 	"persimmonworks.example/persimmonworks/worker"
@@ -98,7 +100,10 @@
 		return
 	}
 	now := time.Now()
-	l.busy, l.next = false, now.Add(pollInterval)
+	if len(m.Placements)+len(report.GetAttempts()) > 0 {
+		l.lively = now
+	}
+	l.busy, l.next = false, now.Add(l.interval(now))
 	switch {
 	case refused != nil || errors.Is(err, relay.ErrNotSent):
 		d.notSent(s, l, m, now)
@@ -135,6 +140,7 @@
 
 // report takes in what the owner of some racks told.
 func (d *Desk) report(s *shard, process string, m *wire.TaskSync, r *wire.TaskReport, now time.Time) {
+	d.advertised(r)
 	listed := make(map[worker.Ref]bool, len(r.Attempts))
 	for _, a := range r.Attempts {
 		ref := worker.Ref{Task: a.Task, Attempt: a.Attempt}
@@ -163,6 +169,19 @@
 	d.resolve(s)
 }
 
+// advertised takes in what is free on the racks of a process now.
+func (d *Desk) advertised(r *wire.TaskReport) {
+	for _, e := range r.Shards {
+		if e.Largest == nil {
+			continue
+		}
+		d.Directory.Update(directory.Summary{
+			Shard: e.Shard, Rack: e.Shard, DataCentre: d.DataCentre,
+			Largest: rack.VectorOf(e.Largest), Long: rack.VectorOf(e.LargestLong), Free: rack.VectorOf(e.Free),
+		})
+	}
+}
+
 // missing ends attempts that a rack's complete inventory lacks although the
 // message that carried them came before the question.
 func (d *Desk) missing(s *shard, rackName string, asked uint64, listed map[worker.Ref]bool) {
--- a/rack/group.go
+++ b/rack/group.go
@@ -208,7 +208,10 @@
 	var free resource.Vector
 	for _, r := range g.racks {
 		free = free.Add(r.Free())
-		report.Shards = append(report.Shards, &wire.ShardEpoch{Shard: r.Name, Epoch: r.Epoch, Complete: r.Complete()})
+		report.Shards = append(report.Shards, &wire.ShardEpoch{
+			Shard: r.Name, Epoch: r.Epoch, Complete: r.Complete(),
+			Free: WireOf(r.Free()), Largest: WireOf(r.Largest()), LargestLong: WireOf(r.LargestLong()),
+		})
 	}
 	report.Free = WireOf(free)
 }
--- /dev/null
+++ b/rack/pace_test.go
@@ -0,0 +1,45 @@
+package rack
+
+import (
+	"testing"
+	"time"
+
+	"persimmonworks.example/persimmonworks/worker"
+)
+
+// countSyncs answers the Syncs that are due in a minute, on a rack whose
+// attempt looks as if placed anew every so often, and returns their number.
+func countSyncs(t *testing.T, every time.Duration) (syncs int) {
+	r, begin := heard(t, 0)
+	a := r.Attempts()[0]
+	report := worker.Report{Epoch: 1, Boot: "b1", Attempts: []worker.Attempt{{Start: a.Start, State: worker.Running}}}
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
+		a.placed = begin.Add(now.Sub(begin).Truncate(every))
+		for range r.Due(time.Second, now) {
+			s, _ := r.Outbox("w1", now)
+			if _, err := r.Answer("w1", s, report, nil, now); err != nil {
+				t.Fatal(err)
+			}
+			syncs++
+		}
+	}
+	return syncs
+}
+
+// Short attempts are asked for often, up to a budget, and long ones hardly
+// more than the regular message costs.
+func TestEarlyMessagesAreBounded(t *testing.T) {
+	const regular = 60
+	cases := []struct {
+		every       time.Duration
+		least, most int
+	}{
+		{200 * time.Millisecond, 2 * regular, 3*regular + earlyBurst},
+		{time.Hour, regular, regular + 14},
+	}
+	for _, c := range cases {
+		if n := countSyncs(t, c.every); n < c.least || n > c.most {
+			t.Errorf("attempt every %v: %d messages in a minute, want %d to %d", c.every, n, c.least, c.most)
+		}
+	}
+}
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -113,6 +113,7 @@
 	urgent   bool // something to tell before the next regular Sync
 	heard    time.Time
 	sent     time.Time
+	spent    time.Time     // until when the budget of early messages is used up
 	clock    reading       // of the worker's clock; zero until it was heard
 	until    time.Duration // on that clock; no lease and no message lasts longer
 	misses   int
--- a/rack/sync.go
+++ b/rack/sync.go
@@ -9,18 +9,6 @@
 	"persimmonworks.example/persimmonworks/worker"
 )
 
-// Due returns the workers that are to be sent a Sync now: those with news, and
-// those not heard for the regular interval.
-func (r *Rack) Due(interval time.Duration, now time.Time) []string {
-	var due []string
-	for id, m := range r.members {
-		if !m.busy && (m.urgent || now.Sub(m.sent) >= interval) {
-			due = append(due, id)
-		}
-	}
-	return due
-}
-
 // Outbox returns what is to be sent to a worker and notes it as under way. It
 // reports false while another Sync is under way or the worker is not known.
 func (r *Rack) Outbox(id string, now time.Time) (worker.Sync, bool) {
@@ -28,6 +16,9 @@
 	if !ok || m.busy {
 		return worker.Sync{}, false
 	}
+	if !m.urgent && m.early(r.Lease, now) {
+		m.charge(now)
+	}
 	m.busy, m.urgent, m.sent = true, false, now
 	s := worker.Sync{Epoch: r.Epoch}
 	if !m.accepted || m.misses >= missesToClose {
