job: a checkpoint goes on, a gang job is refused

Cause: a checkpoint was recorded but never passed to the next attempt, which began anew; a job with gang set was started task by task without a word. Change: the next attempt's work is the checkpoint of the last one, also under a new owner; a submission with gang is refused with the reason (holds of racks are not wired yet). Tests: TestCheckpoint (60 s task stopped after 40 s: attempt 2 takes 20 s, with and without a new owner), TestParseSpec.

--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -10,6 +10,7 @@
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/resource"
+	"persimmonworks.example/persimmonworks/worker"
 )
 
 // spec returns a job of n tasks of one core.
@@ -123,3 +124,36 @@
 		})
 	}
 }
+
+// A task that is stopped with a checkpoint goes on from there, also under the
+// next owner of its job, and is not run anew.
+func TestCheckpoint(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(1, 2)
+			b.run(3 * time.Second)
+			id := b.submit(t, spec(1, `{"run-ms":60000}`))
+			b.run(40 * time.Second)
+			ref := worker.Ref{Task: job.TaskID(id, 0), Attempt: 1}
+			b.mutex.Lock()
+			r, _ := b.groups["e0"].Rack("rack-0")
+			if _, err := r.Stop(ref, true); err != nil {
+				t.Error(err)
+			}
+			b.mutex.Unlock()
+			b.run(5 * time.Second)
+			if restart {
+				b.kill()
+				b.start()
+			}
+			b.run(30 * time.Second)
+			v, tasks, err := b.job(id)
+			if err != nil || v.States[job.Done] != 1 || tasks[0].Attempt != 2 || tasks[0].RanMS < 15_000 || tasks[0].RanMS > 25_000 {
+				t.Errorf("restart %v: %+v, %v; attempt 2 was to run some 20 s", restart, tasks, err)
+			}
+			for _, f := range b.close() {
+				t.Error(f)
+			}
+		})
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -75,7 +75,7 @@
 	l := s.link(owner.Process)
 	l.placements = append(l.placements, &wire.Placement{
 		Task: ref.Task, Attempt: ref.Attempt, Organisation: j.Spec.Organisation, Class: string(j.Spec.Class), Kind: j.Spec.Kind,
-		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Spec.Tasks[t.Index].Work,
+		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Work(t.Index),
 		NonIdempotent: j.Spec.NonIdempotent, Shard: x.rack, JobShard: d.qualified(s),
 		ShardEpoch: owner.Epoch,
 	})
--- a/job/job.go
+++ b/job/job.go
@@ -1,7 +1,7 @@
 // Package job holds accepted work and its durable history.
 //
-// A job is a batch of tasks, a gang of tasks that start all at once, or a
-// long-running service. Jobs are divided over job shards; the process that owns
+// A job is a batch of tasks or a long-running service. A gang of tasks that
+// start all at once is refused so far. Jobs are divided over job shards; the process that owns
 // a job shard keeps its jobs in a Book and appends every change to the shard's
 // Journal in the platform's table. The journal is the only thing that lasts:
 // a Book is rebuilt by replaying it.
@@ -60,9 +60,10 @@
 	EstimateMS int64 `json:"estimate-ms,omitempty"`
 	// DeadlineMS is the time after acceptance, in milliseconds, after which
 	// nobody waits for tasks that have not started; 0 for none.
-	DeadlineMS    int64 `json:"deadline-ms,omitempty"`
-	Gang          bool  `json:"gang,omitempty"`
-	NonIdempotent bool  `json:"non-idempotent,omitempty"`
+	DeadlineMS int64 `json:"deadline-ms,omitempty"`
+	// Gang asks for all tasks to start at once; such jobs are refused, see Check.
+	Gang          bool `json:"gang,omitempty"`
+	NonIdempotent bool `json:"non-idempotent,omitempty"`
 	// MaxAttempts bounds the attempts of each task, DefaultAttempts when 0.
 	MaxAttempts int        `json:"max-attempts,omitempty"`
 	Tasks       []TaskSpec `json:"tasks"`
@@ -157,6 +158,15 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// Work returns what the next attempt of a task is to do: the checkpoint of an
+// earlier one, else the task's work.
+func (j *Job) Work(index int) []byte {
+	if c := j.tasks[index].Checkpoint; len(c) > 0 {
+		return c
+	}
+	return j.Spec.Tasks[index].Work
+}
+
 // MaxAttempts returns the bound on the attempts of each task. Services are
 // started again without bound.
 func (j *Job) MaxAttempts() int {
--- a/job/limits.go
+++ b/job/limits.go
@@ -114,6 +114,9 @@
 	if s.NonIdempotent && s.Class == class.Service {
 		found.add("non-idempotent", "a service is started again after a failure, so it cannot be non-idempotent")
 	}
+	if s.Gang {
+		found.add("gang", "tasks that start all at once are not carried out yet, so the job is refused rather than started one by one")
+	}
 	s.checkTime(&found, "estimate-ms", s.EstimateMS)
 	s.checkTime(&found, "deadline-ms", s.DeadlineMS)
 	switch n := len(s.Tasks); {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -124,9 +124,10 @@
 // Attempt is an entry of a worker's inventory.
 type Attempt struct {
 	Start
-	State      State           `json:"state"`
-	Reason     string          `json:"reason,omitempty"`
-	Result     []byte          `json:"result,omitempty"`
+	State  State  `json:"state"`
+	Reason string `json:"reason,omitempty"`
+	Result []byte `json:"result,omitempty"`
+	// Checkpoint is the Work with which another attempt goes on from here.
 	Checkpoint []byte          `json:"checkpoint,omitempty"`
 	Ran        time.Duration   `json:"ran-ns"`
 	Used       resource.Vector `json:"used"` // lags by the platform's report interval
