rack: keep work away from workers that fail what succeeds elsewhere

Cause: package quarantine was not used; a worker that failed every start at once looked free and drew work. Change: the owner of a rack tells its ward how attempts ended and closes workers in quarantine, with at most a quarter of the workers of a process at once; on probation a worker gets one attempt at a time. One place (settle) decides whether a worker is open. Ruled out: the ward at the owner of the jobs (it cannot close a worker), the default cap of a tenth (no worker at all of the 8 to 16 of a process today). Limit: the ward sees the process's own racks only, and forgets with it. Tests: a worker that fails all of 60 jobs' starts is closed, every job ends, and the mended worker comes back; 20 poison tasks are parked with the reason and close no worker.

--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -18,6 +18,7 @@
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
 	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
@@ -130,7 +131,7 @@
 	}
 	for i := range processes {
 		name, process := fmt.Sprintf("rack-%d", i), fmt.Sprintf("e%d", i)
-		b.groups[process] = &rack.Group{}
+		b.groups[process] = newGroup()
 		for k := range workers {
 			id := fmt.Sprintf("w%d-%d", i, k)
 			b.agents[id] = &agent.Agent{ID: id, Capacity: capacity, Ledger: &b.ledger, Faults: b.board}
@@ -143,6 +144,10 @@
 	return b
 }
 
+func newGroup() *rack.Group {
+	return &rack.Group{Ward: &quarantine.Ward{ShareLimit: 0.25, Pause: 2 * time.Minute}}
+}
+
 // give makes a process the owner of a rack. The earlier owner sends nothing
 // any more.
 func (b *bed) give(name, process string) {
@@ -162,7 +167,7 @@
 // restart makes a process forget all that it knew; its racks get new owners.
 func (b *bed) restart(process string, next func(string) string) {
 	b.mutex.Lock()
-	b.groups[process] = &rack.Group{}
+	b.groups[process] = newGroup()
 	var mine []string
 	for name, owner := range b.owners {
 		if owner == process {
@@ -308,7 +313,8 @@
 	}
 	changed, stale := r.Answer(id, s, report, err, time.Now())
 	if stale == nil {
-		g.Changed(r, changed)
+		g.Changed(r, changed, time.Now())
+		g.Guard(time.Now())
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,7 @@
 	"persimmonworks.example/persimmonworks/ownership"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
@@ -104,6 +105,7 @@
 	peerTimeout    = 2 * time.Second // silence after which a peer's adverts are dropped
 	submitWait     = 15 * time.Second
 	retention      = time.Hour
+	wardShare      = 0.25            // of the workers of a process, at most in quarantine at once
 	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
 )
@@ -218,6 +220,7 @@
 	p.follower = &chain.Follower{Reader: p.Table, Peers: &configPeers{p}, Log: p.Log}
 	p.follower.Subscribe(func(e *chain.Entry) { p.loop.Post(func() { p.configured(e) }) })
 	p.queue = queue.Queue{HalfLife: usageHalfLife}
+	p.racks.Ward = &quarantine.Ward{ShareLimit: wardShare}
 	p.desk = &dispatch.Desk{
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, Retention: retention,
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -105,16 +105,21 @@
 		p.racks.Remove(r.Name)
 		return
 	}
+	p.racks.Changed(r, changed, time.Now())
+	p.racks.Guard(time.Now())
 	if after := r.Closed(id); after != before {
 		p.logWorker(id, after)
 	}
-	p.racks.Changed(r, changed)
 	if r.Settled() {
 		p.shards.Settled(r.Name, r.Epoch)
 	}
 }
 
 func (p *Process) logWorker(id, closed string) {
+	if strings.HasPrefix(closed, "quarantined") {
+		p.Log.Emit(event.WorkerQuarantined, "worker", id, "reason", closed)
+		return
+	}
 	if closed == "" {
 		p.Log.Emit(event.WorkerOpened, "worker", id)
 		return
--- a/rack/group.go
+++ b/rack/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/placement"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/wire"
 	"persimmonworks.example/persimmonworks/worker"
@@ -14,6 +15,10 @@
 // Group holds the racks that this process owns and answers the owners of job
 // shards. The zero value holds none.
 type Group struct {
+	// Ward, when set before the first call, keeps work away from workers that
+	// fail what succeeds elsewhere. It sees the workers of this process only.
+	Ward *quarantine.Ward
+
 	racks map[string]*Rack
 	// jobs maps the name of a job shard to what its owner is yet to be told.
 	jobs map[string]*correspondent
@@ -86,8 +91,10 @@
 	return c
 }
 
-// Changed notes attempts whose owners are to be told.
-func (g *Group) Changed(r *Rack, attempts []*Attempt) {
+// Changed notes attempts whose owners are to be told, and what they say of
+// their workers.
+func (g *Group) Changed(r *Rack, attempts []*Attempt, now time.Time) {
+	g.judge(attempts, now)
 	for _, a := range attempts {
 		g.correspondent(a.JobShard).news[a.Ref] = &placed{rack: r, attempt: a}
 	}
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -118,6 +118,8 @@
 	until    time.Duration // on that clock; no lease and no message lasts longer
 	misses   int
 	leaving  bool
+	held     string // why the worker is in quarantine, "" if it is not
+	trial    bool   // on probation: one attempt at a time
 	refs     map[worker.Ref]*Attempt
 }
 
@@ -161,11 +163,7 @@
 		return
 	}
 	m.leaving = leaving
-	if leaving {
-		r.close(m, "leaving")
-	} else if m.accepted && m.misses < missesToClose {
-		r.open(m)
-	}
+	r.settle(m)
 }
 
 func (r *Rack) close(m *member, reason string) { _ = r.shard.Close(m.host.ID, reason) }
@@ -252,6 +250,9 @@
 	r.attempts[s.Ref] = a
 	m := r.members[id]
 	m.refs[s.Ref], m.urgent = a, true
+	if m.trial {
+		r.settle(m)
+	}
 	return a, nil
 }
 
--- a/rack/sync.go
+++ b/rack/sync.go
@@ -75,11 +75,7 @@
 		m.leaving = true
 	}
 	changed := r.reconcile(m, s, report, first)
-	if m.leaving {
-		r.close(m, "leaving")
-	} else {
-		r.open(m)
-	}
+	r.settle(m)
 	return changed, nil
 }
 
