--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
 	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
@@ -30,7 +32,7 @@
 const (
 	testLease = 10 * time.Second
 	testShard = "jobs-1"
-	rackTick  = 100 * time.Millisecond
+	rackTick  = 50 * time.Millisecond
 	syncEvery = time.Second
 )
 
@@ -64,6 +66,8 @@
 	// unfair holds until when messages between processes are dropped, late, or
 	// answered in vain.
 	unfairUntil time.Time
+	messages    int // to workers
+	bytes       int
 	cut         map[string]time.Time // processes that cannot be reached
 
 	desk  *Desk
@@ -117,15 +121,18 @@
 
 // newBed returns a bed with so many processes, each with one rack.
 func newBed(processes, workers int) *bed {
+	return newBedOf(processes, workers, resource.Vector{MilliCPU: 4000, MemoryMB: 4000})
+}
+
+func newBedOf(processes, workers int, capacity resource.Vector) *bed {
 	b := &bed{
 		board: fault.NewBoard(), agents: map[string]*agent.Agent{}, hosts: map[string][]platform.Host{},
 		random: rand.New(rand.NewPCG(1, 2)), groups: map[string]*rack.Group{}, owners: map[string]string{}, epochs: map[string]uint64{},
 		cut: map[string]time.Time{}, table: &bedTable{Table: &standin.Table{}, random: rand.New(rand.NewPCG(3, 4))},
 	}
-	capacity := resource.Vector{MilliCPU: 4000, MemoryMB: 4000}
 	for i := range processes {
 		name, process := fmt.Sprintf("rack-%d", i), fmt.Sprintf("e%d", i)
-		b.groups[process] = &rack.Group{}
+		b.groups[process] = newGroup()
 		for k := range workers {
 			id := fmt.Sprintf("w%d-%d", i, k)
 			b.agents[id] = &agent.Agent{ID: id, Capacity: capacity, Ledger: &b.ledger, Faults: b.board}
@@ -138,6 +145,10 @@
 	return b
 }
 
+func newGroup() *rack.Group {
+	return &rack.Group{Ward: &quarantine.Ward{ShareLimit: 0.25, Pause: 2 * time.Minute}}
+}
+
 // give makes a process the owner of a rack. The earlier owner sends nothing
 // any more.
 func (b *bed) give(name, process string) {
@@ -157,7 +168,7 @@
 // restart makes a process forget all that it knew; its racks get new owners.
 func (b *bed) restart(process string, next func(string) string) {
 	b.mutex.Lock()
-	b.groups[process] = &rack.Group{}
+	b.groups[process] = newGroup()
 	var mine []string
 	for name, owner := range b.owners {
 		if owner == process {
@@ -298,15 +309,35 @@
 	report, err := b.agents[id].Sync(ctx, s)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.messages, b.bytes = b.messages+1, b.bytes+size(s)+size(report)+headerBytes
 	if current, ok := g.Rack(r.Name); !ok || current != r {
 		return
 	}
 	changed, stale := r.Answer(id, s, report, err, time.Now())
 	if stale == nil {
-		g.Changed(r, changed)
+		g.Changed(r, changed, time.Now())
+		g.Guard(time.Now())
 	}
 }
 
+// headerBytes is about what a call and its answer need besides their bodies.
+const headerBytes = 400
+
+func size(v any) int {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return len(body)
+}
+
+// counted returns the messages to workers so far, and their bytes.
+func (b *bed) counted() (messages, bytes int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.messages, b.bytes
+}
+
 func (b *bed) apply(change string) {
 	if err := b.board.Apply([]byte(change)); err != nil {
 		panic(err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	"persimmonworks.example/persimmonworks/ownership"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
@@ -117,6 +118,7 @@
 	peerTimeout    = 2 * time.Second // silence after which a peer's adverts are dropped
 	submitWait     = 15 * time.Second
 	retention      = time.Hour
+	wardShare      = 0.25            // of the workers of a process, at most in quarantine at once
 	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
 	sessionBudget  = 6 << 10 // bytes a second for reading the sessions
@@ -235,6 +237,7 @@
 	p.follower = &chain.Follower{Reader: p.Table, Peers: &configPeers{p}, Log: p.Log}
 	p.follower.Subscribe(func(e *chain.Entry) { p.loop.Post(func() { p.configured(e) }) })
 	p.queue = queue.Queue{HalfLife: usageHalfLife}
+	p.racks.Ward = &quarantine.Ward{ShareLimit: wardShare}
 	p.desk = &dispatch.Desk{
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p: p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, CommitRate: p.commitRate, Retention: retention,
--- a/job/book.go
+++ b/job/book.go
@@ -188,6 +188,8 @@
 	t.Worker, t.Reason, t.Ran = e.Worker, e.Reason, e.Ran
 	if e.Failure {
 		t.Failures++
+		t.FailedOn = append(t.FailedOn, e.Worker)
+		t.FailedOn = t.FailedOn[max(0, len(t.FailedOn)-maxFailedOn):]
 	}
 	if len(e.Checkpoint) > 0 {
 		t.Checkpoint = e.Checkpoint
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -28,6 +28,7 @@
 	Result      []byte        `json:"result,omitempty"`
 	Ran         time.Duration `json:"ran-ns,omitempty"`
 	Failures    int           `json:"failures,omitempty"`
+	FailedOn    []string      `json:"failed-on,omitempty"`
 	CancelAsked bool          `json:"cancel-asked,omitempty"`
 	Intended    bool          `json:"intended,omitempty"`
 	Checkpoint  []byte        `json:"checkpoint,omitempty"`
@@ -43,7 +44,7 @@
 			if !state.Final() {
 				state = Waiting
 			}
-			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.CancelAsked, t.Intended, t.Checkpoint}
+			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.FailedOn, t.CancelAsked, t.Intended, t.Checkpoint}
 		}
 		images = append(images, image)
 	}
@@ -69,7 +70,7 @@
 		for i, t := range image.Tasks {
 			j.tasks[i] = Task{
 				Index: i, Attempt: t.Attempt, State: Waiting, Worker: t.Worker, Reason: t.Reason, Result: t.Result,
-				Ran: t.Ran, Failures: t.Failures, CancelAsked: t.CancelAsked, Intended: t.Intended,
+				Ran: t.Ran, Failures: t.Failures, FailedOn: t.FailedOn, CancelAsked: t.CancelAsked, Intended: t.Intended,
 				Checkpoint: t.Checkpoint,
 			}
 			j.setState(&j.tasks[i], t.State)
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -81,6 +81,9 @@
 type Wish struct {
 	Spread string // attempts of one key keep apart
 	Long   bool   // may not take what is kept for short work
+	// Avoid names workers that get the attempt only if no other worker of the
+	// rack could ever hold it.
+	Avoid []string
 }
 
 // ErrUnknownAttempt is returned for a Stop or Throttle of an attempt that is
@@ -116,10 +119,13 @@
 	urgent   bool // something to tell before the next regular Sync
 	heard    time.Time
 	sent     time.Time
+	spent    time.Time     // until when the budget of early messages is used up
 	clock    reading       // of the worker's clock; zero until it was heard
 	until    time.Duration // on that clock; no lease and no message lasts longer
 	misses   int
 	leaving  bool
+	held     string // why the worker is in quarantine, "" if it is not
+	trial    bool   // on probation: one attempt at a time
 	refs     map[worker.Ref]*Attempt
 }
 
@@ -163,11 +169,7 @@
 		return
 	}
 	m.leaving = leaving
-	if leaving {
-		r.close(m, "leaving")
-	} else if m.accepted && m.misses < missesToClose {
-		r.open(m)
-	}
+	r.settle(m)
 }
 
 func (r *Rack) close(m *member, reason string) { _ = r.shard.Close(m.host.ID, reason) }
@@ -246,7 +248,7 @@
 		return a, nil
 	}
 	task := placement.Task{ID: key(s.Ref), Demand: s.Demand, Class: class.Class(s.Class), Spread: w.Spread, Long: w.Long}
-	id, err := r.shard.Place(task, rng)
+	id, err := r.choose(task, w.Avoid, rng)
 	if err != nil {
 		return nil, fmt.Errorf("rack %s, task %s attempt %d: %w", r.Name, s.Task, s.Attempt, err)
 	}
@@ -254,9 +256,36 @@
 	r.attempts[s.Ref] = a
 	m := r.members[id]
 	m.refs[s.Ref], m.urgent = a, true
+	if m.trial {
+		r.settle(m)
+	}
 	return a, nil
 }
 
+// choose places a task, with the workers to avoid closed for the moment.
+func (r *Rack) choose(t placement.Task, avoid []string, rng *rand.Rand) (string, error) {
+	if len(avoid) > 0 && r.holdsElsewhere(t.Demand, avoid) {
+		for _, id := range avoid {
+			if m, ok := r.members[id]; ok && r.shard.Closed(id) == "" {
+				r.close(m, "failed this task before")
+				defer r.open(m)
+			}
+		}
+	}
+	return r.shard.Place(t, rng)
+}
+
+// holdsElsewhere reports whether a worker that is not to be avoided could hold
+// a demand when it is free.
+func (r *Rack) holdsElsewhere(demand resource.Vector, avoid []string) bool {
+	for id, m := range r.members {
+		if m.accepted && !m.leaving && m.held == "" && m.host.Capacity.Covers(demand) && !slices.Contains(avoid, id) {
+			return true
+		}
+	}
+	return false
+}
+
 func key(ref worker.Ref) string { return fmt.Sprintf("%s#%d", ref.Task, ref.Attempt) }
 
 // Refuse makes sure that an attempt which is not on the rack never starts
