dispatch: learned run times, and room kept for short work

Cause: package estimate and the reserve of package placement were not used, so a quick check waited behind renderings that filled the pool. Change: the desk learns run times by organisation and kind; work expected to run above 10 s, and services, count as long, which may not take the sixteenth of each worker that racks keep (wire: Placement.long, largest_long of a shard's advert). Urgent work is never long. Items and tests are split into smaller files. Limits: not measured what the sixteenth costs long batches; an attempt taken over from an earlier owner of its rack counts as short; nothing learned outlives the process.

--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -40,9 +40,8 @@
 func (quiet) Emit(*event.Event, ...any) {}
 
 var (
-	_ event.Emitter  = quiet{}
-	_ Racks          = (*bed)(nil)
-	_ platform.Table = (*bedTable)(nil)
+	_ event.Emitter = quiet{}
+	_ Racks         = (*bed)(nil)
 )
 
 // bed is a Desk with processes that own racks of stand-in agents. It runs in
@@ -65,7 +64,8 @@
 	// unfair holds until when messages between processes are dropped, late, or
 	// answered in vain.
 	unfairUntil time.Time
-	messages    int // to workers
+	reserve     float64 // of each worker for short work
+	messages    int     // to workers
 	bytes       int
 	cut         map[string]time.Time // processes that cannot be reached
 
@@ -76,48 +76,6 @@
 	epoch uint64
 }
 
-// bedTable loses answers and refuses writes until a time.
-type bedTable struct {
-	platform.Table
-	mutex  sync.Mutex
-	random *rand.Rand
-	until  time.Time
-	away   time.Time
-}
-
-func (t *bedTable) chance(percent int) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	now := time.Now()
-	return now.Before(t.away) || now.Before(t.until) && t.random.IntN(100) < percent
-}
-
-func (t *bedTable) isAway() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return time.Now().Before(t.away)
-}
-
-func (t *bedTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	time.Sleep(time.Millisecond)
-	if t.chance(20) {
-		return platform.Row{}, platform.ErrUnavailable
-	}
-	return t.Table.Get(ctx, key)
-}
-
-func (t *bedTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
-	time.Sleep(time.Millisecond)
-	if t.isAway() || t.chance(20) {
-		return nil, platform.ErrUnavailable
-	}
-	versions, err := t.Table.Commit(ctx, ops...)
-	if t.chance(30) {
-		return nil, platform.ErrUnknown
-	}
-	return versions, err
-}
-
 // newBed returns a bed with so many processes, each with one rack.
 func newBed(processes, workers int) *bed {
 	return newBedOf(processes, workers, resource.Vector{MilliCPU: 4000, MemoryMB: 4000})
@@ -157,7 +115,7 @@
 		old.Remove(name)
 	}
 	b.epochs[name]++
-	r := &rack.Rack{Name: name, Epoch: b.epochs[name], Lease: testLease, Transit: 3 * time.Second}
+	r := &rack.Rack{Name: name, Epoch: b.epochs[name], Lease: testLease, Transit: 3 * time.Second, Reserve: b.reserve}
 	r.AllowWaitOut(time.Now())
 	r.SetHosts(b.hosts[name], time.Now())
 	b.owners[name] = process
@@ -187,7 +145,7 @@
 	loop, valid := control.New(), true
 	d := &Desk{
 		Loop: loop, Table: b.table, Objects: &b.objects, Process: fmt.Sprintf("d%d", b.epoch), DataCentre: "dc1", Racks: b,
-		Valid: func(time.Time) bool { return valid }, Queue: &queue.Queue{}, Directory: &directory.Directory{}, Log: quiet{},
+		Valid: func(time.Time) bool { return valid }, Queue: &queue.Queue{}, Directory: &directory.Directory{}, Log: quiet{}, LongTime: 10 * time.Second,
 		Rand: rand.New(rand.NewPCG(b.epoch, 0)), Retention: time.Hour,
 	}
 	done := make(chan struct{})
--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -100,6 +100,6 @@
 		if t.State != job.Waiting || s.unresolved[task] || paused[task] || s.ending[worker.Ref{Task: task, Attempt: t.Attempt}] {
 			continue
 		}
-		d.Queue.Push(item(j, t.Index, now))
+		d.Queue.Push(d.item(j, t.Index, now))
 	}
 }
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -35,6 +35,7 @@
 
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
+	"persimmonworks.example/persimmonworks/estimate"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/platform"
@@ -93,6 +94,9 @@
 	Rand      *rand.Rand
 	// Ended, when set, is told on the loop of every attempt that has ended.
 	Ended func(j *job.Job, t *job.Task, w *wire.Attempt)
+	// LongTime is the expected run time above which work is long, and may not
+	// take what racks keep for short work; 0 for no such limit.
+	LongTime time.Duration
 	// Retention is how long finished jobs can be asked about.
 	Retention time.Duration
 
@@ -100,8 +104,10 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	delays []delayed
-	closed bool // nothing is accepted or placed any more
-	ended  bool // Run is about to return
+	// estimates are learned from the tasks that this process has seen end.
+	estimates estimate.Estimator
+	closed    bool // nothing is accepted or placed any more
+	ended     bool // Run is about to return
 }
 
 // Run dispatches until ctx ends.
@@ -229,15 +235,6 @@
 	d.resolve(s)
 }
 
-// item describes a task to the queue.
-func item(j *job.Job, index int, now time.Time) queue.Item {
-	return queue.Item{
-		ID: job.TaskID(j.ID, index), Group: j.ID, Organisation: j.Spec.Organisation, Class: j.Spec.Class,
-		Priority: j.Spec.Priority, Kind: j.Spec.Kind, Demand: j.Demand(index), Estimate: j.Estimate(index),
-		Enqueued: now, Deadline: j.Deadline(),
-	}
-}
-
 // tick does what is due; it runs on the loop.
 func (d *Desk) tick(now time.Time) {
 	if !d.Valid(now) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -35,7 +35,7 @@
 }
 
 func wanted(i queue.Item) placement.Task {
-	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class}
+	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
 }
 
 // assign books a task for a rack. The intent to send a non-idempotent task is
@@ -77,7 +77,7 @@
 		Task: ref.Task, Attempt: ref.Attempt, Organisation: j.Spec.Organisation, Class: string(j.Spec.Class), Kind: j.Spec.Kind,
 		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Work(t.Index),
 		NonIdempotent: j.Spec.NonIdempotent, Shard: x.rack, JobShard: d.qualified(s),
-		ShardEpoch: owner.Epoch,
+		ShardEpoch: owner.Epoch, Long: x.item.Long,
 	})
 }
 
@@ -167,6 +167,7 @@
 		l := s.link(p.ackTo)
 		l.acks = append(l.acks, &wire.AttemptRef{Task: ref.Task, Attempt: ref.Attempt})
 	}
+	d.observe(s, e)
 	switch {
 	case e.Kind == job.EntryRetry:
 		d.retry(s, e, now)
@@ -183,7 +184,7 @@
 	if !ok {
 		return
 	}
-	i := item(j, e.Task, now)
+	i := d.item(j, e.Task, now)
 	t := j.Tasks()[e.Task]
 	if d.endCancelled(s, i.ID, &t) {
 		return
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -202,7 +202,7 @@
 		s.book.Apply(e)
 		j, _ := s.book.Job(e.Job)
 		for i := range j.Tasks() {
-			d.Queue.Push(item(j, i, now))
+			d.Queue.Push(d.item(j, i, now))
 		}
 		d.Log.Emit(event.JobAccepted, "job", e.Job, "organisation", j.Spec.Organisation, "tasks", len(j.Tasks()))
 		answer(p, Outcome{Job: e.Job})
@@ -213,7 +213,7 @@
 		s.book.Apply(e)
 		if j, ok := s.book.Job(e.Job); ok {
 			for _, i := range e.Others(j) {
-				d.Queue.Push(item(j, i, now))
+				d.Queue.Push(d.item(j, i, now))
 			}
 		}
 	case job.EntryIntent:
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -224,7 +224,7 @@
 		case j.Spec.NonIdempotent && t.Intended:
 			d.endAttempt(s, ref, job.End{Outcome: job.Unknown, MayHaveRun: true, Reason: "was being sent when the job's owner was lost"}, "")
 		case j.Spec.NonIdempotent: // without an intent it was never sent
-			d.Queue.Push(item(j, t.Index, now))
+			d.Queue.Push(d.item(j, t.Index, now))
 		default:
 			regrant[j.ID] = true
 		}
@@ -313,7 +313,7 @@
 	if err := s.book.MarkSent(ref.Task, ref.Attempt, a.Shard); err != nil {
 		return
 	}
-	i := item(j, t.Index, now)
+	i := d.item(j, t.Index, now)
 	d.Queue.Started(i, now)
 	s.sent[ref] = &sending{item: i, rack: a.Shard, sequence: 1}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,8 +105,10 @@
 	peerTimeout    = 2 * time.Second // silence after which a peer's adverts are dropped
 	submitWait     = 15 * time.Second
 	retention      = time.Hour
-	wardShare      = 0.25            // of the workers of a process, at most in quarantine at once
-	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
+	longTime       = 10 * time.Second // expected run time above which work is long
+	shortReserve   = 1.0 / 16         // of each worker, kept for short work
+	wardShare      = 0.25             // of the workers of a process, at most in quarantine at once
+	maxTransit     = 3 * time.Second  // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
 )
 
@@ -224,6 +226,7 @@
 	p.desk = &dispatch.Desk{
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, Retention: retention,
+		LongTime: longTime,
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
 	p.forward = &forward.Forwarder{
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -148,7 +148,7 @@
 		}
 		s.Shards = append(s.Shards, &wire.ShardStatus{
 			Shard: r.Name, Epoch: r.Epoch, Free: rack.WireOf(r.Free()), Capacity: rack.WireOf(r.Capacity()),
-			Largest: rack.WireOf(r.Largest()), Ready: r.Complete(),
+			Largest: rack.WireOf(r.Largest()), LargestLong: rack.WireOf(r.LargestLong()), Ready: r.Complete(),
 		})
 		p.directory.Update(directory.Summary{
 			Shard: r.Name, Rack: r.Name, DataCentre: s.DataCentre, Largest: r.Largest(), Long: r.LargestLong(), Free: r.Free(),
@@ -201,7 +201,7 @@
 		}
 		p.directory.Update(directory.Summary{
 			Shard: x.Shard, Rack: x.Shard, DataCentre: s.DataCentre, Largest: rack.VectorOf(x.Largest),
-			Long: rack.VectorOf(x.Largest), Free: rack.VectorOf(x.Free),
+			Long: rack.VectorOf(x.LargestLong), Free: rack.VectorOf(x.Free),
 		})
 	}
 }
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -19,7 +19,7 @@
 			p.desk.Take(g.Shard, g.Epoch)
 			return
 		}
-		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit}
+		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit, Reserve: shortReserve}
 		if g.WaitOut.Allowed {
 			r.AllowWaitOut(g.WaitOut.From)
 		}
--- a/rack/group.go
+++ b/rack/group.go
@@ -167,7 +167,7 @@
 			refuse("rack shard " + p.Shard + " has had another owner meanwhile")
 			continue
 		}
-		_, err := r.Place(startOf(p), Wish{Spread: spreadOf(p)}, now, rng)
+		_, err := r.Place(startOf(p), Wish{Spread: spreadOf(p), Long: p.Long}, now, rng)
 		switch {
 		case errors.Is(err, placement.ErrTooLarge):
 			refuse("larger than any worker of " + p.Shard)
