rack, dispatch: urgent work makes room for itself

Cause: package preemption was not used; an urgent task waited until a batch task ended by itself. Change: the desk asks a rack, one request each 250 ms, to make room for an urgent task that fits nowhere. The rack stops the batch attempts that preemption.Victims chooses, with a checkpoint where that loses less, and gives the room to the urgent task: nothing else is placed on the rack meanwhile, and after 10 s the attempt is refused. The victim's end is durable with its checkpoint before its next attempt is sent. Attempts that must not run twice are never stopped; Start carries the mark, so that a later owner of the rack knows it too. Ruled out: room that is freed and advertised (another batch task takes it). Tests: TestUrgentWorkPreempts: two urgent tasks are done 5 s after they came to a full pool, at most two of 16 batch tasks have a second attempt, from its checkpoint; with non-idempotent batch work nothing is stopped. Not done: throttling, the choice of the rack (random, so that it may stop more than needed), overdue tasks and earmarks, spread of services.

--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -273,6 +273,7 @@
 	if stale == nil {
 		g.Changed(r, changed, time.Now())
 		g.Guard(time.Now())
+		g.Seat(time.Now(), b.random)
 	}
 }
 
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -72,7 +72,8 @@
 	syncTimeout      = 3 * time.Second
 	commitTimeout    = 5 * time.Second
 	placementsInTick = 500
-	compactRows      = 400 // journal rows after which a snapshot is made
+	compactRows      = 400                    // journal rows after which a snapshot is made
+	preemptPause     = 250 * time.Millisecond // between requests to make room
 	failurePause     = 500 * time.Millisecond
 	maxFailurePause  = 30 * time.Second
 )
@@ -105,9 +106,10 @@
 	ctx    context.Context
 	delays []delayed
 	// estimates are learned from the tasks that this process has seen end.
-	estimates estimate.Estimator
-	closed    bool // nothing is accepted or placed any more
-	ended     bool // Run is about to return
+	estimates   estimate.Estimator
+	nextPreempt time.Time
+	closed      bool // nothing is accepted or placed any more
+	ended       bool // Run is about to return
 }
 
 // Run dispatches until ctx ends.
@@ -244,6 +246,7 @@
 		d.requeue(now)
 		d.expire(now)
 		d.place(now)
+		d.preempt(now)
 	}
 	for _, s := range d.shards {
 		if s.book == nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/placement"
@@ -34,6 +36,34 @@
 	}
 }
 
+// preempt asks a rack to make room for an urgent task that fits nowhere.
+func (d *Desk) preempt(now time.Time) {
+	if now.Before(d.nextPreempt) {
+		return
+	}
+	i, ok := d.Queue.Next(now, func(i queue.Item) bool { return i.Class == class.Urgent })
+	if !ok {
+		return
+	}
+	d.nextPreempt = now.Add(preemptPause)
+	s, t := d.find(i.ID)
+	if s == nil || t.State != job.Waiting || t.CancelAsked || s.cancelling[i.Group] > 0 {
+		return
+	}
+	var racks []string
+	for name, o := range d.Racks.Owners() {
+		if o.Process != "" {
+			racks = append(racks, name)
+		}
+	}
+	if len(racks) == 0 {
+		d.Queue.Push(i)
+		return
+	}
+	slices.Sort(racks)
+	d.assignTo(s, t, i, racks[d.Rand.IntN(len(racks))], true, now)
+}
+
 func wanted(i queue.Item) placement.Task {
 	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
 }
@@ -41,12 +71,16 @@
 // assign books a task for a rack. The intent to send a non-idempotent task is
 // made durable first.
 func (d *Desk) assign(s *shard, t *job.Task, i queue.Item, rackName string, now time.Time) {
+	d.assignTo(s, t, i, rackName, false, now)
+}
+
+func (d *Desk) assignTo(s *shard, t *job.Task, i queue.Item, rackName string, preempt bool, now time.Time) {
 	ref := worker.Ref{Task: i.ID, Attempt: t.Attempt}
 	if err := s.book.MarkSent(i.ID, t.Attempt, rackName); err != nil {
 		return
 	}
 	d.Queue.Started(i, now)
-	s.sent[ref] = &sending{item: i, rack: rackName}
+	s.sent[ref] = &sending{item: i, rack: rackName, preempt: preempt}
 	_, j := d.lookup(i.Group)
 	if j.Spec.NonIdempotent && !t.Intended {
 		e := job.Entry{Kind: job.EntryIntent, Job: j.ID, Task: t.Index, Attempt: t.Attempt}
@@ -77,7 +111,7 @@
 		Task: ref.Task, Attempt: ref.Attempt, Organisation: j.Spec.Organisation, Class: string(j.Spec.Class), Kind: j.Spec.Kind,
 		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Work(t.Index),
 		NonIdempotent: j.Spec.NonIdempotent, Shard: x.rack, JobShard: d.qualified(s),
-		ShardEpoch: owner.Epoch, Long: x.item.Long,
+		ShardEpoch: owner.Epoch, Long: x.item.Long, Preempt: x.preempt,
 	})
 }
 
--- a/dispatch/schedule_test.go
+++ b/dispatch/schedule_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/ledger"
 	"persimmonworks.example/persimmonworks/wire"
@@ -40,7 +41,7 @@
 			Kind:  rapid.SampledFrom(happenings).Draw(t, "kind"),
 			Place: rapid.IntRange(0, 1).Draw(t, "place"),
 			For:   time.Duration(rapid.IntRange(1, 200).Draw(t, "for")) * scheduleTick,
-			Tasks: rapid.IntRange(1, 8).Draw(t, "tasks"),
+			Tasks: rapid.IntRange(1, 16).Draw(t, "tasks"),
 			Once:  rapid.Bool().Draw(t, "once"),
 		}
 	}), 1, 20).Draw(t, "events")
@@ -67,6 +68,9 @@
 		work = fmt.Sprintf(`{"run-ms":%d,"output":"s%d","non-idempotent":true}`, h.For.Milliseconds(), number)
 	}
 	s := spec(h.Tasks, work)
+	if h.Tasks%3 == 0 {
+		s.Class = class.Urgent
+	}
 	s.Name, s.NonIdempotent = fmt.Sprint("s", number), h.Once
 	d := c.desk
 	c.group.Go(func() {
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -48,6 +48,7 @@
 	sequence  uint64 // of the message that carried it; 0 until it is sent
 	uncertain bool   // the answer to the message was lost
 	stopping  bool
+	preempt   bool // the rack may stop batch work for it
 }
 
 type pendingEntry struct {
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -107,6 +107,7 @@
 	}
 	p.racks.Changed(r, changed, time.Now())
 	p.racks.Guard(time.Now())
+	p.racks.Seat(time.Now(), p.rng)
 	if after := r.Closed(id); after != before {
 		p.logWorker(id, after)
 	}
--- a/rack/group.go
+++ b/rack/group.go
@@ -100,6 +100,14 @@
 	}
 }
 
+// Seat gives attempts that wait for room a worker; it is called after Changed,
+// and from time to time.
+func (g *Group) Seat(now time.Time, rng *rand.Rand) {
+	for _, r := range g.racks {
+		g.Changed(r, r.seat(now, rng), now)
+	}
+}
+
 // Sync carries out what the owner of a job shard asks and reports what it is
 // to know. The refusal is not nil when the message is from an owner that was
 // deposed, or overtaken by a later message; nothing was done then.
@@ -167,7 +175,11 @@
 			refuse("rack shard " + p.Shard + " has had another owner meanwhile")
 			continue
 		}
-		_, err := r.Place(startOf(p), Wish{Spread: spreadOf(p), Long: p.Long}, now, rng)
+		choose := r.Place
+		if p.Preempt {
+			choose = r.PlaceUrgent
+		}
+		_, err := choose(startOf(p), Wish{Spread: spreadOf(p), Long: p.Long}, now, rng)
 		switch {
 		case errors.Is(err, placement.ErrTooLarge):
 			refuse("larger than any worker of " + p.Shard)
@@ -188,6 +200,7 @@
 	return worker.Start{
 		Ref: worker.Ref{Task: p.Task, Attempt: p.Attempt}, JobShard: p.JobShard, Organisation: p.Organisation,
 		Class: p.Class, Kind: p.Kind, Demand: VectorOf(p.Demand), Work: p.Work,
+		NonIdempotent: p.NonIdempotent,
 	}
 }
 
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -99,6 +99,8 @@
 	shard    placement.Shard
 	members  map[string]*member
 	attempts map[worker.Ref]*Attempt
+	waiting  []waiting             // for room
+	byKey    map[string]worker.Ref // of the last choice of victims
 	// waitOutFrom is the time from which leases of the previous owner run out;
 	// zero while unreachable workers must stay closed.
 	waitOutFrom time.Time
@@ -241,18 +243,16 @@
 	if a, ok := r.attempts[s.Ref]; ok {
 		return a, nil
 	}
-	task := placement.Task{ID: key(s.Ref), Demand: s.Demand, Class: class.Class(s.Class), Spread: w.Spread, Long: w.Long}
-	id, err := r.shard.Place(task, rng)
+	if len(r.waiting) > 0 && class.Class(s.Class) != class.Urgent {
+		return nil, fmt.Errorf("rack %s makes room for urgent work: %w", r.Name, placement.ErrNoRoom)
+	}
+	id, err := r.shard.Place(r.task(s, w), rng)
 	if err != nil {
 		return nil, fmt.Errorf("rack %s, task %s attempt %d: %w", r.Name, s.Task, s.Attempt, err)
 	}
-	a := &Attempt{Start: s, Worker: id, State: Starting, placed: now}
+	a := &Attempt{Start: s, State: Starting, placed: now}
 	r.attempts[s.Ref] = a
-	m := r.members[id]
-	m.refs[s.Ref], m.urgent = a, true
-	if m.trial {
-		r.settle(m)
-	}
+	r.put(a, id)
 	return a, nil
 }
 
@@ -305,7 +305,7 @@
 // Throttle limits a running attempt to a percentage of its processors.
 func (r *Rack) Throttle(ref worker.Ref, percent int) error {
 	a, ok := r.attempts[ref]
-	if !ok || a.Final() {
+	if !ok || a.Final() || !a.sent {
 		return fmt.Errorf("throttle of task %s attempt %d on rack %s: %w", ref.Task, ref.Attempt, r.Name, ErrUnknownAttempt)
 	}
 	a.throttle = percent
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -95,6 +95,9 @@
 	Kind         string          `json:"kind,omitempty"`
 	Demand       resource.Vector `json:"demand"`
 	Work         []byte          `json:"work,omitempty"` // passed to the task as it is
+	// NonIdempotent tells later owners that the attempt must not be stopped to
+	// be run again.
+	NonIdempotent bool `json:"non-idempotent,omitempty"`
 }
 
 // Stop ends an attempt, after a checkpoint if asked for.
