--- /dev/null
+++ b/job/bench_test.go
@@ -0,0 +1,115 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/resource"
+	"persimmonworks.example/persimmonworks/standin"
+)
+
+// meteredTable counts what a takeover asks of the platform.
+type meteredTable struct {
+	platform.Table
+	reads, writes, bytes int
+}
+
+func (m *meteredTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	r, err := m.Table.Get(ctx, key)
+	m.reads, m.bytes = m.reads+1, m.bytes+len(r.Value)
+	return r, err
+}
+
+func (m *meteredTable) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := m.Table.Range(ctx, prefix, after, limit)
+	m.reads++
+	for _, r := range rows {
+		m.bytes += len(r.Value)
+	}
+	return rows, err
+}
+
+func (m *meteredTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+	m.writes++
+	return m.Table.Commit(ctx, ops...)
+}
+
+// BenchmarkTakeover opens a job shard with 3,800 open tasks in 38 jobs, of
+// which a half are on their second attempt, from the journal alone and from a
+// snapshot.
+func BenchmarkTakeover(b *testing.B) {
+	const jobs, tasks = 38, 100
+	for _, snapshot := range []bool{false, true} {
+		b.Run(fmt.Sprintf("snapshot=%v", snapshot), func(b *testing.B) {
+			table := &meteredTable{Table: &standin.Table{}}
+			s := &job.Store{Table: table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: "jobs-1", Epoch: 1, Writer: "e1"}
+			book, err := s.Open(b.Context())
+			if err != nil {
+				b.Fatal(err)
+			}
+			write := func(entries []job.Entry) {
+				if err := s.Append(b.Context(), entries); err != nil {
+					b.Fatal(err)
+				}
+				for _, e := range entries {
+					book.Apply(e)
+				}
+			}
+			for i := range jobs {
+				spec := job.Spec{Organisation: "prado", Class: class.Batch, Kind: "rendering", Demand: resource.Vector{MilliCPU: 2000, MemoryMB: 1024}}
+				for k := range tasks {
+					spec.Tasks = append(spec.Tasks, job.TaskSpec{Work: fmt.Appendf(nil, `{"run-ms":60000,"output":"mould %d"}`, k)})
+				}
+				id := job.NewID("dc1", "jobs-1", fmt.Sprint(i))
+				write([]job.Entry{job.Accept(id, spec, time.Unix(int64(i), 0))})
+				var batch []job.Entry
+				for k := 0; k < tasks; k += 2 {
+					e, _ := book.Ended(job.TaskID(id, k), 1, job.End{Outcome: job.Failed, MayHaveRun: true, Reason: "task failed", Worker: "w-dc1-r1-01"})
+					if batch = append(batch, e); len(batch) == 10 {
+						write(batch)
+						batch = nil
+					}
+				}
+			}
+			size := 0
+			if snapshot {
+				image, err := book.Image()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := s.Compact(b.Context(), image, s.Next()); err != nil {
+					b.Fatal(err)
+				}
+				size = len(image)
+			}
+			*table = meteredTable{Table: table.Table}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var kept []*job.Book
+			for n := 0; b.Loop(); n++ {
+				next := &job.Store{Table: table, Objects: s.Objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: uint64(n) + 2, Writer: fmt.Sprint(n)}
+				book, err := next.Open(b.Context())
+				if err != nil {
+					b.Fatal(err)
+				}
+				kept = append(kept, book)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(table.reads)/float64(b.N), "reads/op")
+			b.ReportMetric(float64(table.writes)/float64(b.N), "writes/op")
+			b.ReportMetric(float64(table.bytes)/float64(b.N), "table-bytes/op")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(kept)*jobs*tasks), "heap-bytes/task")
+			b.ReportMetric(float64(size), "snapshot-bytes")
+			runtime.KeepAlive(kept)
+			runtime.KeepAlive(book)
+		})
+	}
+}
