dispatch: spread the tasks of a service over racks

Cause: the desk passed no spread key to the directory, so that the tasks of a service met on one rack; on a rack, all services of one kind of a job shard shared a key. Change: a service's job is the key, in the directory and on the rack; the directory is told when a task leaves. Tests: TestServiceIsSpread (8 services of 2 tasks, each on two racks): red before, green after.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -172,7 +172,7 @@
 		d.Queue.CancelGroup(j.ID)
 	}
 	for _, x := range s.sent {
-		d.Queue.Ended(x.item, time.Now())
+		d.left(x, time.Now())
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -64,8 +64,21 @@
 	d.assignTo(s, t, i, racks[d.Rand.IntN(len(racks))], true, now)
 }
 
+// wanted describes a task to the directory. The tasks of a service keep apart.
 func wanted(i queue.Item) placement.Task {
-	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
+	t := placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
+	if i.Class == class.Service {
+		t.Spread = i.Group
+	}
+	return t
+}
+
+// left notes that an attempt is not on its rack any more.
+func (d *Desk) left(x *sending, now time.Time) {
+	d.Queue.Ended(x.item, now)
+	if spread := wanted(x.item).Spread; spread != "" {
+		d.Directory.Ended(x.rack, spread)
+	}
 }
 
 // assign books a task for a rack. The intent to send a non-idempotent task is
@@ -145,7 +158,7 @@
 		return
 	}
 	delete(s.sent, ref)
-	d.Queue.Ended(x.item, now)
+	d.left(x, now)
 	if err := s.book.MarkUnsent(ref.Task, ref.Attempt); err != nil {
 		return
 	}
@@ -195,7 +208,7 @@
 	delete(s.unresolved, ref.Task)
 	if x, ok := s.sent[ref]; ok {
 		delete(s.sent, ref)
-		d.Queue.Ended(x.item, now)
+		d.left(x, now)
 	}
 	if p.ackTo != "" {
 		l := s.link(p.ackTo)
--- a/rack/group.go
+++ b/rack/group.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/resource"
@@ -190,10 +192,11 @@
 }
 
 func spreadOf(p *wire.Placement) string {
-	if p.Class != "service" {
+	if class.Class(p.Class) != class.Service {
 		return ""
 	}
-	return p.JobShard + p.Kind
+	job, _, _ := strings.Cut(p.Task, "/")
+	return job
 }
 
 func startOf(p *wire.Placement) worker.Start {
