--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -37,6 +37,7 @@
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
+	"persimmonworks.example/persimmonworks/estimate"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/platform"
@@ -73,7 +74,8 @@
 	syncTimeout      = 3 * time.Second
 	commitTimeout    = 5 * time.Second
 	placementsInTick = 500
-	compactRows      = 400 // journal rows after which a snapshot is made
+	compactRows      = 400                    // journal rows after which a snapshot is made
+	preemptPause     = 250 * time.Millisecond // between requests to make room
 	failurePause     = 500 * time.Millisecond
 	maxFailurePause  = 30 * time.Second
 )
@@ -95,6 +97,9 @@
 	Rand      *rand.Rand
 	// Ended, when set, is told on the loop of every attempt that has ended.
 	Ended func(j *job.Job, t *job.Task, w *wire.Attempt)
+	// LongTime is the expected run time above which work is long, and may not
+	// take what racks keep for short work; 0 for no such limit.
+	LongTime time.Duration
 	// Placed, when set, is told on the loop of every task that got a rack and
 	// how long it waited in the queue.
 	Placed func(c class.Class, waited time.Duration)
@@ -111,8 +116,11 @@
 	ctx    context.Context
 	delays []delayed
 	pace   commitPace
-	closed bool // nothing is accepted or placed any more
-	ended  bool // Run is about to return
+	// estimates are learned from the tasks that this process has seen end.
+	estimates   estimate.Estimator
+	nextPreempt time.Time
+	closed      bool // nothing is accepted or placed any more
+	ended       bool // Run is about to return
 }
 
 // Run dispatches until ctx ends.
@@ -175,7 +183,7 @@
 		d.Queue.CancelGroup(j.ID)
 	}
 	for _, x := range s.sent {
-		d.Queue.Ended(x.item, time.Now())
+		d.left(x, time.Now())
 	}
 }
 
@@ -240,15 +248,6 @@
 	d.resolve(s)
 }
 
-// item describes a task to the queue.
-func item(j *job.Job, index int, now time.Time) queue.Item {
-	return queue.Item{
-		ID: job.TaskID(j.ID, index), Group: j.ID, Organisation: j.Spec.Organisation, Class: j.Spec.Class,
-		Priority: j.Spec.Priority, Kind: j.Spec.Kind, Demand: j.Demand(index), Estimate: j.Estimate(index),
-		Enqueued: now, Deadline: j.Deadline(),
-	}
-}
-
 // tick does what is due; it runs on the loop.
 func (d *Desk) tick(now time.Time) {
 	if !d.Valid(now) {
@@ -258,6 +257,7 @@
 		d.requeue(now)
 		d.expire(now)
 		d.place(now)
+		d.preempt(now)
 	}
 	for _, s := range d.shards {
 		if s.book == nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/placement"
@@ -34,13 +36,58 @@
 	}
 }
 
+// preempt asks a rack to make room for an urgent task that fits nowhere.
+func (d *Desk) preempt(now time.Time) {
+	if now.Before(d.nextPreempt) {
+		return
+	}
+	i, ok := d.Queue.Next(now, func(i queue.Item) bool { return i.Class == class.Urgent })
+	if !ok {
+		return
+	}
+	d.nextPreempt = now.Add(preemptPause)
+	s, t := d.find(i.ID)
+	if s == nil || t.State != job.Waiting || t.CancelAsked || s.cancelling[i.Group] > 0 {
+		return
+	}
+	var racks []string
+	for name, o := range d.Racks.Owners() {
+		if o.Process != "" {
+			racks = append(racks, name)
+		}
+	}
+	if len(racks) == 0 {
+		d.Queue.Push(i)
+		return
+	}
+	slices.Sort(racks)
+	d.assignTo(s, t, i, racks[d.Rand.IntN(len(racks))], true, now)
+}
+
+// wanted describes a task to the directory. The tasks of a service keep apart.
 func wanted(i queue.Item) placement.Task {
-	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class}
+	t := placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
+	if i.Class == class.Service {
+		t.Spread = i.Group
+	}
+	return t
+}
+
+// left notes that an attempt is not on its rack any more.
+func (d *Desk) left(x *sending, now time.Time) {
+	d.Queue.Ended(x.item, now)
+	if spread := wanted(x.item).Spread; spread != "" {
+		d.Directory.Ended(x.rack, spread)
+	}
 }
 
 // assign books a task for a rack. The intent to send a non-idempotent task is
 // made durable first.
 func (d *Desk) assign(s *shard, t *job.Task, i queue.Item, rackName string, now time.Time) {
+	d.assignTo(s, t, i, rackName, false, now)
+}
+
+func (d *Desk) assignTo(s *shard, t *job.Task, i queue.Item, rackName string, preempt bool, now time.Time) {
 	ref := worker.Ref{Task: i.ID, Attempt: t.Attempt}
 	if err := s.book.MarkSent(i.ID, t.Attempt, rackName); err != nil {
 		return
@@ -49,7 +96,7 @@
 	if d.Placed != nil {
 		d.Placed(i.Class, now.Sub(i.Enqueued))
 	}
-	s.sent[ref] = &sending{item: i, rack: rackName}
+	s.sent[ref] = &sending{item: i, rack: rackName, preempt: preempt}
 	_, j := d.lookup(i.Group)
 	if j.Spec.NonIdempotent && !t.Intended {
 		e := job.Entry{Kind: job.EntryIntent, Job: j.ID, Task: t.Index, Attempt: t.Attempt}
@@ -80,7 +127,7 @@
 		Task: ref.Task, Attempt: ref.Attempt, Organisation: j.Spec.Organisation, Class: string(j.Spec.Class), Kind: j.Spec.Kind,
 		Demand: rack.WireOf(x.item.Demand), EstimateMs: uint64(x.item.Estimate.Milliseconds()), Work: j.Work(t.Index),
 		NonIdempotent: j.Spec.NonIdempotent, Shard: x.rack, JobShard: d.qualified(s),
-		ShardEpoch: owner.Epoch, Avoid: t.FailedOn,
+		ShardEpoch: owner.Epoch, Avoid: t.FailedOn, Long: x.item.Long, Preempt: x.preempt,
 	})
 }
 
@@ -114,7 +161,7 @@
 		return
 	}
 	delete(s.sent, ref)
-	d.Queue.Ended(x.item, now)
+	d.left(x, now)
 	if err := s.book.MarkUnsent(ref.Task, ref.Attempt); err != nil {
 		return
 	}
@@ -164,12 +211,13 @@
 	delete(s.unresolved, ref.Task)
 	if x, ok := s.sent[ref]; ok {
 		delete(s.sent, ref)
-		d.Queue.Ended(x.item, now)
+		d.left(x, now)
 	}
 	if p.ackTo != "" {
 		l := s.link(p.ackTo)
 		l.acks = append(l.acks, &wire.AttemptRef{Task: ref.Task, Attempt: ref.Attempt})
 	}
+	d.observe(s, e)
 	switch {
 	case e.Kind == job.EntryRetry:
 		d.retry(s, e, now)
@@ -186,7 +234,7 @@
 	if !ok {
 		return
 	}
-	i := item(j, e.Task, now)
+	i := d.item(j, e.Task, now)
 	t := j.Tasks()[e.Task]
 	if d.endCancelled(s, i.ID, &t) {
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,8 +118,10 @@
 	peerTimeout    = 2 * time.Second // silence after which a peer's adverts are dropped
 	submitWait     = 15 * time.Second
 	retention      = time.Hour
-	wardShare      = 0.25            // of the workers of a process, at most in quarantine at once
-	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
+	longTime       = 10 * time.Second // expected run time above which work is long
+	shortReserve   = 1.0 / 16         // of each worker, kept for short work
+	wardShare      = 0.25             // of the workers of a process, at most in quarantine at once
+	maxTransit     = 3 * time.Second  // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
 	sessionBudget  = 6 << 10 // bytes a second for reading the sessions
 	journalWrites  = 150.0   // a second in all processes, half of the platform's 300
@@ -243,6 +245,7 @@
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, CommitRate: p.commitRate, Retention: retention,
 		Archive: &archive.Store[dispatch.Ended]{Table: p.Table, Objects: p.Objects},
 		Placed:  p.meter.Placed, Ended: p.attemptEnded,
+		LongTime: longTime,
 	}
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Gate{MaxQueued: s.Limits.MaxQueue},
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -20,7 +20,7 @@
 			p.desk.Take(g.Shard, g.Epoch)
 			return
 		}
-		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit}
+		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit, Reserve: shortReserve}
 		if g.WaitOut.Allowed {
 			r.AllowWaitOut(g.WaitOut.From)
 		}
@@ -109,6 +109,7 @@
 	}
 	p.racks.Changed(r, changed, time.Now())
 	p.racks.Guard(time.Now())
+	p.racks.Seat(time.Now(), p.rng)
 	if after := r.Closed(id); after != before {
 		p.logWorker(id, after)
 	}
--- a/rack/group.go
+++ b/rack/group.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/resource"
@@ -100,6 +102,14 @@
 	}
 }
 
+// Seat gives attempts that wait for room a worker; it is called after Changed,
+// and from time to time.
+func (g *Group) Seat(now time.Time, rng *rand.Rand) {
+	for _, r := range g.racks {
+		g.Changed(r, r.seat(now, rng), now)
+	}
+}
+
 // Sync carries out what the owner of a job shard asks and reports what it is
 // to know. The refusal is not nil when the message is from an owner that was
 // deposed, or overtaken by a later message; nothing was done then.
@@ -167,7 +177,11 @@
 			refuse("rack shard " + p.Shard + " has had another owner meanwhile")
 			continue
 		}
-		_, err := r.Place(startOf(p), Wish{Spread: spreadOf(p), Avoid: p.Avoid}, now, rng)
+		choose := r.Place
+		if p.Preempt {
+			choose = r.PlaceUrgent
+		}
+		_, err := choose(startOf(p), Wish{Spread: spreadOf(p), Long: p.Long, Avoid: p.Avoid}, now, rng)
 		switch {
 		case errors.Is(err, placement.ErrTooLarge):
 			refuse("larger than any worker of " + p.Shard)
@@ -178,10 +192,11 @@
 }
 
 func spreadOf(p *wire.Placement) string {
-	if p.Class != "service" {
+	if class.Class(p.Class) != class.Service {
 		return ""
 	}
-	return p.JobShard + p.Kind
+	job, _, _ := strings.Cut(p.Task, "/")
+	return job
 }
 
 func startOf(p *wire.Placement) worker.Start {
