admission: let age overtake one admission in eight only

Ruled out: too few slots kept (14 are needed at the mean). Change: after an admission that overtook by age, the next seven go by class. The old test of ageing is unchanged.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -8,8 +8,10 @@
 //
 //   - Queues are bounded by class and, within a class, by organisation.
 //   - The most urgent class goes first, but the less urgent ages: each step of
-//     urgency is worth AgeStep of waiting. Organisations of one class share by
-//     weight (start-time fair queueing on estimated run time).
+//     urgency is worth AgeStep of waiting. One admission in eight at most
+//     overtakes by age, so that a backlog of old batch requests holds up no
+//     interactive ones. Organisations of one class share by weight (start-time
+//     fair queueing on estimated run time).
 //   - Long requests never take the share of slots that is kept for short ones,
 //     and two fifths of these are kept for urgent ones, which bounds head-of-line
 //     blocking.
@@ -166,7 +168,7 @@
 func (g *Gate) Next(name string, now time.Time) (Request, bool) {
 	s := g.services[name]
 	for s != nil && s.running < s.limit() {
-		i := g.first(s, now)
+		i, overtakes := g.first(s, now)
 		if i == nil {
 			break
 		}
@@ -179,6 +181,7 @@
 		i.queue.class.served(i, g.weight(i.Organisation))
 		i.queue = nil
 		s.admit(i, 1)
+		s.countOvertaking(overtakes)
 		return i.Request, true
 	}
 	return Request{}, false
@@ -246,21 +249,25 @@
 // Limit returns how many requests of the service may be at work.
 func (g *Gate) Limit(name string) int { return g.service(name).limit() }
 
-// first returns the waiting request that goes first and may take a slot.
-func (g *Gate) first(s *service, now time.Time) *item {
-	var best *item
+// first returns the waiting request that goes first and may take a slot, and
+// whether it overtakes a more urgent one by its age.
+func (g *Gate) first(s *service, now time.Time) (best *item, overtakes bool) {
 	var bestRank time.Duration
 	for rank, c := range s.classes {
+		if best != nil && s.byClass > 0 {
+			break
+		}
 		i := c.head(func(i *item) bool { return s.mayTake(i, g.shortShare()) })
 		if i == nil {
 			continue
 		}
 		aged := time.Duration(rank)*orDefault(g.AgeStep, defaultAgeStep) - now.Sub(i.offered)
 		if best == nil || aged < bestRank {
+			overtakes = best != nil
 			best, bestRank = i, aged
 		}
 	}
-	return best
+	return best, overtakes
 }
 
 func (g *Gate) service(name string) *service {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -19,6 +19,8 @@
 	limitWeight = 0.1         // of a new limit
 	failureCut  = 0.98        // factor of the limit for each failure
 
+	overtakingEvery = 8 // admissions, of which one may overtake by age
+
 	urgentPart   = 0.4      // of the slots kept for short requests, kept for urgent ones
 	tailQuantile = 0.99     // of the run time that a deadline must leave room for
 	tailStep     = 1.0 / 16 // by which a new run time moves the quantile, as a share of the mean
@@ -67,6 +69,7 @@
 	running  int
 	long     int // of running
 	urgent   int // of running
+	byClass  int // admissions until the next one may overtake by age
 }
 
 func newService() *service {
@@ -119,6 +122,16 @@
 	return max(min(1, limit), limit-int(float64(limit)*shortShare*urgentPart))
 }
 
+// countOvertaking notes an admission.
+func (s *service) countOvertaking(overtakes bool) {
+	switch {
+	case overtakes:
+		s.byClass = overtakingEvery - 1
+	case s.byClass > 0:
+		s.byClass--
+	}
+}
+
 // admit counts i in (1) or out (-1) of those at work.
 func (s *service) admit(i *item, by int) {
 	s.running += by
--- a/admission/reserve_test.go
+++ b/admission/reserve_test.go
@@ -46,6 +46,29 @@
 	})
 }
 
+// However old the batch requests are, they overtake no more than one admission
+// in eight, and no less: neither class holds up the other for ever.
+func TestAgeOvertakesOneInEight(t *testing.T) {
+	g := Gate{ShortShare: 0.5, MaxQueued: 10_000}
+	rng := newRand(1)
+	g.SetSlots("s", 1)
+	offer := func(id string, c class.Class, at time.Time) {
+		g.Offer(Request{ID: id, Organisation: "o", Class: c, Service: "s", Deadline: start.Add(24 * time.Hour)}, at, rng)
+	}
+	later := start.Add(time.Hour)
+	for n := range 100 {
+		offer(fmt.Sprint("batch", n), class.Batch, start)
+		offer(fmt.Sprint("interactive", n), class.Interactive, later)
+	}
+	g.SetSlots("s", 1000)
+	for n := range 100 {
+		r, ok := g.Next("s", later)
+		if want := n%8 == 0; !ok || (r.Class == class.Batch) != want {
+			t.Errorf("admission %d is of class %q, batch expected: %v", n, r.Class, want)
+		}
+	}
+}
+
 // A deadline must leave room for nearly all run times seen, not for their mean:
 // with a tail of 2 % at ten times the rest, what would end in time only if it
 // is not of the tail is refused.
--- a/measure/report/report.go
+++ b/measure/report/report.go
@@ -27,6 +27,8 @@
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
 	plotPoints = 200
+
+	shortestWait = 1e-6 // seconds
 )
 
 // Table writes rows under a heading, with aligned columns.
@@ -99,6 +101,8 @@
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	p.Legend.Top = true
+	// A logarithmic axis needs a range, also where nothing waits.
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = shortestWait, 1000*shortestWait, 0.1, 1
 	var lines []any
 	for _, r := range results {
 		if s := r.Of(stream); s != nil && s.Wait.TotalCount() > 0 {
@@ -121,7 +125,7 @@
 	for n := range plotPoints {
 		share := math.Pow(10, -last*float64(n)/plotPoints)
 		wait := experiment.Quantile(h, 100*(1-share)).Seconds()
-		points = append(points, plotter.XY{X: max(wait, 1e-6), Y: share})
+		points = append(points, plotter.XY{X: max(wait, shortestWait), Y: share})
 	}
 	return points
 }
