--- a/measure/experiment/tasks.go
+++ b/measure/experiment/tasks.go
@@ -77,8 +77,7 @@
 	learned   estimate.Estimator
 	waiting   map[string]*workload.Arrival
 	attempted map[string]bool
-	running   map[string]int // by worker
-	kept      *keeping       // nil for none
+	kept      *keeping // nil for none
 	result    *Result
 	samples   int
 	held      map[string]float64 // dominant share seconds of the minute, by organisation
@@ -96,8 +95,8 @@
 		rackOf:  make(map[string]string),
 		failing: make(map[string]bool), attempts: quarantine.Attempts{Limit: failAttempts},
 		waiting: make(map[string]*workload.Arrival), attempted: make(map[string]bool),
-		running: make(map[string]int),
-		held:    make(map[string]float64), starved: make(map[string]bool),
+
+		held: make(map[string]float64), starved: make(map[string]bool),
 	}
 	t.queue.SetPool(w.Pool())
 	for _, s := range w.Streams {
@@ -264,7 +263,6 @@
 	a := t.waiting[i.ID]
 	delete(t.waiting, i.ID)
 	t.queue.Started(i, start.Add(at))
-	t.running[worker]++
 	t.changed(rack)
 	if !t.attempted[i.ID] {
 		t.attempted[i.ID] = true
@@ -293,7 +291,6 @@
 	now, a := start.Add(at), x.arrival
 	t.queue.Ended(x.item, now)
 	t.racks[x.rack].Free(a.ID)
-	t.running[x.worker]--
 	o := quarantine.Outcome{Worker: x.worker, Task: a.ID, Job: a.Job, Organisation: a.Stream.Organisation}
 	if x.failed {
 		t.result.Failures++
