console: show live accounts while the platform is away; closing is no news

Cause: usage was refused during an outage of the platform although every process holds the newest accounts (status 503, seen by hand with three processes); accounts-closed filled the log every 5 s. Change: the sums of what the processes hold, with "archive" named as missing; 2101 is a debug event. Runs: TestOperatorsWithoutPlatform passes.

--- a/console/accounts.go
+++ b/console/accounts.go
@@ -16,7 +16,8 @@
 // Usage is the answer about accounts.
 type Usage struct {
 	usage.Summary
-	// Missing names processes whose newest accounts are not in the sums.
+	// Missing names processes whose newest accounts are not in the sums, and
+	// "archive" if the platform is away.
 	Missing []string `json:"missing,omitempty"`
 	// Unclosed says which sum does not close; empty for sound accounts.
 	Unclosed string `json:"unclosed,omitempty"`
@@ -40,16 +41,14 @@
 		return
 	}
 	book, err := s.Archive.Load(r.Context(), from.Truncate(accounts.Period), to)
-	if err != nil {
-		gateway.Refuse(w, http.StatusServiceUnavailable, gateway.Problem{
-			Outcome: gateway.NotRun, Reason: err.Error() + "; the accounts are in the platform, ask again when it answers", RetryAfterMS: 1000,
-		})
-		return
+	var missing []string
+	if err != nil { // the platform is away: show what the processes have
+		book, missing = &usage.Book{}, []string{"archive"}
 	}
 	for _, record := range s.Accounts.Live() {
 		book.Merge(record)
 	}
-	missing := s.gather(r, "/v1/operator/usage", func(_ string, body []byte) error {
+	missing = append(missing, s.gather(r, "/v1/operator/usage", func(_ string, body []byte) error {
 		var records []usage.Record
 		if err := json.Unmarshal(body, &records); err != nil {
 			return err
@@ -58,7 +57,7 @@
 			book.Merge(record)
 		}
 		return nil
-	})
+	})...)
 	answer := Usage{Summary: book.Summary(from, to), Missing: missing}
 	if err := answer.Closed(); err != nil {
 		answer.Unclosed = err.Error()
--- a/entry/force_test.go
+++ b/entry/force_test.go
@@ -174,3 +174,27 @@
 		t.Error("a private key shows")
 	}
 }
+
+// While the platform is away operators see what the processes hold, and are
+// told that nothing was planned.
+func TestOperatorsWithoutPlatform(t *testing.T) {
+	b := newBed(t, standin.Layout{DataCentres: 1, Racks: 1, Workers: 1}, "dc1", "dc1")
+	if err := b.stand.SetFaults([]byte(`{"platform":{"away":true}}`)); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"/usage?last=10m", "/burn"} {
+		status, header, text := b.send(0, b.planner, http.MethodGet, "/v1/operator"+path, "", nil)
+		if status != http.StatusOK || !strings.Contains(header.Get("Persimmon-Missing"), "archive") {
+			t.Errorf("%s: status %d, missing %q: %s", path, status, header.Get("Persimmon-Missing"), text)
+		}
+	}
+	status, header, text := b.send(0, b.planner, http.MethodPost, "/v1/operator/plans", "", weight(3, ""))
+	if status != http.StatusServiceUnavailable || header.Get("Persimmon-Outcome") != "not-run" {
+		t.Errorf("plan: status %d, outcome %q: %s", status, header.Get("Persimmon-Outcome"), text)
+	}
+	b.until("platform-away is logged", func() bool { return strings.Contains(b.log.String(), "platform-away") })
+	if err := b.stand.SetFaults([]byte(`{"platform":{"away":false}}`)); err != nil {
+		t.Fatal(err)
+	}
+	b.until("platform-back is logged", func() bool { return strings.Contains(b.log.String(), "platform-back") })
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -94,7 +94,7 @@
 	KeysReloaded    = define(2001, Info, "keys-reloaded", "New keys are in use for new connections.", "none")
 	KeysRefused     = define(2002, Error, "keys-refused", "The key files could not be used; the old keys stay.", "Read `error`; mend the files before the old ones expire.")
 	KeysExpiring    = define(2003, Warn, "keys-expiring", "The certificate expires soon.", "Renew the certificate file.")
-	AccountsClosed  = define(2101, Info, "accounts-closed", "A period of the accounts is durable.", "none")
+	AccountsClosed  = define(2101, Debug, "accounts-closed", "A period of the accounts is durable.", "none")
 	DrainStop       = define(1905, Info, "drain-stop", "An attempt on a leaving worker was asked for a checkpoint; it goes on elsewhere.", "none")
 	BurnDelayed     = define(2103, Warn, "burn-delayed", "The counts of the burn report could not be stored; they are kept and repeated.", "Check the object store.")
 	AccountsDelayed = define(2102, Warn, "accounts-delayed", "A period of the accounts could not be written; it is kept and repeated.", "Check the object store.")
