--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -84,6 +84,13 @@
 // finished waits until all tasks of a job are done.
 func (b *bed) finished(i int, id string) {
 	b.t.Helper()
+	b.t.Cleanup(func() {
+		if b.t.Failed() {
+			_, _, tasks := b.send(i, b.caller, http.MethodGet, "/v1/jobs/"+id+"/tasks?limit=1000", "", nil)
+			_, _, hosts := b.send(i, b.operator, http.MethodGet, "/v1/operator/hosts", "", nil)
+			b.t.Logf("job %s: %s\nhosts: %s", id, tasks, hosts)
+		}
+	})
 	b.until("job "+id, func() bool {
 		status, _, text := b.send(i, b.caller, http.MethodGet, "/v1/jobs/"+id, "", nil)
 		var v dispatch.JobView
--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -257,7 +257,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	r, err := http.NewRequestWithContext(b.t.Context(), method, "http://"+b.processes[i].CallerAddress()+path, bytes.NewReader(data))
+	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+b.processes[i].CallerAddress()+path, bytes.NewReader(data))
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,10 +47,11 @@
 		old := propose(1000)
 		time.Sleep(8 * 24 * time.Hour)
 		fresh := propose(2000)
-		mine, log := false, counter{}
+		var mine atomic.Bool
+		log := counter{}
 		u := Upkeep{
 			Publisher: publisher, Plans: desk, Accounts: &usage.Archive{Table: &table}, Log: log, Kept: 1,
-			Mine: func(context.Context) bool { return mine },
+			Mine: func(context.Context) bool { return mine.Load() },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
@@ -58,7 +60,7 @@
 		if _, err := desk.Plan(t.Context(), old); err != nil {
 			t.Errorf("a process that upkeep is not for deleted a plan: %v", err)
 		}
-		mine = true
+		mine.Store(true)
 		time.Sleep(time.Hour)
 		cancel()
 		if err := group.Wait(); err != nil {
