dispatch: ask again for the inventory of a rack that was taken over later

Cause: a new owner of a job shard asked each process for its inventory once. Ruled out: accounts holding back acknowledgements (these tasks never ran). Change: while a rack is not covered, each message to its owner asks for the inventory. Before: TestRackTakenOverLaterIsAskedFor red, virtual time. After: green, 5 runs with the race detector.

--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -15,9 +15,13 @@
 // syncDue starts the messages to the owners of racks that are due.
 func (d *Desk) syncDue(s *shard, now time.Time) {
 	owners := map[string]bool{}
-	for _, process := range d.Racks.Owners() {
-		if process != "" {
-			owners[process] = true
+	for name, process := range d.Racks.Owners() {
+		if process == "" {
+			continue
+		}
+		owners[process] = true
+		if s.covered != nil && !s.covered[name] {
+			s.link(process).inventory = true // also of a rack that it took over after it was asked
 		}
 	}
 	for process := range owners {
