--- a/entry/pace.go
+++ b/entry/pace.go
@@ -21,6 +21,26 @@
 	packet      = 60                      // bytes of headers, keys and acknowledgements of a call
 )
 
+const maxCalled = 1024 // addresses that are remembered
+
+// tell notes that the process at an address has taken a status from here.
+func (t *peerTable) tell(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.called) > maxCalled {
+		clear(t.called) // of processes long gone
+	}
+	t.called[address] = now
+}
+
+// told reports whether the process at an address takes statuses from here.
+func (t *peerTable) told(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.called[address]
+	return ok && now.Sub(at) < peerTimeout
+}
+
 // statusPace decides when the next status is due. What must be known in
 // seconds (who owns which shard, what is leaving) goes out at once; free
 // capacity, which changes all the time, at the pace that the budget allows.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -24,8 +24,6 @@
 	heard  time.Time
 }
 
-const maxCalled = 1024 // addresses that are remembered
-
 // peerTable holds the last status of each peer, by process.
 type peerTable struct {
 	mu     sync.Mutex
@@ -35,24 +33,6 @@
 
 func (t *peerTable) init() { t.known, t.called = map[string]*peer{}, map[string]time.Time{} }
 
-// tell notes that the process at an address has taken a status from here.
-func (t *peerTable) tell(address string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.called) > maxCalled {
-		clear(t.called) // of processes long gone
-	}
-	t.called[address] = now
-}
-
-// told reports whether the process at an address takes statuses from here.
-func (t *peerTable) told(address string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at, ok := t.called[address]
-	return ok && now.Sub(at) < peerTimeout
-}
-
 // take stores a status unless a later one is known.
 func (t *peerTable) take(s *wire.Status, now time.Time) bool {
 	t.mu.Lock()
