entry: an advert does not open a runner that is known to be leaving

Cause: a status replaces what its process advertised, leaving marks included; a runner that only this process knew to be leaving (its own list of hosts, or a drain) took new requests from the next status of its owner until the list was applied again, up to 0.5 s, and so on until the owner knew. Change: what the last application of the list and the configuration closed stays closed in adverts. Test: TestLeavingHeardAlone, red before, green after.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,6 +88,7 @@
 	queue     queue.Queue
 	rng       *rand.Rand
 	marked    map[string]time.Time // hosts heard to be leaving from peers
+	departing map[string]bool      // runners that are leaving or drained, as last applied
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -81,6 +81,7 @@
 	c := p.configuration()
 	var poolSize resource.Vector
 	slots := map[string]int{}
+	p.departing = map[string]bool{}
 	workers := map[string][]platform.Host{}
 	for _, h := range v.hosts {
 		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || p.markedLeaving(h.ID, now) {
@@ -117,6 +118,7 @@
 
 func (p *Process) applyRunner(h platform.Host, owned bool, now time.Time) {
 	if h.Leaving {
+		p.departing[h.ID] = true // also when its owner advertises it again
 		p.peerSlots.SetLeaving(h.ID)
 	}
 	if !owned {
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -52,3 +52,38 @@
 		t.Errorf("peers are told that %v leave, want the one of the list", told)
 	}
 }
+
+// A runner that only this process has heard to be leaving stays closed for it
+// when its owner, which has not heard, advertises it again.
+func TestLeavingHeardAlone(t *testing.T) {
+	p := composed(t, layoutOf(1, 2), 0)
+	advert := func(sequence uint64) *wire.Status {
+		return &wire.Status{Process: "e2", DataCentre: "dc1", Sequence: sequence, Runners: []*wire.RunnerStatus{
+			{Runner: "u-dc1-r1-01", Service: "jobs", FreeSlots: 8, Slots: 8},
+		}}
+	}
+	chosen := func() bool {
+		_, _, ok := p.peerSlots.Choose("jobs", "dc1", time.Now(), p.rng)
+		return ok
+	}
+	p.learned(advert(1), time.Now())
+	if !chosen() {
+		t.Fatal("the runner is not chosen before it leaves")
+	}
+	for i, h := range p.hosts.Load().hosts {
+		p.hosts.Load().hosts[i].Leaving = h.ID == "u-dc1-r1-01"
+	}
+	p.applyHosts()
+	p.learned(advert(2), time.Now())
+	if chosen() {
+		t.Error("an advert opened a runner that is known to be leaving")
+	}
+	for i := range p.hosts.Load().hosts {
+		p.hosts.Load().hosts[i].Leaving = false
+	}
+	p.applyHosts()
+	p.learned(advert(3), time.Now())
+	if !chosen() {
+		t.Error("the runner stays closed though nobody says any more that it leaves")
+	}
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -195,7 +195,7 @@
 	for _, r := range s.Runners {
 		adverts = append(adverts, runner.Advert{
 			Runner: r.Runner, Service: r.Service, DataCentre: s.DataCentre, Free: int(r.FreeSlots), Slots: int(r.Slots),
-			Leaving: r.Leaving || p.markedLeaving(r.Runner, now), Open: r.OpenCircuit,
+			Leaving: r.Leaving || p.departing[r.Runner] || p.markedLeaving(r.Runner, now), Open: r.OpenCircuit,
 		})
 	}
 	p.peerSlots.Update(s.Process, s.Sequence, adverts, now)
