--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,7 +101,8 @@
 	rng       *rand.Rand
 	marked    map[string]time.Time // hosts heard to be leaving from peers
 	drains    drain.Pacer
-	sequence  uint64 // of the last status
+	sequence  uint64          // of the last status
+	departing map[string]bool // runners that are leaving or drained, as last applied
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -81,6 +81,7 @@
 	c := p.configuration()
 	var poolSize resource.Vector
 	slots := map[string]int{}
+	p.departing = map[string]bool{}
 	workers := map[string][]platform.Host{}
 	for _, h := range v.hosts {
 		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || p.markedLeaving(h.ID, now) {
@@ -117,6 +118,7 @@
 
 func (p *Process) applyRunner(h platform.Host, owned bool, now time.Time) {
 	if h.Leaving {
+		p.departing[h.ID] = true // also when its owner advertises it again
 		p.peerSlots.SetLeaving(h.ID)
 	}
 	if !owned {
@@ -138,18 +140,19 @@
 	return ok && now.Sub(at) < markTTL
 }
 
-// leavingHosts lists the hosts of the data centre that this process itself
-// knows to be leaving, not those it was told of by peers.
+// leavingHosts lists the hosts that the platform's list shows this process to
+// be leaving, not those it was told of by peers. What the configuration drains
+// is not among them: every process has that from the configuration, and a
+// drained data centre would fill each status with its hosts.
 func (p *Process) leavingHosts() []string {
 	v := p.hosts.Load()
 	if v == nil {
 		return nil
 	}
-	c := p.configuration()
 	var list []string
-	for _, h := range v.hosts {
-		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || h.Leaving {
-			list = append(list, h.ID)
+	for i := range v.hosts {
+		if v.hosts[i].Leaving {
+			list = append(list, v.hosts[i].ID)
 		}
 	}
 	return list
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -126,33 +126,37 @@
 		return
 	}
 	p.follower.Heard(s.ConfigNumber)
-	p.loop.Post(func() {
-		now := time.Now()
-		taken, restarted := p.peers.take(s, now)
-		if !taken {
-			return
-		}
-		if restarted {
-			p.peerSlots.Remove(s.Process) // its sequence begins anew
-		}
-		adverts := make([]runner.Advert, 0, len(s.Runners))
-		for _, r := range s.Runners {
-			adverts = append(adverts, runner.Advert{
-				Runner: r.Runner, Service: r.Service, DataCentre: s.DataCentre, Free: int(r.FreeSlots), Slots: int(r.Slots),
-				Leaving: r.Leaving || p.markedLeaving(r.Runner, now), Open: r.OpenCircuit,
-			})
-		}
-		p.peerSlots.Update(s.Process, s.Sequence, adverts, now)
-		if s.DataCentre == p.Settings.Process.DataCentre {
-			p.learnShards(s)
-		}
-		for _, id := range s.LeavingHosts {
-			p.marked[id] = now
-		}
-		if len(s.LeavingHosts) > 0 {
-			p.applyHosts()
-		}
-	})
+	p.loop.Post(func() { p.learned(s, time.Now()) })
+}
+
+// learned brings a peer's status into force on the loop.
+func (p *Process) learned(s *wire.Status, now time.Time) {
+	taken, restarted := p.peers.take(s, now)
+	if !taken {
+		return
+	}
+	if restarted {
+		p.peerSlots.Remove(s.Process) // its sequence begins anew
+	}
+	adverts := make([]runner.Advert, 0, len(s.Runners))
+	for _, r := range s.Runners {
+		adverts = append(adverts, runner.Advert{
+			Runner: r.Runner, Service: r.Service, DataCentre: s.DataCentre, Free: int(r.FreeSlots), Slots: int(r.Slots),
+			Leaving: r.Leaving || p.departing[r.Runner] || p.markedLeaving(r.Runner, now), Open: r.OpenCircuit,
+		})
+	}
+	p.peerSlots.Update(s.Process, s.Sequence, adverts, now)
+	if s.DataCentre == p.Settings.Process.DataCentre {
+		p.learnShards(s)
+	}
+	news := false
+	for _, id := range s.LeavingHosts {
+		news = news || !p.markedLeaving(id, now)
+		p.marked[id] = now
+	}
+	if news {
+		p.applyHosts()
+	}
 }
 
 func (p *Process) learnShards(s *wire.Status) {
--- a/entry/peertable.go
+++ b/entry/peertable.go
@@ -22,26 +22,6 @@
 
 func (t *peerTable) init() { t.known, t.called = map[string]*peer{}, map[string]time.Time{} }
 
-const maxCalled = 1024 // addresses that are remembered
-
-// tell notes that the process at an address has taken a status from here.
-func (t *peerTable) tell(address string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.called) > maxCalled {
-		clear(t.called) // of processes long gone
-	}
-	t.called[address] = now
-}
-
-// told reports whether the process at an address takes statuses from here.
-func (t *peerTable) told(address string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at, ok := t.called[address]
-	return ok && now.Sub(at) < peerTimeout
-}
-
 // take stores a status unless a later one is known, and tells whether it is
 // the first of a start of the process. A lower incarnation counts as a later
 // start once the other has been silent: its host's clock may have been set back.
