--- a/measure/experiment/tasks.go
+++ b/measure/experiment/tasks.go
@@ -21,9 +21,7 @@
 	longQuantile  = 0.5                    // of the learned run times
 	failsAfter    = 100 * time.Millisecond // run time of an attempt on a failing worker
 	fairHalfLife  = time.Minute            // of the queue's memory
-	sampleEvery   = time.Second            // of packing and shares
-	sharesOver    = time.Minute
-	failAttempts  = 3 // after which a task is parked
+	failAttempts  = 3                      // after which a task is parked
 	placementSeed = 3
 )
 
@@ -95,7 +93,6 @@
 		rackOf:  make(map[string]string),
 		failing: make(map[string]bool), attempts: quarantine.Attempts{Limit: failAttempts},
 		waiting: make(map[string]*workload.Arrival), attempted: make(map[string]bool),
-
 		held: make(map[string]float64), starved: make(map[string]bool),
 	}
 	t.queue.SetPool(w.Pool())
@@ -330,52 +327,3 @@
 	}
 	t.agenda.add(at+t.p.Late, taskEvent{tick: t.summaries})
 }
-
-// sample takes packing and shares.
-func (t *tasks) sample(at time.Duration) {
-	t.agenda.add(at+sampleEvery, taskEvent{tick: t.sample})
-	if at < t.w.WarmUp {
-		return
-	}
-	if t.queue.Len() > 0 {
-		var free resource.Vector
-		for _, s := range t.racks {
-			free = free.Add(s.FreeCapacity())
-		}
-		t.samples++
-		t.result.Packing += (t.w.Pool().Sub(free).DominantShare(t.w.Pool()) - t.result.Packing) / float64(t.samples)
-	}
-	t.sampleShares(at)
-}
-
-func (t *tasks) sampleShares(at time.Duration) {
-	for name := range t.queue.Shares {
-		t.held[name] += t.queue.Running(name).DominantShare(t.w.Pool())
-		backlog := 0
-		for _, c := range class.All {
-			backlog += t.queue.Waiting(name, c)
-		}
-		if backlog == 0 {
-			t.starved[name] = true
-		}
-	}
-	if t.minute == 0 {
-		t.minute = at
-	}
-	if at-t.minute < sharesOver {
-		return
-	}
-	held, weights := 0.0, 0
-	for name, share := range t.queue.Shares {
-		if !t.starved[name] {
-			held += t.held[name]
-			weights += share.Weight
-		}
-	}
-	for name, share := range t.queue.Shares {
-		if !t.starved[name] && held > 0 {
-			t.result.Shares = append(t.result.Shares, Minute{name, t.minute, t.held[name] / held, float64(share.Weight) / float64(weights)})
-		}
-	}
-	t.held, t.starved, t.minute = make(map[string]float64), make(map[string]bool), at
-}
