--- a/measure/experiment/experiment_test.go
+++ b/measure/experiment/experiment_test.go
@@ -8,6 +8,8 @@
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/measure/experiment"
+	"persimmonworks.example/persimmonworks/measure/gangjob"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/workload"
 	"persimmonworks.example/persimmonworks/queue"
 )
@@ -63,7 +65,7 @@
 // the same seed gives the same figures, and FIFO lets urgent work wait longer.
 func TestRunsAccountForAllWork(t *testing.T) {
 	type policy interface {
-		Run(w *workload.Workload, seed uint64) *experiment.Result
+		Run(w *workload.Workload, seed uint64) *outcome.Result
 	}
 	for _, pair := range [][2]policy{
 		{experiment.Requests{Name: "gate"}, experiment.Requests{Name: "fifo", FIFO: true}},
@@ -111,11 +113,11 @@
 func TestGangStartsWithinBound(t *testing.T) {
 	for seed := range uint64(5) {
 		w := small(t)
-		with := experiment.Gang{Name: "reservation", Reserve: true, Learn: true}.Run(w, seed)
+		with := gangjob.Policy{Name: "reservation", Reserve: true, Learn: true}.Run(w, seed)
 		if !with.Started || with.Waited > with.Bound {
 			t.Errorf("seed %d: started %v after %v, bound %v", seed, with.Started, with.Waited, with.Bound)
 		}
-		if without := (experiment.Gang{Name: "none", Learn: true}).Run(w, seed); without.Started {
+		if without := (gangjob.Policy{Name: "none", Learn: true}).Run(w, seed); without.Started {
 			t.Errorf("seed %d: started without a reservation after %v: the load shows nothing", seed, without.Waited)
 		}
 	}
--- a/measure/experiment/requests.go
+++ b/measure/experiment/requests.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/admission"
+	"persimmonworks.example/persimmonworks/measure/agenda"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/workload"
 	"persimmonworks.example/persimmonworks/runner"
 )
@@ -78,16 +80,16 @@
 	gate     gate
 	pool     runner.Pool
 	rng      *rand.Rand
-	agenda   agenda[requestEvent]
-	result   *Result
+	agenda   agenda.Agenda[requestEvent]
+	result   *outcome.Result
 	arrivals map[string]*workload.Arrival
 	tries    map[string]int
 }
 
 // Run measures the policy.
-func (p Requests) Run(w *workload.Workload, seed uint64) *Result {
+func (p Requests) Run(w *workload.Workload, seed uint64) *outcome.Result {
 	r := &requests{
-		w: w, rng: rand.New(rand.NewPCG(seed, 2)), result: newResult(p.Name, w, seed),
+		w: w, rng: rand.New(rand.NewPCG(seed, 2)), result: outcome.New(p.Name, w, seed),
 		arrivals: make(map[string]*workload.Arrival), tries: make(map[string]int),
 	}
 	slots := w.Runners * w.Slots
@@ -102,20 +104,20 @@
 		r.gate = &admissionGate{g, r.rng}
 	}
 	for n := range w.Runners {
-		r.pool.Upsert(runner.Runner{ID: fmt.Sprint("r-", n), Service: service, Slots: w.Slots}, start)
+		r.pool.Upsert(runner.Runner{ID: fmt.Sprint("r-", n), Service: service, Slots: w.Slots}, outcome.Start)
 	}
 	arrivals := w.Arrivals(seed)
 	for n := range arrivals {
-		r.agenda.add(arrivals[n].At, requestEvent{arrival: &arrivals[n]})
+		r.agenda.Add(arrivals[n].At, requestEvent{arrival: &arrivals[n]})
 	}
-	r.agenda.add(expireEvery, requestEvent{})
+	r.agenda.Add(expireEvery, requestEvent{})
 	r.run(p)
 	return r.result
 }
 
 func (r *requests) run(p Requests) {
 	for {
-		at, e, ok := r.agenda.next()
+		at, e, ok := r.agenda.Next()
 		if !ok || at > r.w.Duration {
 			break
 		}
@@ -133,12 +135,12 @@
 			_ = r.result.Decision.RecordValue(max(1, time.Since(before).Microseconds()))
 		}
 		for _, s := range started {
-			r.agenda.add(at+s.arrival.RunTime, s)
+			r.agenda.Add(at+s.arrival.RunTime, s)
 		}
 	}
-	for _, h := range r.agenda.list {
-		if h.event.runner != "" {
-			r.result.worked(r.w, *h.event.arrival, h.event.began, r.w.Duration, 1)
+	for _, e := range r.agenda.Pending() {
+		if e.runner != "" {
+			r.result.Worked(r.w, *e.arrival, e.began, r.w.Duration, 1)
 		}
 	}
 	for id := range r.arrivals {
@@ -149,39 +151,39 @@
 func (r *requests) arrive(at time.Duration, e requestEvent, p Requests) {
 	a := e.arrival
 	if e.tries == 0 {
-		r.result.arrived(r.w, *a)
+		r.result.Arrived(r.w, *a)
 	}
 	request := admission.Request{ID: a.ID, Organisation: a.Stream.Organisation, Class: a.Stream.Class(), Service: service, Expected: a.Declared}
 	if p.Undeclared {
 		request.Expected = 0
 	}
 	if a.Stream.Deadline > 0 {
-		request.Deadline = start.Add(a.At + a.Stream.Deadline)
+		request.Deadline = outcome.Start.Add(a.At + a.Stream.Deadline)
 	} else {
-		request.Deadline = start.Add(24 * time.Hour)
+		request.Deadline = outcome.Start.Add(24 * time.Hour)
 	}
-	queued, again := r.gate.offer(request, start.Add(at))
+	queued, again := r.gate.offer(request, outcome.Start.Add(at))
 	switch {
 	case queued:
 		r.arrivals[a.ID] = a
 	case a.Stream.Deadline > 0 && at+again > a.At+a.Stream.Deadline:
-		r.result.refused(r.w, *a) // nobody waits any more
+		r.result.Refused(r.w, *a) // nobody waits any more
 	default:
-		r.agenda.add(at+again, requestEvent{arrival: a, tries: e.tries + 1})
+		r.agenda.Add(at+again, requestEvent{arrival: a, tries: e.tries + 1})
 	}
 }
 
 func (r *requests) tick(at time.Duration) {
-	for _, x := range r.gate.expire(start.Add(at)) {
-		r.result.refused(r.w, *r.arrivals[x.Request.ID])
+	for _, x := range r.gate.expire(outcome.Start.Add(at)) {
+		r.result.Refused(r.w, *r.arrivals[x.Request.ID])
 		delete(r.arrivals, x.Request.ID)
 	}
-	r.agenda.add(at+expireEvery, requestEvent{})
+	r.agenda.Add(at+expireEvery, requestEvent{})
 }
 
 // admit sends what may go to runners.
 func (r *requests) admit(at time.Duration) (started []requestEvent) {
-	now := start.Add(at)
+	now := outcome.Start.Add(at)
 	for {
 		x, ok := r.gate.next(now)
 		if !ok {
@@ -193,21 +195,21 @@
 		if !ok {
 			panic("the gate admitted more than the runners have slots")
 		}
-		r.result.started(r.w, *a, at)
+		r.result.Started(r.w, *a, at)
 		started = append(started, requestEvent{arrival: a, runner: chosen.ID, began: at})
 	}
 }
 
 func (r *requests) end(at time.Duration, e requestEvent) {
 	a := e.arrival
-	now := start.Add(at)
-	r.result.worked(r.w, *a, e.began, at, 1)
+	now := outcome.Start.Add(at)
+	r.result.Worked(r.w, *a, e.began, at, 1)
 	r.pool.Release(e.runner, runner.OK, a.RunTime, now, r.rng)
 	r.gate.done(a.ID, a.RunTime, now)
 	if a.Stream.Deadline > 0 && at > a.At+a.Stream.Deadline {
-		r.result.refused(r.w, *a) // too late to be of use
+		r.result.Refused(r.w, *a) // too late to be of use
 		return
 	}
-	r.result.ended(r.w, *a, at)
-	r.result.spread(e.began, at, 1/float64(r.w.Runners*r.w.Slots))
+	r.result.Ended(r.w, *a, at)
+	r.result.Spread(e.began, at, 1/float64(r.w.Runners*r.w.Slots))
 }
--- a/measure/experiment/sample.go
+++ b/measure/experiment/sample.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -14,7 +15,7 @@
 
 // sample takes packing and shares.
 func (t *tasks) sample(at time.Duration) {
-	t.agenda.add(at+sampleEvery, taskEvent{tick: t.sample})
+	t.agenda.Add(at+sampleEvery, taskEvent{tick: t.sample})
 	if at < t.w.WarmUp {
 		return
 	}
@@ -55,7 +56,9 @@
 	}
 	for name, share := range t.queue.Shares {
 		if !t.starved[name] && held > 0 {
-			t.result.Shares = append(t.result.Shares, Minute{name, t.minute, t.held[name] / held, float64(share.Weight) / float64(weights)})
+			t.result.Shares = append(t.result.Shares, outcome.Minute{
+				Organisation: name, At: t.minute, Got: t.held[name] / held, Fair: float64(share.Weight) / float64(weights),
+			})
 		}
 	}
 	t.held, t.starved, t.minute = make(map[string]float64), make(map[string]bool), at
--- a/measure/experiment/tasks.go
+++ b/measure/experiment/tasks.go
@@ -1,3 +1,16 @@
+// Package experiment runs the decision packages in virtual time.
+//
+// Tasks drives queue, directory, placement, estimate and quarantine; Requests
+// drives admission and runner. Around them are only events:
+// work arrives, ends or fails, and summaries come in. There is no network, no
+// platform and no other process. The same workload and seed give the same
+// decisions; only the cost of control is taken from the clock.
+//
+// Usage:
+//
+//	w, err := workload.Load("prado")
+//	r := experiment.Tasks{Name: "ours", Reserve: 0.125, Learn: true}.Run(w, seed)
+//	fmt.Println(r.Of("pigment-check").Wait.ValueAtQuantile(99))
 package experiment
 
 import (
@@ -9,6 +22,8 @@
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/estimate"
+	"persimmonworks.example/persimmonworks/measure/agenda"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/workload"
 	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/quarantine"
@@ -61,7 +76,7 @@
 	p         Tasks
 	w         *workload.Workload
 	rng       *rand.Rand
-	agenda    agenda[taskEvent]
+	agenda    agenda.Agenda[taskEvent]
 	queue     queue.Queue
 	directory directory.Directory
 	racks     map[string]*placement.Shard
@@ -76,7 +91,7 @@
 	waiting   map[string]*workload.Arrival
 	attempted map[string]bool
 	kept      *keeping // nil for none
-	result    *Result
+	result    *outcome.Result
 	samples   int
 	held      map[string]float64 // dominant share seconds of the minute, by organisation
 	starved   map[string]bool    // had nothing waiting in the minute
@@ -84,9 +99,9 @@
 }
 
 // Run measures the policy.
-func (p Tasks) Run(w *workload.Workload, seed uint64) *Result {
+func (p Tasks) Run(w *workload.Workload, seed uint64) *outcome.Result {
 	t := &tasks{
-		p: p, w: w, rng: rand.New(rand.NewPCG(seed, placementSeed)), result: newResult(p.Name, w, seed),
+		p: p, w: w, rng: rand.New(rand.NewPCG(seed, placementSeed)), result: outcome.New(p.Name, w, seed),
 		queue:   queue.Queue{Policy: p.Queue, HalfLife: fairHalfLife, Shares: make(map[string]queue.Share)},
 		racks:   make(map[string]*placement.Shard),
 		centre:  make(map[string]string),
@@ -102,11 +117,11 @@
 	t.build()
 	arrivals := w.Arrivals(seed)
 	for n := range arrivals {
-		t.agenda.add(arrivals[n].At, taskEvent{arrival: &arrivals[n]})
+		t.agenda.Add(arrivals[n].At, taskEvent{arrival: &arrivals[n]})
 	}
-	t.agenda.add(sampleEvery, taskEvent{tick: t.sample})
+	t.agenda.Add(sampleEvery, taskEvent{tick: t.sample})
 	if p.Late > 0 {
-		t.agenda.add(p.Late, taskEvent{tick: t.summaries})
+		t.agenda.Add(p.Late, taskEvent{tick: t.summaries})
 	}
 	t.run()
 	return t.result
@@ -152,7 +167,7 @@
 
 func (t *tasks) run() {
 	for {
-		at, e, ok := t.agenda.next()
+		at, e, ok := t.agenda.Next()
 		if !ok || at > t.w.Duration {
 			break
 		}
@@ -162,17 +177,17 @@
 		case e.attempt != nil:
 			t.end(at, e.attempt)
 		default:
-			t.result.arrived(t.w, *e.arrival)
+			t.result.Arrived(t.w, *e.arrival)
 			t.push(at, e.arrival)
 		}
-		if t.agenda.due(at) {
+		if t.agenda.Due(at) {
 			continue // one round of decisions for all that happens at once
 		}
 		t.place(at)
 	}
-	for _, h := range t.agenda.list {
-		if x := h.event.attempt; x != nil && !x.failed {
-			t.result.worked(t.w, *x.arrival, x.began, t.w.Duration, cores(x.arrival))
+	for _, e := range t.agenda.Pending() {
+		if x := e.attempt; x != nil && !x.failed {
+			t.result.Worked(t.w, *x.arrival, x.began, t.w.Duration, cores(x.arrival))
 		}
 	}
 	for _, a := range t.waiting {
@@ -196,12 +211,12 @@
 	}
 	i := queue.Item{
 		ID: a.ID, Group: a.Job, Organisation: s.Organisation, Class: s.Class(), Kind: s.Name, Demand: s.Demand(),
-		Long: s.Class() == class.Batch && estimate.IsLong(expected, 0, longAfter), Estimate: expected, Enqueued: start.Add(a.At),
+		Long: s.Class() == class.Batch && estimate.IsLong(expected, 0, longAfter), Estimate: expected, Enqueued: outcome.Start.Add(a.At),
 	}
 	if s.Deadline > 0 {
-		i.Deadline = start.Add(a.At + s.Deadline)
-		if i.Deadline.Before(start.Add(at)) {
-			t.result.refused(t.w, *a)
+		i.Deadline = outcome.Start.Add(a.At + s.Deadline)
+		if i.Deadline.Before(outcome.Start.Add(at)) {
+			t.result.Refused(t.w, *a)
 			return
 		}
 	}
@@ -215,14 +230,14 @@
 
 // place starts what fits.
 func (t *tasks) place(at time.Duration) {
-	now := start.Add(at)
+	now := outcome.Start.Add(at)
 	for {
 		before := time.Now()
 		t.keepRoom(now)
 		i, worker, rack, ok := t.decide(now)
 		_ = t.result.Decision.RecordValue(max(1, time.Since(before).Microseconds()))
 		for _, x := range t.queue.Expired(now) {
-			t.result.refused(t.w, *t.waiting[x.ID])
+			t.result.Refused(t.w, *t.waiting[x.ID])
 			delete(t.waiting, x.ID)
 		}
 		if !ok {
@@ -259,20 +274,20 @@
 func (t *tasks) start(at time.Duration, i queue.Item, worker, rack string) {
 	a := t.waiting[i.ID]
 	delete(t.waiting, i.ID)
-	t.queue.Started(i, start.Add(at))
+	t.queue.Started(i, outcome.Start.Add(at))
 	t.changed(rack)
 	if !t.attempted[i.ID] {
 		t.attempted[i.ID] = true
-		t.result.started(t.w, *a, at)
+		t.result.Started(t.w, *a, at)
 	}
 	x := &attempt{arrival: a, item: i, rack: rack, worker: worker, began: at, failed: t.failing[worker]}
 	ran := a.RunTime
 	if x.failed {
 		ran = min(ran, failsAfter)
 	}
-	t.agenda.add(at+ran, taskEvent{attempt: x})
+	t.agenda.Add(at+ran, taskEvent{attempt: x})
 	if t.p.Learn && i.Class == class.Batch && !i.Long && ran > longAfter {
-		t.agenda.add(at+longAfter, taskEvent{tick: func(time.Duration) { t.outlasted(x) }})
+		t.agenda.Add(at+longAfter, taskEvent{tick: func(time.Duration) { t.outlasted(x) }})
 	}
 }
 
@@ -285,7 +300,7 @@
 }
 
 func (t *tasks) end(at time.Duration, x *attempt) {
-	now, a := start.Add(at), x.arrival
+	now, a := outcome.Start.Add(at), x.arrival
 	t.queue.Ended(x.item, now)
 	t.racks[x.rack].Free(a.ID)
 	o := quarantine.Outcome{Worker: x.worker, Task: a.ID, Job: a.Job, Organisation: a.Stream.Organisation}
@@ -295,7 +310,7 @@
 			t.closeWorker(x.worker)
 		}
 		if t.attempts.Failed(a.ID, x.worker, "exit status 1") {
-			t.result.refused(t.w, *a)
+			t.result.Refused(t.w, *a)
 		} else {
 			t.push(at, a)
 		}
@@ -307,10 +322,10 @@
 			t.closeWorker(worker)
 		}
 	}
-	t.result.worked(t.w, *a, x.began, at, cores(a))
+	t.result.Worked(t.w, *a, x.began, at, cores(a))
 	t.learned.Observe(a.Stream.Organisation, a.Stream.Name, a.RunTime, a.Declared)
-	t.result.ended(t.w, *a, at)
-	t.result.spread(x.began, at, x.item.Demand.DominantShare(t.w.Pool()))
+	t.result.Ended(t.w, *a, at)
+	t.result.Spread(x.began, at, x.item.Demand.DominantShare(t.w.Pool()))
 	t.changed(x.rack)
 }
 
@@ -325,5 +340,5 @@
 	for _, rack := range t.order {
 		t.advertise(rack)
 	}
-	t.agenda.add(at+t.p.Late, taskEvent{tick: t.summaries})
+	t.agenda.Add(at+t.p.Late, taskEvent{tick: t.summaries})
 }
--- a/measure/experiment/gang.go
+++ b/measure/gangjob/gangjob.go
@@ -1,4 +1,10 @@
-package experiment
+// Package gangjob measures how long a gang job waits for half of the workers.
+//
+// Usage:
+//
+//	r := gangjob.Policy{Name: "reservation", Reserve: true, Learn: true}.Run(w, seed)
+//	fmt.Println(r.Bound, r.Waited)
+package gangjob
 
 import (
 	"fmt"
@@ -8,6 +14,8 @@
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/estimate"
 	"persimmonworks.example/persimmonworks/gang"
+	"persimmonworks.example/persimmonworks/measure/agenda"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/workload"
 	"persimmonworks.example/persimmonworks/placement"
 	"persimmonworks.example/persimmonworks/resource"
@@ -17,16 +25,16 @@
 // is stopped or checkpointed while a gang job waits.
 const limitQuantile = 0.95
 
-// Gang is a policy for a gang job that takes half of the workers while batch
+// Policy is a policy for a gang job that takes half of the workers while batch
 // work keeps coming.
-type Gang struct {
+type Policy struct {
 	Name    string
 	Reserve bool // with a reservation; else it starts when there happens to be room
 	Learn   bool // limits and expected run times are learned; else as declared
 }
 
-// GangResult is what became of the gang job. All times are in virtual time.
-type GangResult struct {
+// Result is what became of the gang job. All times are in virtual time.
+type Result struct {
 	Policy  string
 	Seed    uint64
 	Bound   time.Duration // stated when the job arrived; zero without reservation
@@ -38,12 +46,12 @@
 
 // gangRun is a run.
 type gangRun struct {
-	p       Gang
+	p       Policy
 	w       *workload.Workload
 	rng     *rand.Rand
 	shard   placement.Shard
 	waiting []workload.Arrival
-	agenda  agenda[workload.Arrival] // ends
+	agenda  agenda.Agenda[workload.Arrival] // ends
 	ends    map[string]gang.Running
 	learned estimate.Estimator
 	booked  *gang.Reservation
@@ -54,7 +62,7 @@
 }
 
 // Run measures the policy: the gang job arrives at the end of the warm-up.
-func (p Gang) Run(w *workload.Workload, seed uint64) *GangResult {
+func (p Policy) Run(w *workload.Workload, seed uint64) *Result {
 	g := &gangRun{p: p, w: w, rng: rand.New(rand.NewPCG(seed, 4)), ends: make(map[string]gang.Running)}
 	for n := range w.Workers {
 		id := fmt.Sprint("w-", n)
@@ -63,12 +71,12 @@
 			panic(err) // the names are distinct
 		}
 	}
-	out := &GangResult{Policy: p.Name, Seed: seed}
-	g.agenda.add(w.WarmUp, workload.Arrival{}) // nothing ends, but the job arrives
+	out := &Result{Policy: p.Name, Seed: seed}
+	g.agenda.Add(w.WarmUp, workload.Arrival{}) // nothing ends, but the job arrives
 	arrivals := w.Arrivals(seed)
 	for n := 0; n < len(arrivals); {
-		if next, ok := g.agenda.first(); ok && next <= arrivals[n].At {
-			at, a, _ := g.agenda.next()
+		if next, ok := g.agenda.First(); ok && next <= arrivals[n].At {
+			at, a, _ := g.agenda.Next()
 			g.end(a)
 			if g.step(at, out) {
 				return out
@@ -108,7 +116,7 @@
 }
 
 // step starts what may start, and reports whether the gang job has.
-func (g *gangRun) step(at time.Duration, out *GangResult) bool {
+func (g *gangRun) step(at time.Duration, out *Result) bool {
 	if at >= g.w.WarmUp {
 		if g.p.Reserve && g.booked == nil {
 			g.book(at, out)
@@ -136,23 +144,23 @@
 	return free
 }
 
-func (g *gangRun) book(at time.Duration, out *GangResult) {
+func (g *gangRun) book(at time.Duration, out *Result) {
 	var running []gang.Running
 	for _, r := range g.ends {
 		running = append(running, r)
 	}
-	r, err := gang.Reserve(g.members(), g.free(), running, start.Add(at))
+	r, err := gang.Reserve(g.members(), g.free(), running, outcome.Start.Add(at))
 	if err != nil {
 		panic(err) // all batch work has a limit
 	}
-	g.booked, out.Bound = r, r.Start().Sub(start.Add(at))
-	g.agenda.add(r.Start().Sub(start), workload.Arrival{}) // nothing ends, but the job may start
+	g.booked, out.Bound = r, r.Start().Sub(outcome.Start.Add(at))
+	g.agenda.Add(r.Start().Sub(outcome.Start), workload.Arrival{}) // nothing ends, but the job may start
 }
 
 // ready reports whether all members fit. At the start of the reservation, what
 // still runs in its room is ended.
 func (g *gangRun) ready(at time.Duration) bool {
-	now := start.Add(at)
+	now := outcome.Start.Add(at)
 	if g.booked != nil && !now.Before(g.booked.Start()) {
 		for id, r := range g.ends {
 			if !g.booked.Reserved(r.Worker).IsZero() && !r.Limit.After(now) {
@@ -168,7 +176,7 @@
 
 // fill starts batch work where it fits and the reservation lets it.
 func (g *gangRun) fill(at time.Duration) {
-	now := start.Add(at)
+	now := outcome.Start.Add(at)
 	var left []workload.Arrival
 	for n, a := range g.waiting {
 		if !g.shard.Fits(placement.Task{ID: a.ID, Demand: a.Stream.Demand()}) {
@@ -209,6 +217,6 @@
 		}
 	}
 	g.ends[a.ID] = gang.Running{Worker: worker, Demand: task.Demand, Limit: until}
-	g.agenda.add(now.Sub(start)+a.RunTime, a)
+	g.agenda.Add(now.Sub(outcome.Start)+a.RunTime, a)
 	return true
 }
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -3,7 +3,8 @@
 //
 // An experiment compares the policies of the product with baselines on the same
 // workload and seed, in virtual time: package workload says what arrives,
-// package experiment drives the decisions, and package report shows the result.
+// experiment and gangjob drive the decisions, outcome counts, and report shows
+// the result.
 // docs/MEASURES.md names the targets, and the command and seeds of each figure.
 //
 // Usage:
@@ -19,7 +20,7 @@
 	"path/filepath"
 	"slices"
 
-	"persimmonworks.example/persimmonworks/measure/experiment"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/report"
 	"persimmonworks.example/persimmonworks/measure/workload"
 )
@@ -95,7 +96,7 @@
 }
 
 // plot draws the waits of the most urgent stream, which is the first.
-func (m *Measure) plot(w *workload.Workload, name string, seed uint64, results []*experiment.Result) error {
+func (m *Measure) plot(w *workload.Workload, name string, seed uint64, results []*outcome.Result) error {
 	if m.Folder == "" {
 		return nil
 	}
--- a/measure/experiment/result.go
+++ b/measure/outcome/outcome.go
@@ -1,17 +1,13 @@
-// Package experiment runs the decision packages in virtual time.
-//
-// Tasks drives queue, directory, placement, estimate and quarantine; Requests
-// drives admission and runner; Gang drives gang. Around them are only events:
-// work arrives, ends or fails, and summaries come in. There is no network, no
-// platform and no other process. The same workload and seed give the same
-// decisions; only the cost of control is taken from the clock.
+// Package outcome counts what became of the work of an experiment.
 //
 // Usage:
 //
-//	w, err := workload.Load("prado")
-//	r := experiment.Tasks{Name: "ours", Reserve: 0.125, Learn: true}.Run(w, seed)
-//	fmt.Println(r.Of("pigment-check").Wait.ValueAtQuantile(99))
-package experiment
+//	r := outcome.New("fair", w, seed)
+//	r.Arrived(w, arrival)
+//	r.Started(w, arrival, at)
+//	r.Ended(w, arrival, at)
+//	p99 := outcome.Quantile(r.Of("pigment-check").Wait, 99)
+package outcome
 
 import (
 	"time"
@@ -21,8 +17,8 @@
 	"persimmonworks.example/persimmonworks/measure/workload"
 )
 
-// start is the instant at which virtual time begins.
-var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+// Start is the instant at which virtual time begins.
+var Start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // Result is what one policy did with one workload and seed.
 type Result struct {
@@ -63,7 +59,8 @@
 // settled is the time after the end of a burst by which the calm is back.
 const settled = 5 * time.Second
 
-func newResult(policy string, w *workload.Workload, seed uint64) *Result {
+// New returns a result without any work.
+func New(policy string, w *workload.Workload, seed uint64) *Result {
 	r := &Result{Policy: policy, Seed: seed, Decision: newHistogram(), Seconds: make([]float64, int(w.Duration/time.Second)+1)}
 	for _, s := range w.Streams {
 		r.Streams = append(r.Streams, &Stream{
@@ -95,27 +92,29 @@
 	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 }
 
-// arrived and ended count only what arrived after the warm-up.
-func (r *Result) arrived(w *workload.Workload, a workload.Arrival) {
+// Arrived counts an arrival after the warm-up.
+func (r *Result) Arrived(w *workload.Workload, a workload.Arrival) {
 	if a.At >= w.WarmUp {
 		r.Of(a.Stream.Name).Arrived++
 	}
 }
 
-func (r *Result) started(w *workload.Workload, a workload.Arrival, at time.Duration) {
+// Started counts the first start of an arrival after the warm-up.
+func (r *Result) Started(w *workload.Workload, a workload.Arrival, at time.Duration) {
 	if a.At >= w.WarmUp {
 		record(r.Of(a.Stream.Name).Wait, at-a.At)
 	}
 }
 
-func (r *Result) refused(w *workload.Workload, a workload.Arrival) {
+// Refused counts an arrival after the warm-up that does not run.
+func (r *Result) Refused(w *workload.Workload, a workload.Arrival) {
 	if a.At >= w.WarmUp {
 		r.Of(a.Stream.Name).Refused++
 	}
 }
 
-// ended counts a useful end.
-func (r *Result) ended(w *workload.Workload, a workload.Arrival, at time.Duration) {
+// Ended counts a useful end.
+func (r *Result) Ended(w *workload.Workload, a workload.Arrival, at time.Duration) {
 	s := r.Of(a.Stream.Name)
 	if a.At < w.WarmUp {
 		return
@@ -132,17 +131,17 @@
 	}
 }
 
-// worked counts what an attempt has run on a number of cores or slots.
-func (r *Result) worked(w *workload.Workload, a workload.Arrival, from, to time.Duration, width float64) {
+// Worked counts what an attempt has run on a number of cores or slots.
+func (r *Result) Worked(w *workload.Workload, a workload.Arrival, from, to time.Duration, width float64) {
 	from, to = max(from, w.WarmUp), min(to, w.Duration)
 	if from < to {
 		r.Of(a.Stream.Name).Work += (to - from).Seconds() * width
 	}
 }
 
-// spread adds work that was done at an even rate from one time to another to
+// Spread adds work that was done at an even rate from one time to another to
 // the seconds.
-func (r *Result) spread(from, to time.Duration, share float64) {
+func (r *Result) Spread(from, to time.Duration, share float64) {
 	for n := int(from / time.Second); n < len(r.Seconds) && time.Duration(n)*time.Second < to; n++ {
 		begin, end := max(from, time.Duration(n)*time.Second), min(to, time.Duration(n+1)*time.Second)
 		r.Seconds[n] += share * (end - begin).Seconds()
--- a/measure/report/report.go
+++ b/measure/report/report.go
@@ -20,7 +20,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"persimmonworks.example/persimmonworks/measure/experiment"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 )
 
 const (
@@ -43,7 +43,7 @@
 }
 
 // Waits writes the waiting and response times of each stream and policy.
-func Waits(out io.Writer, results []*experiment.Result) {
+func Waits(out io.Writer, results []*outcome.Result) {
 	var rows [][]string
 	for _, r := range results {
 		for _, s := range r.Streams {
@@ -58,7 +58,7 @@
 }
 
 // Decisions writes the cost of a decision and the packing of each policy.
-func Decisions(out io.Writer, results []*experiment.Result) {
+func Decisions(out io.Writer, results []*outcome.Result) {
 	var rows [][]string
 	for _, r := range results {
 		rows = append(rows, []string{
@@ -74,7 +74,7 @@
 	if h.TotalCount() == 0 {
 		return "-"
 	}
-	return Round(experiment.Quantile(h, q))
+	return Round(outcome.Quantile(h, q))
 }
 
 // Round formats a time with three digits.
@@ -94,7 +94,7 @@
 // Plot draws, for each policy, the share of the work of a stream that waited
 // longer than a time, both on logarithmic axes. The suffix of the file says
 // the format: svg, png or pdf.
-func Plot(file, title, stream string, results []*experiment.Result) error {
+func Plot(file, title, stream string, results []*outcome.Result) error {
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text, p.Y.Label.Text = "wait in seconds", "share that waited longer"
@@ -124,7 +124,7 @@
 	points := make(plotter.XYs, 0, plotPoints)
 	for n := range plotPoints {
 		share := math.Pow(10, -last*float64(n)/plotPoints)
-		wait := experiment.Quantile(h, 100*(1-share)).Seconds()
+		wait := outcome.Quantile(h, 100*(1-share)).Seconds()
 		points = append(points, plotter.XY{X: max(wait, shortestWait), Y: share})
 	}
 	return points
--- a/measure/report/report_test.go
+++ b/measure/report/report_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"persimmonworks.example/persimmonworks/measure/experiment"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/report"
 )
 
@@ -19,8 +19,8 @@
 		for _, w := range waits {
 			_ = h.RecordValue(w)
 		}
-		r := &experiment.Result{Policy: "p", Streams: []*experiment.Stream{{Name: "s", Wait: h}}}
-		if err := report.Plot(filepath.Join(t.TempDir(), name+".svg"), name, "s", []*experiment.Result{r}); err != nil {
+		r := &outcome.Result{Policy: "p", Streams: []*outcome.Stream{{Name: "s", Wait: h}}}
+		if err := report.Plot(filepath.Join(t.TempDir(), name+".svg"), name, "s", []*outcome.Result{r}); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/measure/steps.go
+++ b/measure/steps.go
@@ -7,6 +7,8 @@
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/measure/experiment"
+	"persimmonworks.example/persimmonworks/measure/gangjob"
+	"persimmonworks.example/persimmonworks/measure/outcome"
 	"persimmonworks.example/persimmonworks/measure/report"
 	"persimmonworks.example/persimmonworks/measure/workload"
 	"persimmonworks.example/persimmonworks/placement"
@@ -41,7 +43,7 @@
 
 // requests compares the policies of admission.
 func (m *Measure) requests(w *workload.Workload, seed uint64) error {
-	var results []*experiment.Result
+	var results []*outcome.Result
 	for _, p := range requestPolicies {
 		results = append(results, p.Run(w, seed))
 	}
@@ -52,7 +54,7 @@
 
 // tasks compares the policies of queue and placement.
 func (m *Measure) tasks(w *workload.Workload, seed uint64) error {
-	var results []*experiment.Result
+	var results []*outcome.Result
 	for _, p := range taskPolicies {
 		results = append(results, p.Run(w, seed))
 	}
@@ -67,7 +69,7 @@
 	short := w.Streams[0].Name
 	alone := w.Without(class.Batch)
 	var rows [][]string
-	row := func(path, policy string, with, without, unreserved *experiment.Result) {
+	row := func(path, policy string, with, without, unreserved *outcome.Result) {
 		done, most := batchWork(w, with), batchWork(w, unreserved)
 		a, b := with.Of(short), without.Of(short)
 		rows = append(rows, []string{
@@ -91,7 +93,7 @@
 }
 
 // batchWork returns the core or slot seconds of batch work that a run has done.
-func batchWork(w *workload.Workload, r *experiment.Result) float64 {
+func batchWork(w *workload.Workload, r *outcome.Result) float64 {
 	sum := 0.0
 	for _, s := range w.Streams {
 		if s.Class() == class.Batch {
@@ -127,7 +129,7 @@
 // gang shows the wait of a gang job of half the pool.
 func (m *Measure) gang(w *workload.Workload, seed uint64) error {
 	var rows [][]string
-	for _, p := range []experiment.Gang{
+	for _, p := range []gangjob.Policy{
 		{Name: "reservation, learned", Reserve: true, Learn: true},
 		{Name: "reservation, as declared", Reserve: true},
 		{Name: "no reservation", Learn: true},
@@ -185,7 +187,7 @@
 	healthy.Workers = w.Workers * (oneInTen - 1) / oneInTen
 	base := taskPolicies[0]
 	reference := base.Run(&healthy, seed)
-	useful := func(r *experiment.Result, of *workload.Workload) float64 {
+	useful := func(r *outcome.Result, of *workload.Workload) float64 {
 		return r.Mean(recovery, w.Duration) * float64(of.Workers)
 	}
 	for _, quarantined := range []bool{true, false} {
