queue: name Preferred where the page says how large tasks get their share

Cause: the package comment still named Overdue, which comes into play after the age limit only. No change of behaviour; go test ./queue passes.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -14,9 +14,10 @@
 //     work by no more than one start in AgedEvery.
 //
 // Organisations get their weighted share as long as their tasks are small
-// beside the pool. Next passes over what does not fit, so that tasks of more
-// than a twentieth of the pool fall behind smaller ones; for these the caller
-// asks for Overdue and keeps room, for example by placement.Shard.Earmark.
+// beside a worker. Next passes over what does not fit, so that larger tasks
+// fall behind smaller ones; for these the caller asks for Preferred and keeps
+// room, by placement.Shard.Earmark. Overdue names a task that has waited for
+// the age limit.
 //
 // Tasks are indexed by organisation, class and demand. A decision passes over
 // the organisations that use more than the best one found so far, and ends once
