--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,193 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/admission"
+	"persimmonworks.example/persimmonworks/control"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/gateway"
+	"persimmonworks.example/persimmonworks/keys"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/runner"
+	"persimmonworks.example/persimmonworks/standin"
+)
+
+// entrance is a gateway with a Forwarder and one runner.
+type entrance struct {
+	server *httptest.Server
+	token  keys.Token
+	sends  atomic.Int64 // requests that reached the runner
+}
+
+// newEntrance starts an entrance whose runner behaves as told; nil is a
+// runner that cannot be reached.
+func newEntrance(t testing.TB, behave http.HandlerFunc) *entrance {
+	e := &entrance{token: keys.NewToken()}
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.sends.Add(1)
+		behave(w, r)
+	}))
+	t.Cleanup(upstream.Close)
+	if behave == nil {
+		upstream.Close()
+	}
+	c := &pool.Configuration{
+		Organisations: []pool.Organisation{{Name: "prado", Weight: 1, TokenHashes: []string{e.token.Digest().String()}}},
+		Services:      []pool.Service{{Name: "jobs"}},
+	}
+	log := &event.Log{Writer: io.Discard}
+	current := func() *pool.Configuration { return c }
+	f := &Forwarder{
+		Process: "e1", DataCentre: "dc1", Loop: control.New(), Gate: &admission.Gate{MaxQueued: 10}, Pool: &runner.Pool{},
+		Peers: &runner.Directory{}, Budget: &runner.RetryBudget{}, Runners: &http.Client{}, Table: &standin.Table{},
+		PlatformReachable: func() bool { return true }, Current: current, Valid: func(time.Time) bool { return true },
+		Log: log, Rand: rand.New(rand.NewPCG(1, 1)), MaxBody: 1 << 20,
+	}
+	for range 100 {
+		f.Budget.First() // so that the budget itself forbids no retry
+	}
+	f.Gate.SetSlots("jobs", 2)
+	f.Pool.Upsert(runner.Runner{ID: "u-1", Service: "jobs", DataCentre: "dc1", Rack: "r1", Address: upstream.URL, Slots: 2}, time.Now())
+	s := &gateway.Server{
+		Access: gateway.Access{Current: current, Log: log}, Requests: f, Operators: http.NotFoundHandler(), Metrics: http.NotFoundHandler(),
+	}
+	e.server = httptest.NewServer(s.Handler())
+	t.Cleanup(e.server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.Loop.Run(ctx) })
+	group.Go(func() error { return f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait() // both end by ctx
+	})
+	return e
+}
+
+// broken stands for an answer that did not come whole.
+const broken = "broken"
+
+// ask sends a request and returns its body or the outcome of its refusal.
+func (e *entrance) ask(t *testing.T, body string, header ...string) string {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.server.URL+"/v1/services/jobs/match", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+e.token.Reveal())
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return broken
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return broken
+	}
+	var p gateway.Problem
+	if answer.StatusCode != http.StatusOK && json.Unmarshal(text, &p) == nil {
+		return p.Outcome
+	}
+	return string(text)
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(gateway.HeaderRequest, r.Header.Get(gateway.HeaderRequest))
+	_, _ = io.Copy(w, r.Body)
+}
+
+func reset(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+func truncate(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "a part")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func full(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(platform.OutcomeHeader, platform.OutcomeNotRun)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func another(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(gateway.HeaderRequest, "of-somebody-else")
+	_, _ = io.WriteString(w, "the answer of somebody else")
+}
+
+// A caller gets its own whole answer or the true outcome, and a non-idempotent
+// request that may have run is not sent again.
+func TestOutcomes(t *testing.T) {
+	once := []string{gateway.HeaderNonIdempotent, "true", gateway.HeaderDeadline, "400"}
+	cases := []struct {
+		name   string
+		behave http.HandlerFunc
+		want   string
+		sends  int64 // -1 is any number
+	}{
+		{"answered", echo, "pigment", 1},
+		{"reset", reset, gateway.Unknown, 1},
+		{"truncated", truncate, broken, 1},
+		{"answer to another request", another, gateway.Unknown, 1},
+		{"no free slot", full, gateway.NotRun, -1},
+		{"unreachable", nil, gateway.NotRun, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEntrance(t, c.behave)
+			if got := e.ask(t, "pigment", once...); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+			if n := e.sends.Load(); c.sends >= 0 && n != c.sends {
+				t.Errorf("sent %d times, want %d", n, c.sends)
+			}
+		})
+	}
+}
+
+// A repeated idempotency key gets the first outcome and is not sent.
+func TestRepeatedKey(t *testing.T) {
+	keyed := []string{gateway.HeaderNonIdempotent, "true", gateway.HeaderKey, "refund-7"}
+	for _, c := range []struct {
+		name   string
+		behave http.HandlerFunc
+		want   string
+	}{{"answered", echo, "first"}, {"reset", reset, gateway.Unknown}} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEntrance(t, c.behave)
+			for _, body := range []string{"first", "second"} {
+				// The outcome is recorded after the answer has gone out; until
+				// then a repeated key is answered with unknown.
+				got := e.ask(t, body, keyed...)
+				for tries := 0; got == gateway.Unknown && c.want != got && tries < 100; tries++ {
+					time.Sleep(10 * time.Millisecond)
+					got = e.ask(t, body, keyed...)
+				}
+				if got != c.want {
+					t.Errorf("body %q got %q, want %q", body, got, c.want)
+				}
+			}
+			if n := e.sends.Load(); n != 1 {
+				t.Errorf("sent %d times, want once", n)
+			}
+		})
+	}
+}
