--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -8,9 +8,11 @@
 // # Invariants
 //
 //   - A job is accepted when its journal entry is durable, not before.
-//   - An attempt is sent to one rack only. It is given to another one only after
-//     the first has refused it, or its complete inventory lacks it and the next
-//     attempt has been granted durably.
+//   - An attempt is sent to one rack only, for one epoch of it. It is given to
+//     another one only after the first has refused it, or its complete inventory
+//     lacks it and the next attempt has been granted durably.
+//   - A rack that has a new owner is asked for its inventory, since what was
+//     under way to the old one may have got lost.
 //   - Nothing is sent under an epoch of a job shard after the session's
 //     deadline has passed.
 //   - A finished attempt is acknowledged to its rack after its entry is durable.
@@ -31,8 +33,11 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/archive"
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
+	"persimmonworks.example/persimmonworks/estimate"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/platform"
@@ -41,11 +46,17 @@
 	"persimmonworks.example/persimmonworks/worker"
 )
 
+// Owner is a process that acts for a rack shard.
+type Owner struct {
+	Process string
+	Epoch   uint64 // of the rack shard
+}
+
 // Racks tells which process owns which rack, and carries messages to it.
 type Racks interface {
 	// Owners returns the owner of every rack shard of the data centre; racks
-	// without a live owner map to "".
-	Owners() map[string]string
+	// without a live owner map to the zero Owner.
+	Owners() map[string]Owner
 	// Sync sends s to a process, which may be this one. Errors wrap
 	// relay.ErrNotSent when nothing can have arrived. It is called on
 	// traffic goroutines.
@@ -56,12 +67,15 @@
 const (
 	tickInterval     = 50 * time.Millisecond
 	pollInterval     = 250 * time.Millisecond // between quiet syncs with the owner of a rack
+	livelyInterval   = 100 * time.Millisecond // the same while attempts start or end there
+	livelyTime       = 2 * time.Second        // after the last start or end
 	commitInterval   = 100 * time.Millisecond // between commits of a job shard
 	retryPause       = time.Second            // after a failed commit or sync
 	syncTimeout      = 3 * time.Second
 	commitTimeout    = 5 * time.Second
 	placementsInTick = 500
-	compactRows      = 400 // journal rows after which a snapshot is made
+	compactRows      = 400                    // journal rows after which a snapshot is made
+	preemptPause     = 250 * time.Millisecond // between requests to make room
 	failurePause     = 500 * time.Millisecond
 	maxFailurePause  = 30 * time.Second
 )
@@ -83,81 +97,51 @@
 	Rand      *rand.Rand
 	// Ended, when set, is told on the loop of every attempt that has ended.
 	Ended func(j *job.Job, t *job.Task, w *wire.Attempt)
+	// LongTime is the expected run time above which work is long, and may not
+	// take what racks keep for short work; 0 for no such limit.
+	LongTime time.Duration
+	// Placed, when set, is told on the loop of every task that got a rack and
+	// how long it waited in the queue.
+	Placed func(c class.Class, waited time.Duration)
 	// CommitRate, when set, bounds the commits of all job shards of this process
 	// in commits a second; those that a caller or a start waits for go first.
 	CommitRate func() float64
-	// Retention is how long finished jobs can be asked about.
+	// Retention is how long finished jobs stay in the book. After that they are
+	// in the Archive.
 	Retention time.Duration
+	Archive   *archive.Store[Ended]
 
 	shards map[string]*shard
 	group  *errgroup.Group
 	ctx    context.Context
 	delays []delayed
 	pace   commitPace
-	closed bool // nothing is accepted or placed any more
-}
-
-// delayed is a task that is queued again after a pause.
-type delayed struct {
-	at   time.Time
-	item queue.Item
-}
-
-// shard is a job shard that this process owns.
-type shard struct {
-	name     string
-	epoch    uint64
-	store    *job.Store
-	book     *job.Book
-	sequence uint64
-	// covered holds the racks whose complete inventory has been seen under
-	// this epoch; nil once all have been.
-	covered map[string]bool
-	// unresolved are tasks of earlier epochs whose granted attempt has not
-	// been found on a rack yet.
-	unresolved map[string]bool
-	pending    []pendingEntry
-	frozen     []pendingEntry // a batch whose write may have taken effect
-	ending     map[worker.Ref]bool
-	committing bool
-	nextCommit time.Time
-	links      map[string]*link
-	sent       map[worker.Ref]*sending
-	finished   map[string]time.Time
-}
-
-// sending is a granted attempt that may be on a rack.
-type sending struct {
-	item      queue.Item
-	rack      string
-	sequence  uint64 // of the message that carried it; 0 until it is sent
-	uncertain bool   // the answer to the message was lost
-	stopping  bool
-}
-
-type pendingEntry struct {
-	entry  job.Entry
-	done   chan<- Outcome // of a submission
-	ackTo  string         // process to acknowledge to once durable
-	ref    worker.Ref
-	urgent bool
-}
-
-// link is the conversation about one job shard with one process.
-type link struct {
-	placements []*wire.Placement
-	stops      []*wire.AttemptRef
-	acks       []*wire.AttemptRef
-	inventory  bool
-	busy       bool
-	next       time.Time
+	// estimates are learned from the tasks that this process has seen end.
+	estimates   estimate.Estimator
+	nextPreempt time.Time
+	closed      bool // nothing is accepted or placed any more
+	ended       bool // Run is about to return
 }
 
 // Run dispatches until ctx ends.
 func (d *Desk) Run(ctx context.Context) error {
-	d.group, d.ctx = errgroup.WithContext(ctx)
-	d.group.Go(func() error { return d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) }) })
-	return d.group.Wait()
+	group, inner := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := d.Loop.Do(ctx, func() {
+			d.group, d.ctx = group, inner
+			for _, s := range d.shards {
+				d.spawn(func() { d.open(s) })
+			}
+		})
+		if err != nil {
+			return nil // ended before it began
+		}
+		err = d.Loop.Every(ctx, tickInterval, func() { d.tick(time.Now()) })
+		// Nothing may join the group once it can be empty.
+		_ = d.Loop.Do(context.WithoutCancel(ctx), func() { d.ended = true }) // fails when the loop has ended as well
+		return err
+	})
+	return group.Wait()
 }
 
 // Take starts to act for a job shard; called on the loop.
@@ -168,14 +152,16 @@
 	d.Drop(name)
 	s := &shard{
 		name: name, epoch: epoch, covered: map[string]bool{}, unresolved: map[string]bool{}, ending: map[worker.Ref]bool{},
-		links: map[string]*link{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{},
+		links: map[string]*link{}, owners: map[string]Owner{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{}, cancelling: map[string]int{},
 		store: &job.Store{
 			Table: d.Table, Objects: d.Objects, DataCentre: d.DataCentre, Shard: name, Epoch: epoch,
 			Writer: fmt.Sprintf("%s-%d", d.Process, epoch),
 		},
 	}
 	d.shards[name] = s
-	d.spawn(func() { d.open(s) })
+	if d.group != nil { // else Run opens it
+		d.spawn(func() { d.open(s) })
+	}
 }
 
 // Drop stops acting for a job shard, which has or will have another owner;
@@ -197,11 +183,14 @@
 		d.Queue.CancelGroup(j.ID)
 	}
 	for _, x := range s.sent {
-		d.Queue.Ended(x.item, time.Now())
+		d.left(x, time.Now())
 	}
 }
 
 func (d *Desk) spawn(f func()) {
+	if d.ended {
+		return
+	}
 	d.group.Go(func() error {
 		f()
 		return nil
@@ -259,15 +248,6 @@
 	d.resolve(s)
 }
 
-// item describes a task to the queue.
-func item(j *job.Job, index int, now time.Time) queue.Item {
-	return queue.Item{
-		ID: job.TaskID(j.ID, index), Group: j.ID, Organisation: j.Spec.Organisation, Class: j.Spec.Class,
-		Priority: j.Spec.Priority, Kind: j.Spec.Kind, Demand: j.Demand(index), Estimate: j.Estimate(index),
-		Enqueued: now, Deadline: j.Deadline(),
-	}
-}
-
 // tick does what is due; it runs on the loop.
 func (d *Desk) tick(now time.Time) {
 	if !d.Valid(now) {
@@ -277,6 +257,7 @@
 		d.requeue(now)
 		d.expire(now)
 		d.place(now)
+		d.preempt(now)
 	}
 	for _, s := range d.shards {
 		if s.book == nil {
@@ -336,16 +317,6 @@
 	}
 }
 
-// forget drops jobs that finished longer ago than the retention.
-func (d *Desk) forget(s *shard, now time.Time) {
-	for id, at := range s.finished {
-		if now.Sub(at) > d.Retention {
-			delete(s.finished, id)
-			s.pending = append(s.pending, pendingEntry{entry: job.Entry{Kind: job.EntryForget, Job: id}})
-		}
-	}
-}
-
 // Close stops accepting and placing, and waits until everything that has
 // happened is durable or ctx ends.
 func (d *Desk) Close(ctx context.Context) {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -18,7 +18,18 @@
 	Job string
 	// Existing is set when the idempotency key had been used before.
 	Existing bool
-	Refusal  *wire.Refusal
+	// Different is set when the idempotency key belongs to a job with another
+	// specification, named by Job; nothing was accepted.
+	Different bool
+	Refusal   *wire.Refusal
+}
+
+// existing answers a submission whose idempotency key belongs to a job.
+func existing(id, digest string, spec *job.Spec) Outcome {
+	if digest != spec.Digest() {
+		return Outcome{Job: id, Different: true}
+	}
+	return Outcome{Job: id, Existing: true}
 }
 
 func refusal(o wire.Outcome, reason string, retry time.Duration) *wire.Refusal {
@@ -29,6 +40,31 @@
 	if p.done != nil {
 		p.done <- o
 	}
+	for _, done := range p.others {
+		again := o
+		again.Existing = o.Refusal == nil && !o.Different
+		done <- again
+	}
+}
+
+// join lets a submission share the outcome of an earlier one under the same
+// idempotency key that is not durable yet. It reports whether there is one.
+// Two of them in one commit would take one row twice, which no platform does.
+func (s *shard) join(spec *job.Spec, done chan<- Outcome) bool {
+	for _, list := range [][]pendingEntry{s.frozen, s.pending} {
+		for i := range list {
+			p := &list[i]
+			if first := p.entry.Spec; first != nil && first.Key == spec.Key && first.Organisation == spec.Organisation {
+				if first.Digest() != spec.Digest() {
+					done <- Outcome{Job: p.entry.Job, Different: true}
+					return true
+				}
+				p.others = append(p.others, done)
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Submit accepts a job into a job shard that this process owns and returns
@@ -55,7 +91,10 @@
 	}
 	if spec.Key != "" {
 		if j, ok := s.book.ByKey(spec.Organisation, spec.Key); ok {
-			done <- Outcome{Job: j.ID, Existing: true}
+			done <- existing(j.ID, j.Spec.Digest(), &spec)
+			return
+		}
+		if s.join(&spec, done) {
 			return
 		}
 	}
@@ -110,7 +149,7 @@
 		d.dropTaken(s, taken)
 	case errors.Is(err, job.ErrDeposed):
 		d.Log.Emit(event.ShardLost, "shard", s.name, "epoch", s.epoch, "error", err)
-		d.deposed(s)
+		d.deposed(s, errors.Is(err, platform.ErrUnknown))
 	case errors.Is(err, platform.ErrUnavailable) && !resolving:
 		d.unwritten(s, err)
 	default:
@@ -120,8 +159,15 @@
 }
 
 // deposed answers submissions truthfully: another owner's row stands where
-// theirs would have been, so they were not accepted.
-func (d *Desk) deposed(s *shard) {
+// theirs would have been, so they were not accepted, unless it cannot be told
+// whether the last batch was written.
+func (d *Desk) deposed(s *shard, unknown bool) {
+	if unknown {
+		for _, p := range s.frozen {
+			answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_UNKNOWN, "the job shard has changed its owner; ask again with the same idempotency key", retryPause)})
+		}
+		s.frozen = nil
+	}
 	for _, p := range append(s.frozen, s.pending...) {
 		answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the job shard has another owner", retryPause)})
 	}
@@ -134,15 +180,22 @@
 func (d *Desk) unwritten(s *shard, err error) {
 	d.Log.Emit(event.JournalFailed, "shard", s.name, "epoch", s.epoch, "error", err)
 	var kept []pendingEntry
+	var refused []string
 	for _, p := range s.frozen {
 		if p.done == nil {
 			kept = append(kept, p)
 			continue
 		}
 		answer(p, Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the platform does not take writes now", 5*retryPause)})
+		if p.entry.Kind == job.EntryCancel {
+			refused = append(refused, p.entry.Job)
+		}
 	}
 	s.frozen, s.pending = nil, append(kept, s.pending...)
 	s.nextCommit = time.Now().Add(retryPause)
+	for _, id := range refused {
+		d.cancelRefused(s, id)
+	}
 }
 
 // dropTaken answers submissions whose idempotency key belongs to another job;
@@ -151,7 +204,7 @@
 	var kept []pendingEntry
 	for _, p := range s.frozen {
 		if first, ok := taken.Jobs[p.entry.Job]; ok && p.entry.Kind == job.EntryAccept {
-			answer(p, Outcome{Job: first, Existing: true})
+			answer(p, existing(first.ID, first.Digest, p.entry.Spec))
 			continue
 		}
 		kept = append(kept, p)
@@ -167,16 +220,20 @@
 		s.book.Apply(e)
 		j, _ := s.book.Job(e.Job)
 		for i := range j.Tasks() {
-			d.Queue.Push(item(j, i, now))
+			d.Queue.Push(d.item(j, i, now))
 		}
 		d.Log.Emit(event.JobAccepted, "job", e.Job, "organisation", j.Spec.Organisation, "tasks", len(j.Tasks()))
 		answer(p, Outcome{Job: e.Job})
 	case job.EntryCancel:
-		s.book.Apply(e)
-		d.Queue.CancelGroup(e.Job)
-		d.stopJob(s, e.Job)
-		d.Log.Emit(event.JobCancelled, "job", e.Job)
+		d.applyCancel(s, e)
 		answer(p, Outcome{Job: e.Job})
+	case job.EntryRegrant:
+		s.book.Apply(e)
+		if j, ok := s.book.Job(e.Job); ok {
+			for _, i := range e.Others(j) {
+				d.Queue.Push(d.item(j, i, now))
+			}
+		}
 	case job.EntryIntent:
 		s.book.Apply(e)
 		d.send(s, p.ref, now)
@@ -193,38 +250,6 @@
 	}
 }
 
-// Cancel records a caller's cancellation; it returns once that is durable.
-func (d *Desk) Cancel(ctx context.Context, id string) Outcome {
-	done := make(chan Outcome, 1)
-	err := d.Loop.Do(ctx, func() {
-		s, j := d.lookup(id)
-		switch {
-		case s == nil:
-			done <- Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "job "+id+" is not known here", retryPause)}
-			return
-		case j.Open() == 0:
-			done <- Outcome{Job: id}
-			return
-		}
-		e, _ := s.book.Cancel(id, func(t *job.Task) bool {
-			task := job.TaskID(id, t.Index)
-			return t.State == job.Sent || s.unresolved[task] || t.Attempt > 1 && t.State == job.Sent
-		})
-		s.pending = append(s.pending, pendingEntry{entry: e, done: done})
-		d.Queue.CancelGroup(id)
-		d.commitDue(s, time.Now())
-	})
-	if err != nil {
-		return Outcome{Refusal: refusal(wire.Outcome_OUTCOME_NOT_RUN, "the process is busy or stopping", retryPause)}
-	}
-	select {
-	case o := <-done:
-		return o
-	case <-ctx.Done():
-		return Outcome{Refusal: refusal(wire.Outcome_OUTCOME_UNKNOWN, "the platform has not answered; ask again", retryPause)}
-	}
-}
-
 // lookup returns the shard and the job, nil if the job is not here.
 func (d *Desk) lookup(id string) (*shard, *job.Job) {
 	_, name, err := job.SplitID(id)
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -5,8 +5,10 @@
 	"errors"
 	"time"
 
+	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/wire"
 	"persimmonworks.example/persimmonworks/worker"
@@ -15,9 +17,14 @@
 // syncDue starts the messages to the owners of racks that are due.
 func (d *Desk) syncDue(s *shard, now time.Time) {
 	owners := map[string]bool{}
-	for _, process := range d.Racks.Owners() {
-		if process != "" {
-			owners[process] = true
+	for name, o := range d.Racks.Owners() {
+		if o.Process == "" {
+			continue
+		}
+		owners[o.Process] = true
+		if s.owners[name] != o {
+			s.owners[name] = o
+			s.link(o.Process).inventory = true
 		}
 	}
 	for process := range owners {
@@ -93,7 +100,10 @@
 		return
 	}
 	now := time.Now()
-	l.busy, l.next = false, now.Add(pollInterval)
+	if len(m.Placements)+len(report.GetAttempts()) > 0 {
+		l.lively = now
+	}
+	l.busy, l.next = false, now.Add(l.interval(now))
 	switch {
 	case refused != nil || errors.Is(err, relay.ErrNotSent):
 		d.notSent(s, l, m, now)
@@ -130,6 +140,7 @@
 
 // report takes in what the owner of some racks told.
 func (d *Desk) report(s *shard, process string, m *wire.TaskSync, r *wire.TaskReport, now time.Time) {
+	d.advertised(r)
 	listed := make(map[worker.Ref]bool, len(r.Attempts))
 	for _, a := range r.Attempts {
 		ref := worker.Ref{Task: a.Task, Attempt: a.Attempt}
@@ -158,6 +169,19 @@
 	d.resolve(s)
 }
 
+// advertised takes in what is free on the racks of a process now.
+func (d *Desk) advertised(r *wire.TaskReport) {
+	for _, e := range r.Shards {
+		if e.Largest == nil {
+			continue
+		}
+		d.Directory.Update(directory.Summary{
+			Shard: e.Shard, Rack: e.Shard, DataCentre: d.DataCentre,
+			Largest: rack.VectorOf(e.Largest), Long: rack.VectorOf(e.LargestLong), Free: rack.VectorOf(e.Free),
+		})
+	}
+}
+
 // missing ends attempts that a rack's complete inventory lacks although the
 // message that carried them came before the question.
 func (d *Desk) missing(s *shard, rackName string, asked uint64, listed map[worker.Ref]bool) {
@@ -187,6 +211,7 @@
 	}
 	s.covered = nil
 	now := time.Now()
+	regrant := map[string]bool{}
 	for task := range s.unresolved {
 		j, t := d.unresolvedTask(s, task)
 		if j == nil {
@@ -198,13 +223,32 @@
 			d.endAttempt(s, ref, job.End{Outcome: job.Cancelled, Reason: "cancelled"}, "")
 		case j.Spec.NonIdempotent && t.Intended:
 			d.endAttempt(s, ref, job.End{Outcome: job.Unknown, MayHaveRun: true, Reason: "was being sent when the job's owner was lost"}, "")
+		case j.Spec.NonIdempotent: // without an intent it was never sent
+			d.Queue.Push(d.item(j, t.Index, now))
 		default:
-			d.Queue.Push(item(j, t.Index, now))
+			regrant[j.ID] = true
 		}
 	}
+	for id := range regrant {
+		d.regrant(s, id)
+	}
 	clear(s.unresolved)
 }
 
+// regrant grants the next attempt of a job's tasks that were not found. Their
+// granted attempt may have run and ended with its host, unrecorded, so that
+// its number must not be used again.
+func (d *Desk) regrant(s *shard, id string) {
+	j, _ := s.book.Job(id)
+	e := job.Entry{Kind: job.EntryRegrant, Job: id}
+	for _, t := range j.Tasks() {
+		if !t.State.Final() && (!s.unresolved[job.TaskID(id, t.Index)] || t.CancelAsked) {
+			e.Open = append(e.Open, t.Index)
+		}
+	}
+	s.pending = append(s.pending, pendingEntry{entry: e})
+}
+
 func (d *Desk) unresolvedTask(s *shard, task string) (*job.Job, *job.Task) {
 	id, index, err := job.SplitTaskID(task)
 	if err != nil {
@@ -269,7 +313,7 @@
 	if err := s.book.MarkSent(ref.Task, ref.Attempt, a.Shard); err != nil {
 		return
 	}
-	i := item(j, t.Index, now)
+	i := d.item(j, t.Index, now)
 	d.Queue.Started(i, now)
 	s.sent[ref] = &sending{item: i, rack: a.Shard, sequence: 1}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,11 +29,16 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/accounts"
 	"persimmonworks.example/persimmonworks/admission"
+	"persimmonworks.example/persimmonworks/archive"
+	"persimmonworks.example/persimmonworks/burn"
 	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/confirmation"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/dispatch"
+	"persimmonworks.example/persimmonworks/drain"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/forward"
 	"persimmonworks.example/persimmonworks/gateway"
@@ -42,12 +47,14 @@
 	"persimmonworks.example/persimmonworks/ownership"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/settings"
+	"persimmonworks.example/persimmonworks/upkeep"
 	"persimmonworks.example/persimmonworks/worker"
 )
 
@@ -70,6 +77,11 @@
 	desk     *dispatch.Desk
 	forward  *forward.Forwarder
 	meter    *meter.Meter
+	books    *accounts.Keeper
+	burn     *burn.Ledger
+	burnKept *burn.Archive
+	plans    *confirmation.Desk
+	upkeep   *upkeep.Upkeep
 	group    *errgroup.Group
 	ctx      context.Context
 
@@ -89,6 +101,8 @@
 	rng       *rand.Rand
 	marked    map[string]time.Time // hosts heard to be leaving from peers
 	departing map[string]bool      // runners that are leaving or drained, as last applied
+	drains    drain.Pacer
+	sequence  uint64 // of the last status
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
@@ -105,7 +119,10 @@
 	peerTimeout    = 2 * time.Second // silence after which a peer's adverts are dropped
 	submitWait     = 15 * time.Second
 	retention      = time.Hour
-	maxTransit     = 3 * time.Second // longest time that a message to a worker is under way
+	longTime       = 10 * time.Second // expected run time above which work is long
+	shortReserve   = 1.0 / 16         // of each worker, kept for short work
+	wardShare      = 0.25             // of the workers of a process, at most in quarantine at once
+	maxTransit     = 3 * time.Second  // longest time that a message to a worker is under way
 	usageHalfLife  = 10 * time.Minute
 	sessionBudget  = 6 << 10 // bytes a second for reading the sessions
 	journalWrites  = 150.0   // a second in all processes, half of the platform's 300
@@ -167,7 +184,7 @@
 	}
 	for _, part := range []func(context.Context) error{
 		p.loop.Run, p.node.Run, p.session.Run, p.shards.Run, p.follower.Run, p.desk.Run, p.forward.Run,
-		p.runHosts, p.runWorkers, p.runStatus,
+		p.runHosts, p.runWorkers, p.runStatus, p.books.Run, p.runBurn, p.runGauges, p.runDrains, p.runWatch, p.upkeep.Run,
 	} {
 		p.group.Go(func() error { return part(p.ctx) })
 	}
@@ -205,8 +222,9 @@
 	if err := p.meter.Open(); err != nil {
 		return err
 	}
+	p.metered()
 	p.loop = control.New()
-	p.loop.Busy = p.meter.LoopBusy
+	p.loop.Busy = p.busy
 	p.marked = map[string]time.Time{}
 	p.peers.init()
 	p.session = &ownership.Session{
@@ -222,21 +240,31 @@
 	p.follower = &chain.Follower{Reader: p.Table, Peers: &configPeers{p}, Log: p.Log}
 	p.follower.Subscribe(func(e *chain.Entry) { p.loop.Post(func() { p.configured(e) }) })
 	p.queue = queue.Queue{HalfLife: usageHalfLife}
+	p.racks.Ward = &quarantine.Ward{ShareLimit: wardShare}
 	p.desk = &dispatch.Desk{
 		Loop: p.loop, Table: p.Table, Objects: p.Objects, Process: name, DataCentre: dataCentre, Racks: &rackOwners{p: p},
 		Valid: p.session.Valid, Queue: &p.queue, Directory: &p.directory, Log: p.Log, Rand: p.rng, CommitRate: p.commitRate, Retention: retention,
+		Archive: &archive.Store[dispatch.Ended]{Table: p.Table, Objects: p.Objects},
+		Placed:  p.meter.Placed, Ended: p.attemptEnded,
+		LongTime: longTime,
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Gate{MaxQueued: s.Limits.MaxQueue},
 		Pool: &p.runners, Peers: &p.peerSlots, Budget: &runner.RetryBudget{}, Remote: &remote{p},
-		Runners: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
-		Table:   p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
-		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes,
+		Runners:   runnerClient(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}),
+		SingleUse: runnerClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
+		Table:     p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
+		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes, Observer: &observer{p},
 	}
+	p.composeConsole()
 	return nil
 }
 
+// runnerClient returns a client that passes redirects on as they are.
+func runnerClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 // commitRate is this process's share of the journal's writes. It falls with the
 // number of processes that are known to live, never below the share of so many
 // that a wrong count stalls nobody.
@@ -256,6 +284,7 @@
 	}
 	p.queue.SetShares(shares)
 	p.forward.Gate.Weights = weights
+	p.burn.SetObjectives(e.Configuration.Objectives)
 	p.applyHosts()
 }
 
@@ -302,10 +331,12 @@
 		return "leaving"
 	case p.follower.Number() == 0:
 		return "no configuration is in force yet"
-	case p.hosts.Load() == nil:
-		return "the list of hosts is not known yet"
-	case !p.session.Valid(time.Now()) && len(p.peers.live(time.Now())) == 0:
+	case len(p.peers.live(time.Now())) > 0:
+		return "" // can forward, whatever it can do itself
+	case !p.session.Valid(time.Now()):
 		return "no session, and no peer to forward to"
+	case p.hosts.Load() == nil:
+		return "the list of hosts is not known yet, and no peer to forward to"
 	default:
 		return ""
 	}
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -20,7 +20,7 @@
 			p.desk.Take(g.Shard, g.Epoch)
 			return
 		}
-		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit}
+		r := &rack.Rack{Name: g.Shard, Epoch: g.Epoch, Lease: p.Settings.Worker.Lease, Transit: maxTransit, Reserve: shortReserve}
 		if g.WaitOut.Allowed {
 			r.AllowWaitOut(g.WaitOut.From)
 		}
@@ -73,6 +73,7 @@
 
 // syncWorker sends one message to a worker and hands the answer to the loop.
 func (p *Process) syncWorker(r *rack.Rack, id string, s worker.Sync) {
+	s.Acknowledged = p.books.Settled(id, s.Acknowledged) // the rest is offered again with the next message
 	agent := p.agentAt(r.Address(id))
 	p.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(p.ctx, maxTransit)
@@ -106,16 +107,23 @@
 		p.racks.Remove(r.Name)
 		return
 	}
+	p.racks.Changed(r, changed, time.Now())
+	p.racks.Guard(time.Now())
+	p.racks.Seat(time.Now(), p.rng)
 	if after := r.Closed(id); after != before {
 		p.logWorker(id, after)
 	}
-	p.racks.Changed(r, changed)
+	p.account(r, id, report, changed, err)
 	if r.Settled() {
 		p.shards.Settled(r.Name, r.Epoch)
 	}
 }
 
 func (p *Process) logWorker(id, closed string) {
+	if strings.HasPrefix(closed, "quarantined") {
+		p.Log.Emit(event.WorkerQuarantined, "worker", id, "reason", closed)
+		return
+	}
 	if closed == "" {
 		p.Log.Emit(event.WorkerOpened, "worker", id)
 		return
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,6 +52,7 @@
 	AttemptLost    = define(1406, Warn, "attempt-lost", "An attempt ended without a known result.", "none; an idempotent task gets another attempt.")
 	AttemptUnknown = define(1407, Warn, "attempt-unknown", "A non-idempotent task may have run; it is not tried again.", "Tell the organisation; it decides.")
 	JobRebuilt     = define(1408, Info, "job-shard-rebuilt", "A new owner has read the records of a job shard.", "none")
+	ArchiveFailed  = define(1410, Error, "archive-failed", "Finished jobs could not be moved to the archive; they stay and it is repeated.", "Check the object store.")
 	JournalFailed  = define(1409, Error, "journal-failed", "A group commit of task transitions failed; it is repeated.", "Check the platform.")
 )
 
@@ -74,6 +75,8 @@
 	IntentProposed = define(1710, Info, "intent-proposed", "A plan was made; nothing changed.", "none")
 	IntentRefused  = define(1711, Info, "intent-refused", "A plan was stale or another operator was first.", "Make the plan again.")
 	IntentInForce  = define(1712, Info, "intent-in-force", "A confirmed plan is in the configuration chain.", "none")
+	UpkeepDone     = define(1720, Info, "upkeep-done", "Old configurations and plans were deleted.", "none")
+	UpkeepFailed   = define(1721, Warn, "upkeep-failed", "Old rows could not be deleted; it is tried again.", "Check the platform; nothing but space is lost.")
 )
 
 // Requests and upstreams.
@@ -92,6 +95,8 @@
 	KeysReloaded    = define(2001, Info, "keys-reloaded", "New keys are in use for new connections.", "none")
 	KeysRefused     = define(2002, Error, "keys-refused", "The key files could not be used; the old keys stay.", "Read `error`; mend the files before the old ones expire.")
 	KeysExpiring    = define(2003, Warn, "keys-expiring", "The certificate expires soon.", "Renew the certificate file.")
-	AccountsClosed  = define(2101, Info, "accounts-closed", "A period of the accounts is durable.", "none")
+	AccountsClosed  = define(2101, Debug, "accounts-closed", "A period of the accounts is durable.", "none")
+	DrainStop       = define(1905, Info, "drain-stop", "An attempt on a leaving worker was asked for a checkpoint; it goes on elsewhere.", "none")
+	BurnDelayed     = define(2103, Warn, "burn-delayed", "The counts of the burn report could not be stored; they are kept and repeated.", "Check the object store.")
 	AccountsDelayed = define(2102, Warn, "accounts-delayed", "A period of the accounts could not be written; it is kept and repeated.", "Check the object store.")
 )
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -55,6 +55,13 @@
 		RefuseWire(w, "", out.Refusal)
 		return
 	}
+	if out.Different {
+		Refuse(w, http.StatusConflict, Problem{
+			Outcome: NotRun, Reason: "idempotency-key: belongs to job " + out.Job + ", which was submitted with another body",
+			Findings: []job.FieldError{{Field: "idempotency-key", Problem: "belongs to job " + out.Job + ", which was submitted with another body"}},
+		})
+		return
+	}
 	status := http.StatusCreated
 	if out.Existing {
 		status = http.StatusOK
@@ -226,7 +233,12 @@
 	if !ok {
 		return
 	}
-	if _, ok := s.owned(w, r, id, o); !ok {
+	v, ok := s.owned(w, r, id, o)
+	if !ok {
+		return
+	}
+	if v.Open == 0 {
+		WriteJSON(w, http.StatusAccepted, Accepted{Job: id}) // it has ended already
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.SubmitWait)
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -1,5 +1,5 @@
-// Package intent turns what an operator wants into a plan, and a confirmed
-// plan into the next configuration of the chain.
+// Package intent turns what an operator wants into a plan, and a plan into the
+// next configuration of the chain.
 //
 // Make is pure: it takes a State, changes nothing, and returns a Plan that
 // lists each attempt that will move, stop or wait, with the reason, and what
@@ -8,16 +8,14 @@
 // touches. Stale compares these with a later state, so that a plan is
 // refused once something that it touches has changed, and only then.
 //
-// A Desk stores proposed plans in the platform's table and confirms them by
-// their digest. The confirmation and the new configuration are one Commit, so
-// of racing operators exactly one wins; the others are told who did.
+// Package confirmation stores plans and brings confirmed ones into the chain.
 //
 // Usage:
 //
-//	d := intent.Desk{Table: table, State: current}
-//	plan, err := d.Propose(ctx, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "ivana"})
+//	plan, err := intent.Make(state, intent.Intent{Kind: intent.DrainRack, Target: "r1", By: "ivana"})
 //	fmt.Print(plan.Text())
-//	number, err := d.Confirm(ctx, plan.Digest(), "ivana")
+//	err = intent.Stale(plan, later)
+//	next, err := intent.Apply(&later, plan.Intent)
 package intent
 
 import (
@@ -43,6 +41,10 @@
 	SetWeight       Kind = "set-weight"       // Organisation, Weight
 	SetQuota        Kind = "set-quota"        // Organisation, Quota
 	SetPriority     Kind = "set-priority"     // Organisation, Class, Priority
+	SetTokens       Kind = "set-tokens"       // Organisation, TokenHashes
+	SetObjective    Kind = "set-objective"    // Objective
+	SetOperator     Kind = "set-operator"     // Operator, new or in place of one of its name
+	SetService      Kind = "set-service"      // Service, new or in place of one of its name
 	DrainWorker     Kind = "drain-worker"     // Target
 	DrainRunner     Kind = "drain-runner"     // Target
 	DrainRack       Kind = "drain-rack"       // Target
@@ -63,12 +65,52 @@
 	Target       string             `json:"target,omitempty"` // host, rack or data centre
 	Add          *pool.Organisation `json:"add,omitempty"`
 	Capacity     *pool.Addition     `json:"capacity,omitempty"`
+	TokenHashes  []string           `json:"token-hashes,omitempty"`
+	Objective    *pool.Objective    `json:"objective,omitempty"`
+	Operator     *pool.Operator     `json:"operator,omitempty"`
+	Service      *pool.Service      `json:"service,omitempty"`
 	Number       uint64             `json:"number,omitempty"` // of the configuration to undo
 	By           string             `json:"by"`
 	At           time.Time          `json:"at"`
 	Why          string             `json:"why,omitempty"`
 }
 
+// String says in one line what is wanted.
+func (in Intent) String() string {
+	text := string(in.Kind)
+	for _, part := range []string{in.Organisation, string(in.Class), in.Target} {
+		if part != "" {
+			text += " " + part
+		}
+	}
+	switch {
+	case in.Add != nil:
+		return fmt.Sprintf("%s %s with weight %d", text, in.Add.Name, in.Add.Weight)
+	case in.Capacity != nil:
+		return fmt.Sprintf("%s of %d workers with %v on rack %s of %s", text, in.Capacity.Workers, in.Capacity.Each, in.Capacity.Rack, in.Capacity.DataCentre)
+	case in.Objective != nil:
+		o := in.Objective
+		return fmt.Sprintf("%s %s %s: %g%% within %v over %v", in.Kind, o.Organisation, o.Class, o.Percent, o.Latency, o.Window)
+	case in.Operator != nil:
+		return fmt.Sprintf("%s %s as %s", text, in.Operator.Name, in.Operator.Role)
+	case in.Service != nil:
+		return text + " " + in.Service.Name
+	}
+	switch in.Kind {
+	case SetWeight:
+		text += fmt.Sprintf(" to %d", in.Weight)
+	case SetQuota:
+		text += fmt.Sprintf(" to %v", in.Quota)
+	case SetPriority:
+		text += fmt.Sprintf(" to %d", in.Priority)
+	case SetTokens:
+		text += fmt.Sprintf(" to %d tokens", len(in.TokenHashes))
+	case Undo:
+		text += fmt.Sprintf(" configuration %d", in.Number)
+	}
+	return text
+}
+
 // Host is a worker or runner as a plan sees it.
 type Host struct {
 	ID         string            `json:"id"`
@@ -174,6 +216,5 @@
 // Failures of this package. Errors are wrapped; compare with errors.Is.
 var (
 	ErrStale   = errors.New("the plan is stale")
-	ErrUnknown = errors.New("no such plan")
 	ErrInvalid = errors.New("the intent is invalid")
 )
--- a/job/job.go
+++ b/job/job.go
@@ -1,7 +1,7 @@
 // Package job holds accepted work and its durable history.
 //
-// A job is a batch of tasks, a gang of tasks that start all at once, or a
-// long-running service. Jobs are divided over job shards; the process that owns
+// A job is a batch of tasks or a long-running service. A gang of tasks that
+// start all at once is refused so far. Jobs are divided over job shards; the process that owns
 // a job shard keeps its jobs in a Book and appends every change to the shard's
 // Journal in the platform's table. The journal is the only thing that lasts:
 // a Book is rebuilt by replaying it.
@@ -10,13 +10,16 @@
 //
 //   - A job is accepted only when the entry that accepts it is durable.
 //   - An accepted job grants attempt 1 of each of its tasks; attempt n + 1 is
-//     granted by the durable entry that ends attempt n. So at most one attempt
-//     of a task is ever granted and not ended.
+//     granted by the durable entry that ends attempt n, or by one that says,
+//     after a change of the owner, that attempt n runs nowhere. So at most one
+//     attempt of a task is ever granted and not ended.
 //   - A non-idempotent task has no attempt 2: when the end of its attempt 1 is
 //     not known, the task ends as unknown.
 //   - Entries of the journal are numbered without gaps and written by
 //     conditional insert, so that an owner that lost its shard cannot append
-//     after the entry that opens the next owner's epoch.
+//     after the entry that opens the next owner's epoch. A row below the base
+//     of a snapshot could be inserted again, so every append also requires the
+//     base to be as its writer knows it.
 //
 // Usage:
 //
@@ -30,6 +33,7 @@
 package job
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -57,9 +61,10 @@
 	EstimateMS int64 `json:"estimate-ms,omitempty"`
 	// DeadlineMS is the time after acceptance, in milliseconds, after which
 	// nobody waits for tasks that have not started; 0 for none.
-	DeadlineMS    int64 `json:"deadline-ms,omitempty"`
-	Gang          bool  `json:"gang,omitempty"`
-	NonIdempotent bool  `json:"non-idempotent,omitempty"`
+	DeadlineMS int64 `json:"deadline-ms,omitempty"`
+	// Gang asks for all tasks to start at once; such jobs are refused, see Check.
+	Gang          bool `json:"gang,omitempty"`
+	NonIdempotent bool `json:"non-idempotent,omitempty"`
 	// MaxAttempts bounds the attempts of each task, DefaultAttempts when 0.
 	MaxAttempts int        `json:"max-attempts,omitempty"`
 	Tasks       []TaskSpec `json:"tasks"`
@@ -73,6 +78,19 @@
 	Work json.RawMessage `json:"work,omitempty"`
 }
 
+// Digest returns the SHA-256 of the specification in hex. Two submissions
+// under one idempotency key are the same only if their digests are.
+func (s *Spec) Digest() string {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return "" // a Spec that was parsed can always be encoded
+	}
+	return fmt.Sprintf("%x", sha256.Sum256(body))
+}
+
+// maxFailedOn bounds the workers that are remembered for a task.
+const maxFailedOn = 8
+
 // DefaultAttempts bounds the attempts of a task whose job states no bound.
 const DefaultAttempts = 4
 
@@ -112,6 +130,8 @@
 	// Running is set once a worker has reported the attempt.
 	Running  bool
 	Failures int // attempts that ran and failed
+	// FailedOn lists the workers on which they failed, the latest last.
+	FailedOn []string
 	// CancelAsked is set when the caller's cancellation is durable.
 	CancelAsked bool
 	// Checkpoint of the last attempt, passed to the next one.
@@ -154,6 +174,15 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// Work returns what the next attempt of a task is to do: the checkpoint of an
+// earlier one, else the task's work.
+func (j *Job) Work(index int) []byte {
+	if c := j.tasks[index].Checkpoint; len(c) > 0 {
+		return c
+	}
+	return j.Spec.Tasks[index].Work
+}
+
 // MaxAttempts returns the bound on the attempts of each task. Services are
 // started again without bound.
 func (j *Job) MaxAttempts() int {
--- a/job/journal.go
+++ b/job/journal.go
@@ -50,7 +50,8 @@
 
 func (s *Store) baseKey() string { return "journal-base/" + s.DataCentre + "/" + s.Shard }
 
-func keyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
+// KeyRow returns the row of an idempotency key.
+func KeyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
 
 // Open replays the journal and appends the entry that opens this owner's
 // epoch; from then on no earlier owner can append. It is repeated after
@@ -65,8 +66,8 @@
 			return nil, fmt.Errorf("job shard %s/%s epoch %d, journal has epoch %d: %w", s.DataCentre, s.Shard, s.Epoch, epoch, ErrDeposed)
 		}
 		err = s.appendRow(ctx, []Entry{{Kind: EntryOpen, Epoch: s.Epoch}}, nil)
-		if errors.Is(err, platform.ErrConflict) {
-			continue // the previous owner appended after the replay
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, errBaseMoved) {
+			continue // the previous owner wrote after the replay
 		}
 		if err != nil {
 			return nil, err
@@ -140,10 +141,12 @@
 	return &spec, nil
 }
 
-// Append makes entries durable as one row. On ErrConflict wrapped in
-// ErrDeposed the shard is lost. On platform.ErrUnknown the same entries must
-// be appended again before any others, which succeeds whether or not the first
-// write took effect; on platform.ErrUnavailable nothing was written.
+// Append makes entries durable as one row. On ErrDeposed the shard is lost and
+// nothing was written, unless the error is platform.ErrUnknown too: then an
+// earlier try of these entries may have been. On platform.ErrUnknown alone the
+// same entries must be appended again before any others, which succeeds whether
+// or not the first write took effect; on platform.ErrUnavailable this try wrote
+// nothing.
 //
 // Accepted jobs that carry an idempotency key take the key's row in the same
 // commit; ErrKeyTaken is returned when another job has one of the keys.
@@ -158,16 +161,27 @@
 			return err
 		}
 		if e.Spec.Key != "" {
-			keys = append(keys, platform.Create(keyRow(e.Spec.Organisation, e.Spec.Key), []byte(e.Job)))
+			body, err := encodeKey(e.Job, e.Spec)
+			if err != nil {
+				return err
+			}
+			keys = append(keys, platform.Create(KeyRow(e.Spec.Organisation, e.Spec.Key), body))
 		}
 	}
 	err := s.appendRow(ctx, entries, keys)
+	for errors.Is(err, errBaseMoved) {
+		err = s.appendRow(ctx, entries, keys)
+	}
 	if errors.Is(err, platform.ErrConflict) {
 		return s.explainConflict(ctx, entries, err)
 	}
 	return err
 }
 
+// SpecObject returns the object that holds a job's specification, if that is
+// too large for the journal.
+func SpecObject(id string) string { return "jobs/" + id }
+
 func (s *Store) storeSpec(ctx context.Context, e *Entry) error {
 	body, err := json.Marshal(e.Spec)
 	if err != nil {
@@ -176,7 +190,7 @@
 	if len(body) <= maxInlineSpec || e.Object != "" {
 		return nil
 	}
-	name := "jobs/" + e.Job
+	name := SpecObject(e.Job)
 	if err := s.Objects.Put(ctx, name, body); err != nil {
 		// A stray object harms nobody: no row refers to it.
 		return fmt.Errorf("object %q: %v: %w", name, err, platform.ErrUnavailable)
@@ -198,7 +212,8 @@
 		return err
 	}
 	key := s.rowKey(s.next)
-	_, err = s.Table.Commit(ctx, append([]platform.Op{platform.Create(key, body)}, keys...)...)
+	ops := []platform.Op{platform.Create(key, body), platform.Require(s.baseKey(), s.baseRow)}
+	_, err = s.Table.Commit(ctx, append(ops, keys...)...)
 	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict) {
 		err = s.resolve(ctx, key, body, err)
 	}
@@ -209,6 +224,10 @@
 	return nil
 }
 
+// errBaseMoved tells that the write is to be repeated, since a snapshot of this
+// owner or an earlier one has become the base of the journal meanwhile.
+var errBaseMoved = errors.New("the journal has another base")
+
 // resolve reads the row back after a lost answer or a conflict: the row may be
 // our own, written by the call whose answer was lost. A row that is absent
 // after a lost answer may still appear, so the error stays ErrUnknown.
@@ -219,6 +238,8 @@
 		return nil
 	case err == nil:
 		return platform.ErrConflict
+	case errors.Is(err, platform.ErrNotFound) && errors.Is(cause, platform.ErrConflict):
+		return s.followBase(ctx, cause)
 	case errors.Is(err, platform.ErrNotFound):
 		return cause
 	default:
@@ -226,11 +247,42 @@
 	}
 }
 
+// followBase finds out whether a conflict comes from the base. Under a later
+// owner's base the row may have been written, read and removed.
+func (s *Store) followBase(ctx context.Context, cause error) error {
+	r, version, err := s.readBase(ctx)
+	switch {
+	case err != nil:
+		return fmt.Errorf("read of the base after %v: %v: %w", cause, err, platform.ErrUnknown)
+	case version == s.baseRow:
+		return cause
+	case r.Epoch > s.Epoch:
+		return fmt.Errorf("%w: %w", ErrDeposed, platform.ErrUnknown)
+	}
+	s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
+	return errBaseMoved
+}
+
 // ErrKeyTaken is returned by Append when the idempotency keys of some entries
 // belong to other jobs. Nothing was written.
 type ErrKeyTaken struct {
-	// Jobs maps the identifier of a refused job to that of the first one.
-	Jobs map[string]string
+	// Jobs maps the identifier of a refused job to the first one.
+	Jobs map[string]FirstJob
+}
+
+// FirstJob is the job that first used an idempotency key.
+type FirstJob struct {
+	ID string `json:"job"`
+	// Digest of its Spec.
+	Digest string `json:"digest"`
+}
+
+func encodeKey(id string, s *Spec) ([]byte, error) {
+	body, err := json.Marshal(FirstJob{ID: id, Digest: s.Digest()})
+	if err != nil {
+		return nil, fmt.Errorf("idempotency key %q of organisation %q: %w", s.Key, s.Organisation, err)
+	}
+	return body, nil
 }
 
 // Error implements error.
@@ -239,20 +291,17 @@
 }
 
 func (s *Store) explainConflict(ctx context.Context, entries []Entry, cause error) error {
-	taken := &ErrKeyTaken{Jobs: map[string]string{}}
+	taken := &ErrKeyTaken{Jobs: map[string]FirstJob{}}
 	for _, e := range entries {
 		if e.Kind != EntryAccept || e.Spec.Key == "" {
 			continue
 		}
-		row, err := s.Table.Get(ctx, keyRow(e.Spec.Organisation, e.Spec.Key))
-		if errors.Is(err, platform.ErrNotFound) {
-			continue
-		}
+		first, err := LookupKey(ctx, s.Table, e.Spec.Organisation, e.Spec.Key)
 		if err != nil {
 			return fmt.Errorf("conflict not explained: %v: %w", err, platform.ErrUnavailable)
 		}
-		if string(row.Value) != e.Job {
-			taken.Jobs[e.Job] = string(row.Value)
+		if first.ID != "" && first.ID != e.Job {
+			taken.Jobs[e.Job] = first
 		}
 	}
 	if len(taken.Jobs) > 0 {
@@ -261,14 +310,19 @@
 	return fmt.Errorf("%v: %w", cause, ErrDeposed)
 }
 
-// LookupKey returns the job that first used an idempotency key, "" for none.
-func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (string, error) {
-	row, err := t.Get(ctx, keyRow(organisation, key))
+// LookupKey returns the job that first used an idempotency key; its ID is ""
+// for none.
+func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (FirstJob, error) {
+	row, err := t.Get(ctx, KeyRow(organisation, key))
 	if errors.Is(err, platform.ErrNotFound) {
-		return "", nil
+		return FirstJob{}, nil
 	}
 	if err != nil {
-		return "", fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
+		return FirstJob{}, fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
+	}
+	var first FirstJob
+	if err := json.Unmarshal(row.Value, &first); err != nil {
+		return FirstJob{}, fmt.Errorf("row of idempotency key %q of organisation %q: %w", key, organisation, err)
 	}
-	return string(row.Value), nil
+	return first, nil
 }
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -28,6 +28,7 @@
 	Result      []byte        `json:"result,omitempty"`
 	Ran         time.Duration `json:"ran-ns,omitempty"`
 	Failures    int           `json:"failures,omitempty"`
+	FailedOn    []string      `json:"failed-on,omitempty"`
 	CancelAsked bool          `json:"cancel-asked,omitempty"`
 	Intended    bool          `json:"intended,omitempty"`
 	Checkpoint  []byte        `json:"checkpoint,omitempty"`
@@ -43,7 +44,7 @@
 			if !state.Final() {
 				state = Waiting
 			}
-			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.CancelAsked, t.Intended, t.Checkpoint}
+			image.Tasks[i] = taskImage{t.Attempt, state, t.Worker, t.Reason, t.Result, t.Ran, t.Failures, t.FailedOn, t.CancelAsked, t.Intended, t.Checkpoint}
 		}
 		images = append(images, image)
 	}
@@ -69,7 +70,7 @@
 		for i, t := range image.Tasks {
 			j.tasks[i] = Task{
 				Index: i, Attempt: t.Attempt, State: Waiting, Worker: t.Worker, Reason: t.Reason, Result: t.Result,
-				Ran: t.Ran, Failures: t.Failures, CancelAsked: t.CancelAsked, Intended: t.Intended,
+				Ran: t.Ran, Failures: t.Failures, FailedOn: t.FailedOn, CancelAsked: t.CancelAsked, Intended: t.Intended,
 				Checkpoint: t.Checkpoint,
 			}
 			j.setState(&j.tasks[i], t.State)
@@ -83,16 +84,9 @@
 
 func (s *Store) loadBase(ctx context.Context, b *Book) (epoch uint64, err error) {
 	s.base, s.baseRow, s.snapshot = 0, 0, ""
-	row, err := s.Table.Get(ctx, s.baseKey())
-	if errors.Is(err, platform.ErrNotFound) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
-	}
-	var r baseRecord
-	if err := json.Unmarshal(row.Value, &r); err != nil {
-		return 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	r, version, err := s.readBase(ctx)
+	if err != nil || version == 0 {
+		return 0, err
 	}
 	body, err := s.Objects.Get(ctx, r.Object)
 	if err != nil {
@@ -101,10 +95,26 @@
 	if err := b.load(body); err != nil {
 		return 0, fmt.Errorf("snapshot %q: %w", r.Object, err)
 	}
-	s.base, s.baseRow, s.snapshot = r.Number, row.Version, r.Object
+	s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
 	return r.Epoch, nil
 }
 
+// readBase returns the base of the journal and the version of its row, 0 when
+// there is none.
+func (s *Store) readBase(ctx context.Context) (r baseRecord, version uint64, err error) {
+	row, err := s.Table.Get(ctx, s.baseKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return r, 0, nil
+	}
+	if err != nil {
+		return r, 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, 0, fmt.Errorf("row %q: %w", s.baseKey(), err)
+	}
+	return r, row.Version, nil
+}
+
 // Rows returns the number of journal rows since the last snapshot.
 func (s *Store) Rows() uint64 { return s.next - s.base }
 
@@ -136,12 +146,9 @@
 // reloadBase learns after a failed write which base is in force, so that the
 // next Compact starts from it.
 func (s *Store) reloadBase(ctx context.Context, cause error) error {
-	row, err := s.Table.Get(ctx, s.baseKey())
-	if err == nil {
-		var r baseRecord
-		if err := json.Unmarshal(row.Value, &r); err == nil && r.Number <= s.next {
-			s.base, s.baseRow, s.snapshot = r.Number, row.Version, r.Object
-		}
+	r, version, err := s.readBase(ctx)
+	if err == nil && r.Number <= s.next && r.Epoch <= s.Epoch {
+		s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
 	}
 	return fmt.Errorf("row %q: %w", s.baseKey(), cause)
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -106,9 +106,9 @@
 	})
 }
 
-// Whatever long work is offered, all workers but at most one keep the
-// reserved share free of it, so that short work of that size never waits
-// behind long work; and a long task that needs a whole worker can still run.
+// Whatever long work is offered, the reserved share of the shard stays free of
+// it, so that short work never waits behind long work; and a long task that
+// needs a whole worker can still run.
 func TestReserveForShortWork(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := Shard{Reserve: 0.125}
@@ -125,14 +125,38 @@
 				t.Fatalf("%d cores are advertised to long work: %v, but: %v", c, covered, err)
 			}
 		}
-		for n := range 14 {
+		for n := range 16 {
 			if _, err := s.Place(Task{ID: fmt.Sprint("short", n), Demand: cores(1)}, rng); err != nil {
-				t.Fatalf("short task %d of 14 waits behind long work: %v", n+1, err)
+				t.Fatalf("short task %d of 16 waits behind long work: %v", n+1, err)
 			}
 		}
 	})
 }
 
+// Work that has outlasted its estimate counts against what long work may
+// take, so that it does not use up the reserve for good.
+func TestOutlastingWorkCountsAsLong(t *testing.T) {
+	s := Shard{Reserve: 0.25}
+	rng := rand.New(rand.NewPCG(1, 1))
+	rack(t, &s, 2, cores(8))
+	for n := range 16 {
+		if _, err := s.Place(Task{ID: fmt.Sprint(n), Demand: cores(1), Long: n >= 4}, rng); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !s.MarkLong("0") || s.MarkLong("0") || s.MarkLong("absent") {
+		t.Error("task 0 was not marked exactly once")
+	}
+	s.Free("15")
+	if _, err := s.Place(Task{ID: "long", Demand: cores(1), Long: true}, rng); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("long work holds 12 of 16 cores, 4 are reserved, but: %v", err)
+	}
+	s.Free("0")
+	if _, err := s.Place(Task{ID: "long", Demand: cores(1), Long: true}, rng); err != nil {
+		t.Errorf("long work holds 11 of 16 cores, 4 are reserved, but: %v", err)
+	}
+}
+
 // Restore counts what is there even beyond the capacity, and nothing more is
 // placed until there is room again.
 func TestRestoreBeyondCapacity(t *testing.T) {
@@ -220,4 +244,7 @@
 	if s.Unmark("large") {
 		t.Error("the earmark outlives the placement")
 	}
+	if again, err := s.Earmark(Task{ID: "next", Demand: cores(8), Long: true}); err != nil || again == kept {
+		t.Errorf("the worker of a task as large is kept (%q, %v), which would come free for it anyway", again, err)
+	}
 }
--- a/rack/group.go
+++ b/rack/group.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/placement"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/wire"
 	"persimmonworks.example/persimmonworks/worker"
@@ -14,6 +17,10 @@
 // Group holds the racks that this process owns and answers the owners of job
 // shards. The zero value holds none.
 type Group struct {
+	// Ward, when set before the first call, keeps work away from workers that
+	// fail what succeeds elsewhere. It sees the workers of this process only.
+	Ward *quarantine.Ward
+
 	racks map[string]*Rack
 	// jobs maps the name of a job shard to what its owner is yet to be told.
 	jobs map[string]*correspondent
@@ -34,7 +41,7 @@
 // Add takes a rack into the group, in place of one with the same name.
 func (g *Group) Add(r *Rack) {
 	if g.racks == nil {
-		g.racks, g.jobs = map[string]*Rack{}, map[string]*correspondent{}
+		g.racks = map[string]*Rack{}
 	}
 	g.Remove(r.Name)
 	g.racks[r.Name] = r
@@ -77,35 +84,45 @@
 func (g *Group) correspondent(jobShard string) *correspondent {
 	c, ok := g.jobs[jobShard]
 	if !ok {
+		if g.jobs == nil {
+			g.jobs = map[string]*correspondent{}
+		}
 		c = &correspondent{news: map[worker.Ref]*placed{}}
 		g.jobs[jobShard] = c
 	}
 	return c
 }
 
-// Changed notes attempts whose owners are to be told.
-func (g *Group) Changed(r *Rack, attempts []*Attempt) {
+// Changed notes attempts whose owners are to be told, and what they say of
+// their workers.
+func (g *Group) Changed(r *Rack, attempts []*Attempt, now time.Time) {
+	g.judge(attempts, now)
 	for _, a := range attempts {
 		g.correspondent(a.JobShard).news[a.Ref] = &placed{rack: r, attempt: a}
 	}
 }
 
+// Seat gives attempts that wait for room a worker; it is called after Changed,
+// and from time to time.
+func (g *Group) Seat(now time.Time, rng *rand.Rand) {
+	for _, r := range g.racks {
+		g.Changed(r, r.seat(now, rng), now)
+	}
+}
+
 // Sync carries out what the owner of a job shard asks and reports what it is
 // to know. The refusal is not nil when the message is from an owner that was
 // deposed, or overtaken by a later message; nothing was done then.
 func (g *Group) Sync(s *wire.TaskSync, now time.Time, rng *rand.Rand) (*wire.TaskReport, *wire.Refusal) {
-	if g.jobs == nil {
-		return &wire.TaskReport{}, nil
-	}
 	c := g.correspondent(s.JobShard)
-	commands := len(s.Placements)+len(s.Stops) > 0
+	ordered := len(s.Placements)+len(s.Stops) > 0 || s.Inventory
 	switch {
 	case s.JobEpoch < c.epoch:
 		return nil, &wire.Refusal{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: "a later owner of the job shard is known"}
 	case s.JobEpoch > c.epoch:
 		c.epoch, c.sequence = s.JobEpoch, 0
 	}
-	if commands {
+	if ordered {
 		if s.Sequence <= c.sequence {
 			return nil, &wire.Refusal{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: "a later message was served first"}
 		}
@@ -156,7 +173,15 @@
 			refuse("rack shard " + p.Shard + " is not owned here")
 			continue
 		}
-		_, err := r.Place(startOf(p), Wish{Spread: spreadOf(p)}, now, rng)
+		if p.ShardEpoch != r.Epoch {
+			refuse("rack shard " + p.Shard + " has had another owner meanwhile")
+			continue
+		}
+		choose := r.Place
+		if p.Preempt {
+			choose = r.PlaceUrgent
+		}
+		_, err := choose(startOf(p), Wish{Spread: spreadOf(p), Long: p.Long, Avoid: p.Avoid}, now, rng)
 		switch {
 		case errors.Is(err, placement.ErrTooLarge):
 			refuse("larger than any worker of " + p.Shard)
@@ -167,16 +192,18 @@
 }
 
 func spreadOf(p *wire.Placement) string {
-	if p.Class != "service" {
+	if class.Class(p.Class) != class.Service {
 		return ""
 	}
-	return p.JobShard + p.Kind
+	job, _, _ := strings.Cut(p.Task, "/")
+	return job
 }
 
 func startOf(p *wire.Placement) worker.Start {
 	return worker.Start{
 		Ref: worker.Ref{Task: p.Task, Attempt: p.Attempt}, JobShard: p.JobShard, Organisation: p.Organisation,
 		Class: p.Class, Kind: p.Kind, Demand: VectorOf(p.Demand), Work: p.Work,
+		NonIdempotent: p.NonIdempotent,
 	}
 }
 
@@ -204,7 +231,10 @@
 	var free resource.Vector
 	for _, r := range g.racks {
 		free = free.Add(r.Free())
-		report.Shards = append(report.Shards, &wire.ShardEpoch{Shard: r.Name, Epoch: r.Epoch, Complete: r.Complete()})
+		report.Shards = append(report.Shards, &wire.ShardEpoch{
+			Shard: r.Name, Epoch: r.Epoch, Complete: r.Complete(),
+			Free: WireOf(r.Free()), Largest: WireOf(r.Largest()), LargestLong: WireOf(r.LargestLong()),
+		})
 	}
 	report.Free = WireOf(free)
 }
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -11,7 +11,11 @@
 //     until then it is closed, and attempts that may be on it count as running.
 //   - The demands placed on a worker never exceed its capacity.
 //   - An attempt is reported lost only when it certainly does not run: its
-//     worker's inventory lacks it, or its lease has lapsed.
+//     worker's inventory lacks it, or its lease has lapsed. No assumption is
+//     made on how long a message to a worker that this owner has heard is under
+//     way: what it was sent is void after a time on its own clock, see
+//     package worker. For a worker that it has not heard, leases of earlier
+//     owners are waited out, see AllowWaitOut.
 //   - A finished attempt is kept until its job's owner has acknowledged it.
 //
 // Usage:
@@ -70,10 +74,16 @@
 // Final reports whether the attempt will not change any more.
 func (a *Attempt) Final() bool { return a.State != Starting && a.State != Running }
 
+// Stopping reports whether the attempt has been asked to end.
+func (a *Attempt) Stopping() bool { return a.stop != nil }
+
 // Wish is what a placement prefers.
 type Wish struct {
 	Spread string // attempts of one key keep apart
 	Long   bool   // may not take what is kept for short work
+	// Avoid names workers that get the attempt only if no other worker of the
+	// rack could ever hold it.
+	Avoid []string
 }
 
 // ErrUnknownAttempt is returned for a Stop or Throttle of an attempt that is
@@ -86,14 +96,17 @@
 	Name  string
 	Epoch uint64
 	Lease time.Duration
-	// Transit is the longest time that a message to a worker is under way.
+	// Transit is the longest time that a message of an earlier owner to a
+	// worker is under way.
 	Transit time.Duration
-	// Reserve is the share of each worker that long work may not take.
+	// Reserve is the share of the rack's open workers that long work may not take.
 	Reserve float64
 
 	shard    placement.Shard
 	members  map[string]*member
 	attempts map[worker.Ref]*Attempt
+	waiting  []waiting             // for room
+	byKey    map[string]worker.Ref // of the last choice of victims
 	// waitOutFrom is the time from which leases of the previous owner run out;
 	// zero while unreachable workers must stay closed.
 	waitOutFrom time.Time
@@ -108,9 +121,13 @@
 	urgent   bool // something to tell before the next regular Sync
 	heard    time.Time
 	sent     time.Time
-	renewed  time.Time // when the last Sync that renews leases was sent
+	spent    time.Time     // until when the budget of early messages is used up
+	clock    reading       // of the worker's clock; zero until it was heard
+	until    time.Duration // on that clock; no lease and no message lasts longer
 	misses   int
 	leaving  bool
+	held     string // why the worker is in quarantine, "" if it is not
+	trial    bool   // on probation: one attempt at a time
 	refs     map[worker.Ref]*Attempt
 }
 
@@ -154,11 +171,7 @@
 		return
 	}
 	m.leaving = leaving
-	if leaving {
-		r.close(m, "leaving")
-	} else if m.accepted && m.misses < missesToClose {
-		r.open(m)
-	}
+	r.settle(m)
 }
 
 func (r *Rack) close(m *member, reason string) { _ = r.shard.Close(m.host.ID, reason) }
@@ -236,18 +249,43 @@
 	if a, ok := r.attempts[s.Ref]; ok {
 		return a, nil
 	}
-	task := placement.Task{ID: key(s.Ref), Demand: s.Demand, Class: class.Class(s.Class), Spread: w.Spread, Long: w.Long}
-	id, err := r.shard.Place(task, rng)
+	if len(r.waiting) > 0 && class.Class(s.Class) != class.Urgent {
+		return nil, fmt.Errorf("rack %s makes room for urgent work: %w", r.Name, placement.ErrNoRoom)
+	}
+	id, err := r.choose(r.task(s, w), w.Avoid, rng)
 	if err != nil {
 		return nil, fmt.Errorf("rack %s, task %s attempt %d: %w", r.Name, s.Task, s.Attempt, err)
 	}
-	a := &Attempt{Start: s, Worker: id, State: Starting, placed: now}
+	a := &Attempt{Start: s, State: Starting, placed: now}
 	r.attempts[s.Ref] = a
-	m := r.members[id]
-	m.refs[s.Ref], m.urgent = a, true
+	r.put(a, id)
 	return a, nil
 }
 
+// choose places a task, with the workers to avoid closed for the moment.
+func (r *Rack) choose(t placement.Task, avoid []string, rng *rand.Rand) (string, error) {
+	if len(avoid) > 0 && r.holdsElsewhere(t.Demand, avoid) {
+		for _, id := range avoid {
+			if m, ok := r.members[id]; ok && r.shard.Closed(id) == "" {
+				r.close(m, "failed this task before")
+				defer r.open(m)
+			}
+		}
+	}
+	return r.shard.Place(t, rng)
+}
+
+// holdsElsewhere reports whether a worker that is not to be avoided could hold
+// a demand when it is free.
+func (r *Rack) holdsElsewhere(demand resource.Vector, avoid []string) bool {
+	for id, m := range r.members {
+		if m.accepted && !m.leaving && m.held == "" && m.host.Capacity.Covers(demand) && !slices.Contains(avoid, id) {
+			return true
+		}
+	}
+	return false
+}
+
 func key(ref worker.Ref) string { return fmt.Sprintf("%s#%d", ref.Task, ref.Attempt) }
 
 // Refuse makes sure that an attempt which is not on the rack never starts
@@ -297,7 +335,7 @@
 // Throttle limits a running attempt to a percentage of its processors.
 func (r *Rack) Throttle(ref worker.Ref, percent int) error {
 	a, ok := r.attempts[ref]
-	if !ok || a.Final() {
+	if !ok || a.Final() || !a.sent {
 		return fmt.Errorf("throttle of task %s attempt %d on rack %s: %w", ref.Task, ref.Attempt, r.Name, ErrUnknownAttempt)
 	}
 	a.throttle = percent
--- a/rack/sync.go
+++ b/rack/sync.go
@@ -9,18 +9,6 @@
 	"persimmonworks.example/persimmonworks/worker"
 )
 
-// Due returns the workers that are to be sent a Sync now: those with news, and
-// those not heard for the regular interval.
-func (r *Rack) Due(interval time.Duration, now time.Time) []string {
-	var due []string
-	for id, m := range r.members {
-		if !m.busy && (m.urgent || now.Sub(m.sent) >= interval) {
-			due = append(due, id)
-		}
-	}
-	return due
-}
-
 // Outbox returns what is to be sent to a worker and notes it as under way. It
 // reports false while another Sync is under way or the worker is not known.
 func (r *Rack) Outbox(id string, now time.Time) (worker.Sync, bool) {
@@ -28,13 +16,17 @@
 	if !ok || m.busy {
 		return worker.Sync{}, false
 	}
+	if !m.urgent && m.early(r.Lease, now) {
+		m.charge(now)
+	}
 	m.busy, m.urgent, m.sent = true, false, now
 	s := worker.Sync{Epoch: r.Epoch}
 	if !m.accepted || m.misses >= missesToClose {
 		return s, true // fences and asks for the inventory, renews nothing
 	}
-	m.renewed = now
-	s.Lease = r.Lease
+	s.Boot = m.clock.boot
+	s.NotAfter = m.clock.atLeast(now) + r.Lease
+	m.until = max(m.until, s.NotAfter)
 	for _, a := range m.refs {
 		switch {
 		case a.State == Starting:
@@ -74,27 +66,23 @@
 		return r.expire(m, now), nil
 	}
 	m.heard, m.misses = now, 0
-	first := !m.accepted || m.gone
+	// A worker that was lost and is back has nothing of what it was sent.
+	reborn := m.clock.boot != "" && m.clock.boot != report.Boot
+	m.read(report, now)
+	first := !m.accepted || m.gone || reborn
 	m.accepted, m.gone = true, false
 	if report.Leaving {
 		m.leaving = true
 	}
 	changed := r.reconcile(m, s, report, first)
-	if m.leaving {
-		r.close(m, "leaving")
-	} else {
-		r.open(m)
-	}
+	r.settle(m)
 	return changed, nil
 }
 
 // expire reports the attempts of a silent worker lost once their leases have
 // certainly lapsed.
 func (r *Rack) expire(m *member, now time.Time) []*Attempt {
-	if m.misses < missesToClose || !now.After(r.lapse(m)) {
-		return nil
-	}
-	if m.renewed.IsZero() && r.waitOutFrom.IsZero() {
+	if m.misses < missesToClose || !r.lapsed(m, now) {
 		return nil
 	}
 	m.gone, m.accepted = true, false
@@ -113,16 +101,6 @@
 	return changed
 }
 
-// lapse returns the time after which no lease on the worker can be in force.
-func (r *Rack) lapse(m *member) time.Time {
-	from := m.renewed
-	if from.IsZero() {
-		from = r.waitOutFrom
-	}
-	drift := time.Duration(float64(r.Lease) * worker.MaxClockDrift / (1 - worker.MaxClockDrift))
-	return from.Add(r.Transit + r.Lease + drift)
-}
-
 func (r *Rack) reconcile(m *member, s worker.Sync, report worker.Report, first bool) []*Attempt {
 	var changed []*Attempt
 	listed := make(map[worker.Ref]bool, len(report.Attempts))
