--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,9 +100,9 @@
 	queue     queue.Queue
 	rng       *rand.Rand
 	marked    map[string]time.Time // hosts heard to be leaving from peers
+	departing map[string]bool      // runners that are leaving or drained, as last applied
 	drains    drain.Pacer
-	sequence  uint64          // of the last status
-	departing map[string]bool // runners that are leaving or drained, as last applied
+	sequence  uint64 // of the last status
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -126,18 +126,21 @@
 		return
 	}
 	p.follower.Heard(s.ConfigNumber)
-	p.loop.Post(func() { p.learned(s, time.Now()) })
+	p.loop.Post(func() {
+		now := time.Now()
+		taken, restarted := p.peers.take(s, now)
+		if !taken {
+			return
+		}
+		if restarted {
+			p.peerSlots.Remove(s.Process) // its sequence begins anew
+		}
+		p.learned(s, now)
+	})
 }
 
 // learned brings a peer's status into force on the loop.
 func (p *Process) learned(s *wire.Status, now time.Time) {
-	taken, restarted := p.peers.take(s, now)
-	if !taken {
-		return
-	}
-	if restarted {
-		p.peerSlots.Remove(s.Process) // its sequence begins anew
-	}
 	adverts := make([]runner.Advert, 0, len(s.Runners))
 	for _, r := range s.Runners {
 		adverts = append(adverts, runner.Advert{
