forward: the client for non-idempotent requests has a default

Cause: tests and callers that set no client of their own met a nil pointer. Change: a nil SingleUse means a client that keeps no connections. Before: TestOutcomes, TestRepeatedKey, FuzzRequestHeaders red; after: green.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -251,9 +251,8 @@
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Gate{MaxQueued: s.Limits.MaxQueue},
 		Pool: &p.runners, Peers: &p.peerSlots, Budget: &runner.RetryBudget{}, Remote: &remote{p},
-		Runners:   runnerClient(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}),
-		SingleUse: runnerClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
-		Table:     p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
+		Runners: runnerClient(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}),
+		Table:   p.Table, PlatformReachable: p.session.Reachable, Current: p.configuration, Valid: p.session.Valid,
 		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes, Observer: &observer{p},
 	}
 	p.composeConsole()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,9 +70,9 @@
 	Remote     Remote
 	// Runners sends to runners; its transport keeps connections open.
 	Runners *http.Client
-	// SingleUse sends non-idempotent requests. Its transport keeps no
-	// connections, since net/http may send a request again by itself when a
-	// connection that was kept breaks off.
+	// SingleUse sends non-idempotent requests; nil is singleUse. Its transport
+	// keeps no connections, since net/http may send a request again by itself
+	// when a connection that was kept breaks off.
 	SingleUse *http.Client
 	Table     platform.Table
 	// PlatformReachable tells whether intents can be made durable.
--- a/forward/send.go
+++ b/forward/send.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,12 @@
 	"Transfer-Encoding", "Upgrade",
 }
 
+// singleUse keeps no connections and passes redirects on as they are.
+var singleUse = &http.Client{
+	Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 // passed returns the headers that go on to a runner. The caller's token stays
 // here.
 func passed(h http.Header) http.Header {
@@ -84,7 +91,7 @@
 	}
 	client := f.Runners
 	if o.nonIdempotent {
-		client = f.SingleUse
+		client = cmp.Or(f.SingleUse, singleUse)
 	}
 	answer, err := client.Do(out)
 	switch {
