--- a/dispatch/archive.go
+++ b/dispatch/archive.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"persimmonworks.example/persimmonworks/journal"
+
 	"persimmonworks.example/persimmonworks/archive"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
@@ -55,9 +57,9 @@
 	for i := range j.Tasks() {
 		e.Tasks = append(e.Tasks, d.explain(s, j, &j.Tasks()[i]))
 	}
-	x := archive.Item[Ended]{ID: j.ID, Record: e, Objects: []string{job.SpecObject(j.ID)}}
+	x := archive.Item[Ended]{ID: j.ID, Record: e, Objects: []string{journal.SpecObject(j.ID)}}
 	if j.Spec.Key != "" {
-		x.Rows = []string{job.KeyRow(j.Spec.Organisation, j.Spec.Key)}
+		x.Rows = []string{journal.KeyRow(j.Spec.Organisation, j.Spec.Key)}
 	}
 	return x
 }
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -31,6 +31,8 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonworks.example/persimmonworks/journal"
+
 	"golang.org/x/sync/errgroup"
 
 	"persimmonworks.example/persimmonworks/archive"
@@ -153,7 +155,7 @@
 	s := &shard{
 		name: name, epoch: epoch, covered: map[string]bool{}, unresolved: map[string]bool{}, ending: map[worker.Ref]bool{},
 		links: map[string]*link{}, owners: map[string]Owner{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{}, cancelling: map[string]int{},
-		store: &job.Store{
+		store: &journal.Store{
 			Table: d.Table, Objects: d.Objects, DataCentre: d.DataCentre, Shard: name, Epoch: epoch,
 			Writer: fmt.Sprintf("%s-%d", d.Process, epoch),
 		},
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"persimmonworks.example/persimmonworks/journal"
+
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/wire"
@@ -19,7 +21,7 @@
 type shard struct {
 	name     string
 	epoch    uint64
-	store    *job.Store
+	store    *journal.Store
 	book     *job.Book
 	sequence uint64
 	// covered holds the racks whose complete inventory has been seen under
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"persimmonworks.example/persimmonworks/journal"
+
 	"github.com/google/uuid"
 
 	"persimmonworks.example/persimmonworks/event"
@@ -135,7 +137,7 @@
 	}
 	now := time.Now()
 	s.committing, s.nextCommit = false, now.Add(commitInterval)
-	var taken *job.ErrKeyTaken
+	var taken *journal.ErrKeyTaken
 	switch {
 	case err == nil:
 		batch := s.frozen
@@ -147,7 +149,7 @@
 		d.compactDue(s)
 	case errors.As(err, &taken):
 		d.dropTaken(s, taken)
-	case errors.Is(err, job.ErrDeposed):
+	case errors.Is(err, journal.ErrDeposed):
 		d.Log.Emit(event.ShardLost, "shard", s.name, "epoch", s.epoch, "error", err)
 		d.deposed(s, errors.Is(err, platform.ErrUnknown))
 	case errors.Is(err, platform.ErrUnavailable) && !resolving:
@@ -200,7 +202,7 @@
 
 // dropTaken answers submissions whose idempotency key belongs to another job;
 // nothing of the batch was written.
-func (d *Desk) dropTaken(s *shard, taken *job.ErrKeyTaken) {
+func (d *Desk) dropTaken(s *shard, taken *journal.ErrKeyTaken) {
 	var kept []pendingEntry
 	for _, p := range s.frozen {
 		if first, ok := taken.Jobs[p.entry.Job]; ok && p.entry.Kind == job.EntryAccept {
--- a/job/job.go
+++ b/job/job.go
@@ -1,10 +1,10 @@
-// Package job holds accepted work and its durable history.
+// Package job holds accepted work and the entries of its history.
 //
 // A job is a batch of tasks or a long-running service. A gang of tasks that
-// start all at once is refused so far. Jobs are divided over job shards; the process that owns
-// a job shard keeps its jobs in a Book and appends every change to the shard's
-// Journal in the platform's table. The journal is the only thing that lasts:
-// a Book is rebuilt by replaying it.
+// start all at once is refused so far. Jobs are divided over job shards; the
+// process that owns a job shard keeps its jobs in a Book and makes every change
+// durable, as an Entry, in the shard's journal (package journal), which is the
+// only thing that lasts: a Book is rebuilt by applying the entries again.
 //
 // # Invariants
 //
@@ -15,19 +15,13 @@
 //     attempt of a task is ever granted and not ended.
 //   - A non-idempotent task has no attempt 2: when the end of its attempt 1 is
 //     not known, the task ends as unknown.
-//   - Entries of the journal are numbered without gaps and written by
-//     conditional insert, so that an owner that lost its shard cannot append
-//     after the entry that opens the next owner's epoch. A row below the base
-//     of a snapshot could be inserted again, so every append also requires the
-//     base to be as its writer knows it.
 //
 // Usage:
 //
-//	s := job.Store{Table: t, Objects: o, DataCentre: "dc1", Shard: "jobs-2", Epoch: 7}
-//	book, err := s.Open(ctx)          // replays and appends the opening entry
-//	entry := book.Accept(id, spec, now)
-//	err = s.Append(ctx, []job.Entry{entry})
-//	book.Apply(entry)                 // only after Append succeeded
+//	var b job.Book
+//	b.Apply(job.Accept(id, spec, now)) // once the entry is durable
+//	err := b.MarkSent(task, 1, rack)
+//	entry, ok := b.Ended(task, 1, job.End{Outcome: job.Done, Result: result})
 //
 // A Book is owned by one goroutine. It reads no clock.
 package job
--- a/job/bench_test.go
+++ b/journal/bench_test.go
@@ -1,4 +1,4 @@
-package job_test
+package journal_test
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"persimmonworks.example/persimmonworks/journal"
+
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/platform"
@@ -48,7 +50,7 @@
 	for _, snapshot := range []bool{false, true} {
 		b.Run(fmt.Sprintf("snapshot=%v", snapshot), func(b *testing.B) {
 			table := &meteredTable{Table: &standin.Table{}}
-			s := &job.Store{Table: table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: "jobs-1", Epoch: 1, Writer: "e1"}
+			s := &journal.Store{Table: table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: "jobs-1", Epoch: 1, Writer: "e1"}
 			book, err := s.Open(b.Context())
 			if err != nil {
 				b.Fatal(err)
@@ -94,7 +96,7 @@
 			runtime.ReadMemStats(&before)
 			var kept []*job.Book
 			for n := 0; b.Loop(); n++ {
-				next := &job.Store{Table: table, Objects: s.Objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: uint64(n) + 2, Writer: fmt.Sprint(n)}
+				next := &journal.Store{Table: table, Objects: s.Objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: uint64(n) + 2, Writer: fmt.Sprint(n)}
 				book, err := next.Open(b.Context())
 				if err != nil {
 					b.Fatal(err)
--- /dev/null
+++ b/journal/key.go
@@ -0,0 +1,78 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/platform"
+)
+
+// KeyRow returns the row of an idempotency key.
+func KeyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
+
+// ErrKeyTaken is returned by Append when the idempotency keys of some entries
+// belong to other jobs. Nothing was written.
+type ErrKeyTaken struct {
+	// Jobs maps the identifier of a refused job to the first one.
+	Jobs map[string]FirstJob
+}
+
+// FirstJob is the job that first used an idempotency key.
+type FirstJob struct {
+	ID string `json:"job"`
+	// Digest of its Spec.
+	Digest string `json:"digest"`
+}
+
+func encodeKey(id string, s *job.Spec) ([]byte, error) {
+	body, err := json.Marshal(FirstJob{ID: id, Digest: s.Digest()})
+	if err != nil {
+		return nil, fmt.Errorf("idempotency key %q of organisation %q: %w", s.Key, s.Organisation, err)
+	}
+	return body, nil
+}
+
+// Error implements error.
+func (e *ErrKeyTaken) Error() string {
+	return fmt.Sprintf("%d idempotency keys are taken by other jobs", len(e.Jobs))
+}
+
+func (s *Store) explainConflict(ctx context.Context, entries []job.Entry, cause error) error {
+	taken := &ErrKeyTaken{Jobs: map[string]FirstJob{}}
+	for _, e := range entries {
+		if e.Kind != job.EntryAccept || e.Spec.Key == "" {
+			continue
+		}
+		first, err := LookupKey(ctx, s.Table, e.Spec.Organisation, e.Spec.Key)
+		if err != nil {
+			return fmt.Errorf("conflict not explained: %v: %w", err, platform.ErrUnavailable)
+		}
+		if first.ID != "" && first.ID != e.Job {
+			taken.Jobs[e.Job] = first
+		}
+	}
+	if len(taken.Jobs) > 0 {
+		return taken
+	}
+	return fmt.Errorf("%v: %w", cause, ErrDeposed)
+}
+
+// LookupKey returns the job that first used an idempotency key; its ID is ""
+// for none.
+func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (FirstJob, error) {
+	row, err := t.Get(ctx, KeyRow(organisation, key))
+	if errors.Is(err, platform.ErrNotFound) {
+		return FirstJob{}, nil
+	}
+	if err != nil {
+		return FirstJob{}, fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
+	}
+	var first FirstJob
+	if err := json.Unmarshal(row.Value, &first); err != nil {
+		return FirstJob{}, fmt.Errorf("row of idempotency key %q of organisation %q: %w", key, organisation, err)
+	}
+	return first, nil
+}
--- a/job/slope_bench_test.go
+++ b/journal/slope_bench_test.go
@@ -1,4 +1,4 @@
-package job
+package journal
 
 import (
 	"context"
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"persimmonworks.example/persimmonworks/job"
+
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/resource"
@@ -15,23 +17,23 @@
 )
 
 // batchOf returns a job of n tasks.
-func batchOf(n int) Spec {
-	s := Spec{
+func batchOf(n int) job.Spec {
+	s := job.Spec{
 		Name: "renderings", Organisation: "workshop", Class: class.Batch, Kind: "rendering",
 		Demand: resource.Vector{MilliCPU: 2000, MemoryMB: 1024}, EstimateMS: 200,
 	}
 	for range n {
-		s.Tasks = append(s.Tasks, TaskSpec{Work: json.RawMessage(`{"run-ms":200}`)})
+		s.Tasks = append(s.Tasks, job.TaskSpec{Work: json.RawMessage(`{"run-ms":200}`)})
 	}
 	return s
 }
 
 // ends returns the entries that record the end of n tasks of a job.
-func ends(id string, n int) []Entry {
-	all := make([]Entry, n)
+func ends(id string, n int) []job.Entry {
+	all := make([]job.Entry, n)
 	for i := range all {
-		all[i] = Entry{
-			Kind: EntryEnd, Job: id, Task: i, Attempt: 1, State: Done, Worker: "w-dc1-r1-01",
+		all[i] = job.Entry{
+			Kind: job.EntryEnd, Job: id, Task: i, Attempt: 1, State: job.Done, Worker: "w-dc1-r1-01",
 			Result: []byte("mould 1"), Ran: 200 * time.Millisecond,
 		}
 	}
@@ -46,7 +48,7 @@
 			if _, err := s.Open(b.Context()); err != nil {
 				b.Fatal(err)
 			}
-			entries := ends(NewID("dc1", "jobs-0", "89473da0-3c7b-454d-8b22-06546ff00ac2"), n)
+			entries := ends(job.NewID("dc1", "jobs-0", "89473da0-3c7b-454d-8b22-06546ff00ac2"), n)
 			body, err := encodeBatch("e1-1", entries)
 			if err != nil {
 				b.Fatal(err)
@@ -93,8 +95,8 @@
 			}
 			rows := 1
 			for i := range open / 19 {
-				id := NewID("dc1", "jobs-0", fmt.Sprintf("89473da0-3c7b-454d-8b22-%012d", i))
-				for _, batch := range [][]Entry{{Accept(id, batchOf(38), time.Now())}, ends(id, 19)} {
+				id := job.NewID("dc1", "jobs-0", fmt.Sprintf("89473da0-3c7b-454d-8b22-%012d", i))
+				for _, batch := range [][]job.Entry{{job.Accept(id, batchOf(38), time.Now())}, ends(id, 19)} {
 					if err := w.Append(b.Context(), batch); err != nil {
 						b.Fatal(err)
 					}
@@ -104,7 +106,7 @@
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
-			var book *Book
+			var book *job.Book
 			epoch := uint64(1)
 			for b.Loop() {
 				epoch++
--- a/job/journal.go
+++ b/journal/store.go
@@ -1,4 +1,25 @@
-package job
+// Package journal makes the history of a job shard durable.
+//
+// A Store appends entries of package job to numbered rows of the platform's
+// table, one row for each group commit, and replays them into a job.Book. Rows
+// are written by conditional insert and numbered without gaps, so that an owner
+// that lost its shard cannot append after the entry that opens the next owner's
+// epoch. A long journal is replaced by a snapshot of the book, the base; a row
+// below the base could be inserted again, so every append also requires the base
+// to be as its writer knows it.
+//
+// Accepted jobs that carry an idempotency key take the key's row in the same
+// commit, so that of two submissions under one key exactly one is accepted,
+// whichever shards they meet.
+//
+// Usage:
+//
+//	s := journal.Store{Table: t, Objects: o, DataCentre: "dc1", Shard: "jobs-2", Writer: "e1-7", Epoch: 7}
+//	book, err := s.Open(ctx)           // replays and appends the opening entry
+//	entry := job.Accept(id, spec, now)
+//	err = s.Append(ctx, []job.Entry{entry})
+//	book.Apply(entry)                  // only after Append succeeded
+package journal
 
 import (
 	"context"
@@ -6,6 +27,7 @@
 	"errors"
 	"fmt"
 
+	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/platform"
 )
 
@@ -50,13 +72,10 @@
 
 func (s *Store) baseKey() string { return "journal-base/" + s.DataCentre + "/" + s.Shard }
 
-// KeyRow returns the row of an idempotency key.
-func KeyRow(organisation, key string) string { return "idempotency-key/" + organisation + "/" + key }
-
 // Open replays the journal and appends the entry that opens this owner's
 // epoch; from then on no earlier owner can append. It is repeated after
 // failures other than ErrDeposed.
-func (s *Store) Open(ctx context.Context) (*Book, error) {
+func (s *Store) Open(ctx context.Context) (*job.Book, error) {
 	for {
 		book, epoch, err := s.replay(ctx)
 		if err != nil {
@@ -65,7 +84,7 @@
 		if epoch > s.Epoch {
 			return nil, fmt.Errorf("job shard %s/%s epoch %d, journal has epoch %d: %w", s.DataCentre, s.Shard, s.Epoch, epoch, ErrDeposed)
 		}
-		err = s.appendRow(ctx, []Entry{{Kind: EntryOpen, Epoch: s.Epoch}}, nil)
+		err = s.appendRow(ctx, []job.Entry{{Kind: job.EntryOpen, Epoch: s.Epoch}}, nil)
 		if errors.Is(err, platform.ErrConflict) || errors.Is(err, errBaseMoved) {
 			continue // the previous owner wrote after the replay
 		}
@@ -76,8 +95,8 @@
 	}
 }
 
-func (s *Store) replay(ctx context.Context) (*Book, uint64, error) {
-	b := &Book{}
+func (s *Store) replay(ctx context.Context) (*job.Book, uint64, error) {
+	b := &job.Book{}
 	epoch, err := s.loadBase(ctx, b)
 	if err != nil {
 		return nil, 0, err
@@ -110,16 +129,16 @@
 	}
 }
 
-func (s *Store) applyRow(ctx context.Context, b *Book, r platform.Row) (epoch uint64, err error) {
+func (s *Store) applyRow(ctx context.Context, b *job.Book, r platform.Row) (epoch uint64, err error) {
 	rows, err := decodeBatch(r.Key, r.Value)
 	if err != nil {
 		return 0, err
 	}
 	for _, e := range rows.Entries {
-		if e.Kind == EntryOpen {
+		if e.Kind == job.EntryOpen {
 			epoch = e.Epoch
 		}
-		if e.Kind == EntryAccept && e.Spec == nil {
+		if e.Kind == job.EntryAccept && e.Spec == nil {
 			if e.Spec, err = s.loadSpec(ctx, e.Object); err != nil {
 				return 0, err
 			}
@@ -129,12 +148,12 @@
 	return epoch, nil
 }
 
-func (s *Store) loadSpec(ctx context.Context, name string) (*Spec, error) {
+func (s *Store) loadSpec(ctx context.Context, name string) (*job.Spec, error) {
 	body, err := s.Objects.Get(ctx, name)
 	if err != nil {
 		return nil, fmt.Errorf("object %q of an accepted job: %w", name, err)
 	}
-	var spec Spec
+	var spec job.Spec
 	if err := json.Unmarshal(body, &spec); err != nil {
 		return nil, fmt.Errorf("object %q of an accepted job: %w", name, err)
 	}
@@ -150,11 +169,11 @@
 //
 // Accepted jobs that carry an idempotency key take the key's row in the same
 // commit; ErrKeyTaken is returned when another job has one of the keys.
-func (s *Store) Append(ctx context.Context, entries []Entry) error {
+func (s *Store) Append(ctx context.Context, entries []job.Entry) error {
 	var keys []platform.Op
 	for i := range entries {
 		e := &entries[i]
-		if e.Kind != EntryAccept {
+		if e.Kind != job.EntryAccept {
 			continue
 		}
 		if err := s.storeSpec(ctx, e); err != nil {
@@ -182,7 +201,7 @@
 // too large for the journal.
 func SpecObject(id string) string { return "jobs/" + id }
 
-func (s *Store) storeSpec(ctx context.Context, e *Entry) error {
+func (s *Store) storeSpec(ctx context.Context, e *job.Entry) error {
 	body, err := json.Marshal(e.Spec)
 	if err != nil {
 		return fmt.Errorf("spec of job %s: %w", e.Job, err)
@@ -199,8 +218,8 @@
 	return nil
 }
 
-func (s *Store) appendRow(ctx context.Context, entries []Entry, keys []platform.Op) error {
-	slim := make([]Entry, len(entries))
+func (s *Store) appendRow(ctx context.Context, entries []job.Entry, keys []platform.Op) error {
+	slim := make([]job.Entry, len(entries))
 	for i, e := range entries {
 		if e.Object != "" {
 			e.Spec = nil
@@ -262,67 +281,3 @@
 	s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
 	return errBaseMoved
 }
-
-// ErrKeyTaken is returned by Append when the idempotency keys of some entries
-// belong to other jobs. Nothing was written.
-type ErrKeyTaken struct {
-	// Jobs maps the identifier of a refused job to the first one.
-	Jobs map[string]FirstJob
-}
-
-// FirstJob is the job that first used an idempotency key.
-type FirstJob struct {
-	ID string `json:"job"`
-	// Digest of its Spec.
-	Digest string `json:"digest"`
-}
-
-func encodeKey(id string, s *Spec) ([]byte, error) {
-	body, err := json.Marshal(FirstJob{ID: id, Digest: s.Digest()})
-	if err != nil {
-		return nil, fmt.Errorf("idempotency key %q of organisation %q: %w", s.Key, s.Organisation, err)
-	}
-	return body, nil
-}
-
-// Error implements error.
-func (e *ErrKeyTaken) Error() string {
-	return fmt.Sprintf("%d idempotency keys are taken by other jobs", len(e.Jobs))
-}
-
-func (s *Store) explainConflict(ctx context.Context, entries []Entry, cause error) error {
-	taken := &ErrKeyTaken{Jobs: map[string]FirstJob{}}
-	for _, e := range entries {
-		if e.Kind != EntryAccept || e.Spec.Key == "" {
-			continue
-		}
-		first, err := LookupKey(ctx, s.Table, e.Spec.Organisation, e.Spec.Key)
-		if err != nil {
-			return fmt.Errorf("conflict not explained: %v: %w", err, platform.ErrUnavailable)
-		}
-		if first.ID != "" && first.ID != e.Job {
-			taken.Jobs[e.Job] = first
-		}
-	}
-	if len(taken.Jobs) > 0 {
-		return taken
-	}
-	return fmt.Errorf("%v: %w", cause, ErrDeposed)
-}
-
-// LookupKey returns the job that first used an idempotency key; its ID is ""
-// for none.
-func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (FirstJob, error) {
-	row, err := t.Get(ctx, KeyRow(organisation, key))
-	if errors.Is(err, platform.ErrNotFound) {
-		return FirstJob{}, nil
-	}
-	if err != nil {
-		return FirstJob{}, fmt.Errorf("idempotency key %q of organisation %q: %w", key, organisation, err)
-	}
-	var first FirstJob
-	if err := json.Unmarshal(row.Value, &first); err != nil {
-		return FirstJob{}, fmt.Errorf("row of idempotency key %q of organisation %q: %w", key, organisation, err)
-	}
-	return first, nil
-}
--- a/job/store_test.go
+++ b/journal/store_test.go
@@ -1,4 +1,4 @@
-package job_test
+package journal_test
 
 import (
 	"context"
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"persimmonworks.example/persimmonworks/journal"
+
 	"pgregory.net/rapid"
 
 	"persimmonworks.example/persimmonworks/class"
@@ -73,7 +75,7 @@
 
 // owner is a process that acts for the job shard, or believes so.
 type owner struct {
-	store *job.Store
+	store *journal.Store
 	book  *job.Book
 	// batch may have been written; it is appended again before any other.
 	batch []job.Entry
@@ -116,13 +118,13 @@
 
 // open starts the next owner.
 func (s *shard) open() {
-	o := &owner{store: &job.Store{
+	o := &owner{store: &journal.Store{
 		Table: s.table, Objects: &s.objects, DataCentre: "dc1", Shard: "jobs-1",
 		Epoch: s.epoch + 1, Writer: fmt.Sprintf("e-%d", s.epoch+1),
 	}}
 	var err error
 	if o.book, err = o.store.Open(s.Context()); err != nil {
-		if errors.Is(err, job.ErrDeposed) {
+		if errors.Is(err, journal.ErrDeposed) {
 			s.Fatalf("the latest owner is deposed: %v", err)
 		}
 		s.tried = true
@@ -172,7 +174,7 @@
 		o.batch = nil
 	case errors.Is(err, platform.ErrUnavailable) && !o.uncertain:
 		o.batch = nil // nothing of it was written, now or before
-	case errors.Is(err, job.ErrDeposed):
+	case errors.Is(err, journal.ErrDeposed):
 		if latest && !s.tried {
 			s.Fatalf("the latest owner is told that it is deposed: %v", err)
 		}
@@ -206,7 +208,7 @@
 
 // uncertain works out the book with a batch that may have been written.
 func (s *shard) uncertain(o *owner) {
-	scratch := &job.Store{Table: &standin.Table{}, Objects: &s.objects, DataCentre: "x", Shard: "x", Epoch: 1, Writer: "x"}
+	scratch := &journal.Store{Table: &standin.Table{}, Objects: &s.objects, DataCentre: "x", Shard: "x", Epoch: 1, Writer: "x"}
 	if _, err := scratch.Open(s.Context()); err != nil {
 		s.Fatal(err)
 	}
