forward, upkeep: records of keyed requests expire

Cause: the intent row of each keyed non-idempotent request stayed for ever, so the platform's table grew without bound. Ruled out: a scan of the rows by age (12 million in a week at 20 a second). Change: a second row in the same commit, in order of time; upkeep deletes both after 7 days, and leaves a row that a later request took. Before: no row was ever removed. After: TestIntentsExpire green, race detector.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"persimmonworks.example/persimmonworks/forward"
+
 	"persimmonworks.example/persimmonworks/accounts"
 	"persimmonworks.example/persimmonworks/burn"
 	"persimmonworks.example/persimmonworks/chain"
@@ -38,7 +40,7 @@
 	p.burnKept = &burn.Archive{Table: p.Table, Objects: p.Objects, Start: p.startName()}
 	publisher := &chain.Publisher{Table: p.Table}
 	p.plans = &confirmation.Desk{Table: p.Table, Publisher: publisher}
-	p.upkeep = &upkeep.Upkeep{Publisher: publisher, Plans: p.plans, Accounts: p.books.Archive, Jobs: p.desk.Archive, Mine: p.keepsUp, Log: p.Log}
+	p.upkeep = &upkeep.Upkeep{Publisher: publisher, Plans: p.plans, Accounts: p.books.Archive, Jobs: p.desk.Archive, Requests: &forward.Intents{Table: p.Table}, Mine: p.keepsUp, Log: p.Log}
 }
 
 // operators returns the handler of the operators' paths.
--- a/forward/once.go
+++ b/forward/once.go
@@ -29,7 +29,16 @@
 // maxKeptAnswer bounds the answers that are kept for repeated keys.
 const maxKeptAnswer = 16 << 10
 
-func intentKey(q *request) string { return "request-intent/" + q.Organisation + "/" + q.key }
+func intentKey(q *request) string { return intentPrefix + q.Organisation + "/" + q.key }
+
+// requestOf returns the request that an intent row is of, "" if it is damaged.
+func requestOf(row []byte) string {
+	var r intentRecord
+	if err := json.Unmarshal(row, &r); err != nil {
+		return ""
+	}
+	return r.Request
+}
 
 // once runs a non-idempotent request with an idempotency key: the intent is
 // durable before the send, and a repeated key gets the first outcome.
@@ -65,7 +74,7 @@
 	if err != nil {
 		return 0, &result{outcome: runner.NotRun, reason: err.Error()}, nil
 	}
-	versions, err := f.Table.Commit(ctx, platform.Create(intentKey(q), body))
+	versions, err := f.Table.Commit(ctx, platform.Create(intentKey(q), body), platform.Create(ageKey(time.Now(), q), []byte(q.ID)))
 	if err == nil {
 		return versions[0], nil, nil
 	}
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -35,9 +35,11 @@
 	mergeAge = 15 * time.Minute
 	usageAge = 41 * 24 * time.Hour
 	// Results are kept over a long weekend.
-	jobAge     = 7 * 24 * time.Hour
-	jobPages   = 50 // in one call
-	mergePages = 10 // of 200 rows in one call
+	jobAge = 7 * 24 * time.Hour
+	// An idempotency key of a request may be used anew after that.
+	requestAge  = 7 * 24 * time.Hour
+	expiryPages = 200 // in one call
+	mergePages  = 10  // of 200 rows in one call
 )
 
 // Expirer deletes a page of what was kept before a time.
@@ -52,6 +54,8 @@
 	Accounts  *usage.Archive
 	// Jobs is the archive of finished jobs; nil for none.
 	Jobs Expirer
+	// Requests holds the intents of keyed requests; nil for none.
+	Requests Expirer
 	// Mine reports whether this process is the one to do it.
 	Mine  func(ctx context.Context) bool
 	Log   event.Emitter
@@ -83,7 +87,7 @@
 		}
 		if done != (Done{}) {
 			u.Log.Emit(event.UpkeepDone, "configurations", done.Configurations, "plans", done.Plans,
-				"merged", done.Merged, "accounts", done.Accounts, "jobs", done.Jobs)
+				"merged", done.Merged, "accounts", done.Accounts, "jobs", done.Jobs, "requests", done.Requests)
 		}
 	}
 }
@@ -95,6 +99,7 @@
 	Merged         int // records of accounts that were replaced
 	Accounts       int // records of accounts that were deleted
 	Jobs           int // batches of finished jobs that were deleted
+	Requests       int // intents of requests that were deleted
 }
 
 // Once deletes and merges one batch of each kind.
@@ -104,12 +109,13 @@
 		number = kept
 	}
 	now := u.Plans.Time()
-	var errs [5]error
+	var errs [6]error
 	d.Configurations, errs[0] = u.Publisher.Compact(ctx, number)
 	d.Plans, u.after, errs[1] = u.Plans.Prune(ctx, now.Add(-planAge), u.after)
 	d.Merged, errs[2] = u.merge(ctx, now.Add(-mergeAge))
 	d.Accounts, errs[3] = u.Accounts.Prune(ctx, now.Add(-usageAge))
-	d.Jobs, errs[4] = u.expireJobs(ctx, now.Add(-jobAge))
+	d.Jobs, errs[4] = expire(ctx, u.Jobs, now.Add(-jobAge))
+	d.Requests, errs[5] = expire(ctx, u.Requests, now.Add(-requestAge))
 	return d, errors.Join(errs[:]...)
 }
 
@@ -125,12 +131,13 @@
 	return merged, nil
 }
 
-func (u *Upkeep) expireJobs(ctx context.Context, before time.Time) (expired int, err error) {
-	if u.Jobs == nil {
+// expire deletes page after page, up to a bound; x may be nil.
+func expire(ctx context.Context, x Expirer, before time.Time) (expired int, err error) {
+	if x == nil {
 		return 0, nil
 	}
-	for range jobPages {
-		n, err := u.Jobs.Expire(ctx, before)
+	for range expiryPages {
+		n, err := x.Expire(ctx, before)
 		expired += n
 		if err != nil || n == 0 {
 			return expired, err
