peer: the peer table and the pace of statuses move out of entry

Change: package peer with Table and Pace, zero values of use; tests and one benchmark moved along; no behaviour changed.

--- a/entry/configpeers.go
+++ b/entry/configpeers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"persimmonworks.example/persimmonworks/chain"
+	"persimmonworks.example/persimmonworks/peer"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -17,7 +18,7 @@
 // process had in force.
 func (p *Process) handleFetchConfig(peerName string, m *wire.FetchConfig) *wire.Reply {
 	e := p.follower.Current()
-	answer := &wire.ConfigChain{Head: max(e.Number, p.peers.configNumber(peerName))}
+	answer := &wire.ConfigChain{Head: max(e.Number, p.peers.ConfigNumber(peerName))}
 	if e.Number > m.After {
 		if body, err := json.Marshal(e); err == nil {
 			answer.Entries = append(answer.Entries, &wire.ConfigEntry{Number: e.Number, Body: body})
@@ -35,7 +36,7 @@
 // none below the highest number that a peer knows, since an earlier start of it
 // may have had that one in force.
 func (c *configPeers) Newest(ctx context.Context, above uint64) (*chain.Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peer.Timeout)
 	defer cancel()
 	var mu sync.Mutex
 	var best *chain.Entry
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,7 @@
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/meter"
 	"persimmonworks.example/persimmonworks/ownership"
+	"persimmonworks.example/persimmonworks/peer"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
 	"persimmonworks.example/persimmonworks/quarantine"
@@ -106,27 +107,24 @@
 
 	// Shared with traffic goroutines.
 	hosts atomic.Pointer[hostView]
-	peers peerTable
+	peers peer.Table
 	agent sync.Map // address to worker.Agent
 }
 
 // Pace of an entry process.
 const (
-	statusInterval = 250 * time.Millisecond // between statuses to peers of the data centre
-	farInterval    = time.Second            // between statuses to other data centres
-	hostsInterval  = 500 * time.Millisecond
-	workerTick     = 20 * time.Millisecond
-	peerTimeout    = 2 * time.Second // silence after which a peer's adverts are dropped
-	submitWait     = 15 * time.Second
-	retention      = time.Hour
-	longTime       = 10 * time.Second // expected run time above which work is long
-	shortReserve   = 1.0 / 16         // of each worker, kept for short work
-	wardShare      = 0.25             // of the workers of a process, at most in quarantine at once
-	maxTransit     = 3 * time.Second  // longest time that a message to a worker is under way
-	usageHalfLife  = 10 * time.Minute
-	sessionBudget  = 6 << 10 // bytes a second for reading the sessions
-	journalWrites  = 150.0   // a second in all processes, half of the platform's 300
-	maxSharers     = 150     // processes among which they are shared
+	hostsInterval = 500 * time.Millisecond
+	workerTick    = 20 * time.Millisecond
+	submitWait    = 15 * time.Second
+	retention     = time.Hour
+	longTime      = 10 * time.Second // expected run time above which work is long
+	shortReserve  = 1.0 / 16         // of each worker, kept for short work
+	wardShare     = 0.25             // of the workers of a process, at most in quarantine at once
+	maxTransit    = 3 * time.Second  // longest time that a message to a worker is under way
+	usageHalfLife = 10 * time.Minute
+	sessionBudget = 6 << 10 // bytes a second for reading the sessions
+	journalWrites = 150.0   // a second in all processes, half of the platform's 300
+	maxSharers    = 150     // processes among which they are shared
 )
 
 // Prepare opens the listeners, so that the addresses are known before Run.
@@ -226,7 +224,6 @@
 	p.loop = control.New()
 	p.loop.Busy = p.busy
 	p.marked = map[string]time.Time{}
-	p.peers.init()
 	p.session = &ownership.Session{
 		Table: p.Table, Process: name, DataCentre: dataCentre, RelayAddress: p.node.Addr(), CallerAddress: p.CallerAddress(),
 		RenewEvery: s.Session.RenewEvery, TTL: s.Session.TTL, Margin: s.Session.Margin, Peers: &witness{p}, ReadBudget: sessionBudget,
@@ -330,7 +327,7 @@
 		return "leaving"
 	case p.follower.Number() == 0:
 		return "no configuration is in force yet"
-	case len(p.peers.live(time.Now())) > 0:
+	case len(p.peers.Live(time.Now())) > 0:
 		return "" // can forward, whatever it can do itself
 	case !p.session.Valid(time.Now()):
 		return "no session, and no peer to forward to"
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -149,11 +149,11 @@
 			all[m.Process] = console.Standing{Process: m.Process, DataCentre: m.DataCentre}
 		}
 	}
-	for _, x := range p.peers.all() {
-		s := x.status
+	for _, x := range p.peers.All() {
+		s := x.Status()
 		_, live := all[s.Process]
-		heard := now.Sub(x.heard) < peerTimeout
-		if live || heard || !s.Leaving && now.Sub(x.heard) < rememberPeers {
+		heard := x.Recent(now)
+		if live || heard || !s.Leaving && x.Age(now) < rememberPeers {
 			all[s.Process] = console.Standing{
 				Process: s.Process, DataCentre: s.DataCentre, Number: s.ConfigNumber, Heard: heard, Leaving: s.Leaving,
 				PlatformReachable: s.PlatformReachable, Shards: len(s.Shards),
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -8,6 +8,7 @@
 
 	"persimmonworks.example/persimmonworks/directory"
 	"persimmonworks.example/persimmonworks/ownership"
+	"persimmonworks.example/persimmonworks/peer"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/runner"
@@ -16,9 +17,9 @@
 
 // runStatus tells peers the state of this process until ctx ends.
 func (p *Process) runStatus(ctx context.Context) error {
-	ticker := time.NewTicker(statusInterval)
+	ticker := time.NewTicker(peer.StatusInterval)
 	defer ticker.Stop()
-	var pace statusPace
+	var pace peer.Pace
 	busy := &sync.Map{}
 	for {
 		select {
@@ -31,8 +32,8 @@
 			return nil
 		}
 		peers := p.peerAddresses()
-		near, far := pace.due(s, peers, time.Now())
-		distant := forFar(s)
+		near, far := pace.Due(s, peers, time.Now())
+		distant := peer.ForFar(s)
 		for address, isNear := range peers {
 			told := distant
 			if isNear {
@@ -72,14 +73,14 @@
 }
 
 func (p *Process) exchange(address string, s *wire.Status) {
-	ctx, cancel := context.WithTimeout(p.ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, peer.Timeout)
 	defer cancel()
 	reply, err := p.node.Call(ctx, address, &wire.Call{Body: &wire.Call_Status{Status: s}})
 	p.meter.RelayCall(resultOf(err))
 	if err != nil {
 		return
 	}
-	p.peers.tell(address, time.Now())
+	p.peers.Tell(address, time.Now())
 	if reply.GetStatus() != nil {
 		p.learn(reply.GetStatus())
 	}
@@ -128,7 +129,7 @@
 	p.follower.Heard(s.ConfigNumber)
 	p.loop.Post(func() {
 		now := time.Now()
-		taken, restarted := p.peers.take(s, now)
+		taken, restarted := p.peers.Take(s, now)
 		if !taken {
 			return
 		}
@@ -182,7 +183,7 @@
 			return refuse("a status of another process")
 		}
 		p.learn(body.Status)
-		if p.peers.told(body.Status.Address, time.Now()) {
+		if p.peers.Told(body.Status.Address, time.Now()) {
 			return &wire.Reply{} // it has a later status from a call of this process
 		}
 		var own *wire.Status
@@ -240,3 +241,19 @@
 	}
 	return report, refused, nil
 }
+
+// address returns the relay address of a process, "" if unknown. What the
+// process itself has said lately goes before the table's last known row, which
+// is of an earlier start if it restarted while the platform was away.
+func (p *Process) address(process string) string {
+	said, recent := p.peers.Heard(process, time.Now())
+	if recent {
+		return said
+	}
+	for _, m := range p.session.Members() {
+		if m.Process == process {
+			return m.RelayAddress
+		}
+	}
+	return said
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -28,7 +28,7 @@
 }
 
 // ownersHold is how long an answer is given again; peers tell of a change no
-// faster than each statusInterval.
+// faster than each peer.StatusInterval.
 const ownersHold = 20 * time.Millisecond
 
 var _ dispatch.Racks = (*rackOwners)(nil)
@@ -49,7 +49,7 @@
 		return nil
 	}
 	best := map[string]dispatch.Owner{}
-	for _, s := range p.peers.live(time.Now()) {
+	for _, s := range p.peers.Live(time.Now()) {
 		if s.DataCentre != p.Settings.Process.DataCentre {
 			continue
 		}
@@ -117,7 +117,7 @@
 			return process
 		}
 	}
-	for _, s := range p.peers.live(time.Now()) {
+	for _, s := range p.peers.Live(time.Now()) {
 		if s.DataCentre != dataCentre {
 			continue
 		}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -51,9 +51,9 @@
 	if p.session.Valid(now) {
 		s.Session = p.session.ID()
 	}
-	for _, x := range p.peers.all() {
-		if !x.status.Leaving && now.Sub(x.heard) < rememberPeers {
-			s.Peers[x.status.Process] = now.Sub(x.heard) < peerTimeout
+	for _, x := range p.peers.All() {
+		if !x.Status().Leaving && x.Age(now) < rememberPeers {
+			s.Peers[x.Status().Process] = x.Recent(now)
 		}
 	}
 	return s
--- a/entry/pace.go
+++ b/peer/pace.go
@@ -1,4 +1,4 @@
-package entry
+package peer
 
 import (
 	"encoding/binary"
@@ -11,27 +11,27 @@
 )
 
 // Bytes a second that a process spends on telling its state to peers. Within
-// them the statuses go out each statusInterval, above them less often, but
+// them the statuses go out each StatusInterval, above them less often, but
 // never less often than each slowest interval, so that no peer counts as lost.
 const (
 	nearBudget  = 6 << 10 // to the peers of the data centre
 	farBudget   = 3 << 10 // to those of others
 	nearSlowest = time.Second
 	farSlowest  = 1500 * time.Millisecond // below the age at which adverts stop being believed
-	packet      = 60                      // bytes of headers, keys and acknowledgements of a call
+	Packet      = 60                      // bytes of headers, keys and acknowledgements of a call
 )
 
-// statusPace decides when the next status is due. What must be known in
+// Pace decides when the next status is due. What must be known in
 // seconds (who owns which shard, what is leaving) goes out at once; free
 // capacity, which changes all the time, at the pace that the budget allows.
-type statusPace struct {
+type Pace struct {
 	nearSent, farSent time.Time
 	told              uint64 // urgent part of the last status
 }
 
-// due reports whether a status goes now to the peers of the data centre and to
+// Due reports whether a status goes now to the peers of the data centre and to
 // those of others. peers maps addresses to whether they are near.
-func (c *statusPace) due(s *wire.Status, peers map[string]bool, now time.Time) (near, far bool) {
+func (c *Pace) Due(s *wire.Status, peers map[string]bool, now time.Time) (near, far bool) {
 	nearPeers := 0
 	for _, isNear := range peers {
 		if isNear {
@@ -41,8 +41,8 @@
 	urgent := urgentSum(s)
 	changed := urgent != c.told
 	c.told = urgent
-	near = changed || now.Sub(c.nearSent) >= interval(proto.Size(s), nearPeers, nearBudget, statusInterval, nearSlowest)
-	far = changed || now.Sub(c.farSent) >= interval(proto.Size(forFar(s)), len(peers)-nearPeers, farBudget, farInterval, farSlowest)
+	near = changed || now.Sub(c.nearSent) >= interval(proto.Size(s), nearPeers, nearBudget, StatusInterval, nearSlowest)
+	far = changed || now.Sub(c.farSent) >= interval(proto.Size(ForFar(s)), len(peers)-nearPeers, farBudget, FarInterval, farSlowest)
 	if near {
 		c.nearSent = now
 	}
@@ -56,8 +56,8 @@
 // keeps to a budget in bytes a second, within bounds. Half a tick is taken off,
 // so that a tick that comes early is not lost.
 func interval(size, peers, budget int, shortest, longest time.Duration) time.Duration {
-	d := time.Duration(float64((size+packet)*peers) / float64(budget) * float64(time.Second))
-	return min(max(d, shortest), longest) - statusInterval/2
+	d := time.Duration(float64((size+Packet)*peers) / float64(budget) * float64(time.Second))
+	return min(max(d, shortest), longest) - StatusInterval/2
 }
 
 // urgentSum is a checksum of what peers must know in seconds.
@@ -95,11 +95,11 @@
 	return sum
 }
 
-// forFar returns what processes of other data centres need: the job shards, and
+// ForFar returns what processes of other data centres need: the job shards, and
 // one sum of free slots for each service in place of the runners. They place
 // nothing on the racks, and a request that names no runner gets any of its
 // service.
-func forFar(s *wire.Status) *wire.Status {
+func ForFar(s *wire.Status) *wire.Status {
 	far := &wire.Status{
 		Process: s.Process, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
 		CallerAddress: s.CallerAddress, Sequence: s.Sequence, ConfigNumber: s.ConfigNumber, Leaving: s.Leaving,
