--- a/dispatch/latency_test.go
+++ b/dispatch/latency_test.go
@@ -40,7 +40,7 @@
 }
 
 // The ends of short tasks are learned soon enough that a batch of four rounds
-// takes at most three times its ideal time, whatever its estimate.
+// takes at most twice its ideal time, whatever its estimate.
 func TestShortBatch(t *testing.T) {
 	const ideal = 4 * 200 * time.Millisecond
 	cases := []struct {
@@ -48,10 +48,10 @@
 		estimate int64 // milliseconds
 		longest  time.Duration
 	}{
-		{"good estimate", 200, 3 * ideal},
-		{"no estimate", 0, 3 * ideal},
-		{"ten times too long", 2000, 3 * ideal},
-		{"ten times too short", 20, 3 * ideal},
+		{"good estimate", 200, 2 * ideal},
+		{"no estimate", 0, 2 * ideal},
+		{"ten times too long", 2000, 2 * ideal},
+		{"ten times too short", 20, 2 * ideal},
 	}
 	for _, c := range cases {
 		s := spec(100, `{"run-ms":200}`)
