--- a/accounts/keeper_test.go
+++ b/accounts/keeper_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"persimmonworks.example/persimmonworks/chain/chaintest"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/usage"
@@ -28,7 +28,7 @@
 	away bool
 }
 
-var _ platform.Objects = (*objects)(nil)
+var _ provider.Objects = (*objects)(nil)
 
 var errAway = errors.New("away")
 
--- a/archive/archive.go
+++ b/archive/archive.go
@@ -11,7 +11,7 @@
 //
 //	s := &archive.Store[Ended]{Table: t, Objects: o}
 //	err := s.Put(ctx, now, []archive.Item[Ended]{{ID: id, Record: ended, Rows: []string{row}}})
-//	ended, err := s.Load(ctx, id)          // platform.ErrNotFound once expired
+//	ended, err := s.Load(ctx, id)          // provider.ErrNotFound once expired
 //	n, err := s.Expire(ctx, now.Add(-week))
 package archive
 
@@ -24,7 +24,7 @@
 
 	"github.com/google/uuid"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Item is one record to be kept.
@@ -40,8 +40,8 @@
 // Store keeps records of one type. The fields are set before the first call;
 // it may be used from any goroutine.
 type Store[T any] struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   provider.Table
+	Objects provider.Objects
 }
 
 const (
@@ -78,13 +78,13 @@
 		return fmt.Errorf("index of %d records: %w", len(items), err)
 	}
 	// A lost answer leaves a second index row at worst, which does no harm.
-	if _, err := s.Table.Commit(ctx, platform.Create(indexKey(now)+uuid.NewString(), body)); err != nil {
+	if _, err := s.Table.Commit(ctx, provider.Create(indexKey(now)+uuid.NewString(), body)); err != nil {
 		return fmt.Errorf("index of %d records: %w", len(items), err)
 	}
 	return nil
 }
 
-// Load returns a record. The error wraps platform.ErrNotFound if there is none.
+// Load returns a record. The error wraps provider.ErrNotFound if there is none.
 func (s *Store[T]) Load(ctx context.Context, id string) (record T, err error) {
 	body, err := s.Objects.Get(ctx, objectName(id))
 	if err != nil {
@@ -117,26 +117,26 @@
 }
 
 // expire deletes a batch, its index row last.
-func (s *Store[T]) expire(ctx context.Context, row platform.Row) error {
+func (s *Store[T]) expire(ctx context.Context, row provider.Row) error {
 	var x index
 	if err := json.Unmarshal(row.Value, &x); err != nil {
 		return err
 	}
 	for _, name := range x.Objects {
-		if err := s.Objects.Delete(ctx, name); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := s.Objects.Delete(ctx, name); err != nil && !errors.Is(err, provider.ErrNotFound) {
 			return err
 		}
 	}
-	ops := []platform.Op{platform.Remove(row.Key, row.Version)}
+	ops := []provider.Op{provider.Remove(row.Key, row.Version)}
 	for _, key := range x.Rows {
 		r, err := s.Table.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, provider.ErrNotFound) {
 			continue
 		}
 		if err != nil {
 			return err
 		}
-		ops = append(ops, platform.Remove(key, r.Version))
+		ops = append(ops, provider.Remove(key, r.Version))
 	}
 	_, err := s.Table.Commit(ctx, ops...)
 	return err
--- a/archive/archive_test.go
+++ b/archive/archive_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/standin"
 )
 
@@ -27,7 +27,7 @@
 			var items []Item[record]
 			for i := range size {
 				id := fmt.Sprintf("%d-%d", b, i)
-				if _, err := s.Table.Commit(ctx, platform.Create("key/"+id, []byte("x"))); err != nil {
+				if _, err := s.Table.Commit(ctx, provider.Create("key/"+id, []byte("x"))); err != nil {
 					t.Fatal(err)
 				}
 				if err := s.Objects.Put(ctx, "spec/"+id, []byte("x")); err != nil {
@@ -61,7 +61,7 @@
 				_, rowErr := s.Table.Get(ctx, "key/"+id)
 				_, objectErr := s.Objects.Get(ctx, "spec/"+id)
 				if b < cut {
-					if !errors.Is(err, platform.ErrNotFound) || !errors.Is(rowErr, platform.ErrNotFound) || !errors.Is(objectErr, platform.ErrNotFound) {
+					if !errors.Is(err, provider.ErrNotFound) || !errors.Is(rowErr, provider.ErrNotFound) || !errors.Is(objectErr, provider.ErrNotFound) {
 						t.Fatalf("%s after its expiry: %v, %v, %v", id, err, rowErr, objectErr)
 					}
 					continue
--- a/burn/archive.go
+++ b/burn/archive.go
@@ -7,15 +7,15 @@
 	"fmt"
 	"strings"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Archive keeps the counts of processes that are gone, since hosts keep
 // nothing. Each start of a process has one object, replaced as its counts
 // grow, and one row that makes it known.
 type Archive struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   provider.Table
+	Objects provider.Objects
 	// Start names this start of the process and never comes again, such as
 	// "entry-1-1790000000000".
 	Start string
@@ -43,8 +43,8 @@
 	if a.listed {
 		return nil
 	}
-	_, err = a.Table.Commit(ctx, platform.Create(name, nil))
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	_, err = a.Table.Commit(ctx, provider.Create(name, nil))
+	if err != nil && !errors.Is(err, provider.ErrConflict) {
 		return fmt.Errorf("list burn of %s: %w", a.Start, err)
 	}
 	a.listed = true
--- a/chain/chain_test.go
+++ b/chain/chain_test.go
@@ -13,8 +13,8 @@
 	"pgregory.net/rapid"
 
 	"persimmonworks.example/persimmonworks/chain/chaintest"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 func withWeight(weight int) Configuration {
@@ -104,7 +104,7 @@
 		switch {
 		case err == nil && landed[nonce] != numbers[nonce]:
 			t.Fatalf("%s was told %d, the chain has it as %d", nonce, numbers[nonce], landed[nonce])
-		case err != nil && !errors.Is(err, platform.ErrUnknown) && landed[nonce] != 0:
+		case err != nil && !errors.Is(err, provider.ErrUnknown) && landed[nonce] != 0:
 			t.Fatalf("%s was refused with %v but is %d", nonce, err, landed[nonce])
 		}
 	}
@@ -213,7 +213,7 @@
 	if n, err := p.Compact(t.Context(), 1); n != 20 || err != nil {
 		t.Errorf("Compact = %d, %v", n, err)
 	}
-	if _, err := Find(t.Context(), &table, 20); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := Find(t.Context(), &table, 20); !errors.Is(err, provider.ErrNotFound) {
 		t.Errorf("entry 20: %v", err)
 	}
 	if e, err := Newest(t.Context(), &table); err != nil || e.Number != MinKept+20 {
--- a/chain/chaintest/table.go
+++ b/chain/chaintest/table.go
@@ -4,7 +4,7 @@
 // Usage:
 //
 //	t := chaintest.Table{Fault: func(call string) chaintest.Fault { return chaintest.LostAfter }}
-//	_, err := t.Commit(ctx, platform.Create("a", nil)) // ErrUnknown, but applied
+//	_, err := t.Commit(ctx, provider.Create("a", nil)) // ErrUnknown, but applied
 package chaintest
 
 import (
@@ -15,7 +15,7 @@
 	"strings"
 	"sync"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Fault is what goes wrong with one call.
@@ -39,35 +39,35 @@
 	Fault func(call string) Fault
 
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]provider.Row
 	last uint64 // version of the last change
-	late [][]platform.Op
+	late [][]provider.Op
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 // Get returns a row.
-func (t *Table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *Table) Get(_ context.Context, key string) (provider.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.fault("get") == Unavailable {
-		return platform.Row{}, fmt.Errorf("get %q: %w", key, platform.ErrUnavailable)
+		return provider.Row{}, fmt.Errorf("get %q: %w", key, provider.ErrUnavailable)
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+		return provider.Row{}, fmt.Errorf("get %q: %w", key, provider.ErrNotFound)
 	}
 	return row, nil
 }
 
 // Range returns rows in order of their keys.
-func (t *Table) Range(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) Range(_ context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.fault("range") == Unavailable {
-		return nil, fmt.Errorf("range %q: %w", prefix, platform.ErrUnavailable)
+		return nil, fmt.Errorf("range %q: %w", prefix, provider.ErrUnavailable)
 	}
-	var rows []platform.Row
+	var rows []provider.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
 			rows = append(rows, t.rows[key])
@@ -77,7 +77,7 @@
 }
 
 // Commit applies all ops or none.
-func (t *Table) Commit(_ context.Context, ops ...platform.Op) ([]uint64, error) {
+func (t *Table) Commit(_ context.Context, ops ...provider.Op) ([]uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fault := t.fault("commit")
@@ -86,15 +86,15 @@
 	}
 	switch fault {
 	case Unavailable:
-		return nil, fmt.Errorf("commit: %w", platform.ErrUnavailable)
+		return nil, fmt.Errorf("commit: %w", provider.ErrUnavailable)
 	case LostBefore:
-		return nil, fmt.Errorf("commit: %w", platform.ErrUnknown)
+		return nil, fmt.Errorf("commit: %w", provider.ErrUnknown)
 	case LostAfter:
 		_, _ = t.apply(ops)
-		return nil, fmt.Errorf("commit: %w", platform.ErrUnknown)
+		return nil, fmt.Errorf("commit: %w", provider.ErrUnknown)
 	case Late:
 		t.late = append(t.late, slices.Clone(ops))
-		return nil, fmt.Errorf("commit: %w", platform.ErrUnknown)
+		return nil, fmt.Errorf("commit: %w", provider.ErrUnknown)
 	}
 	return t.apply(ops)
 }
@@ -120,13 +120,13 @@
 	return t.Fault(call)
 }
 
-func (t *Table) apply(ops []platform.Op) ([]uint64, error) {
+func (t *Table) apply(ops []provider.Op) ([]uint64, error) {
 	if t.rows == nil {
-		t.rows = make(map[string]platform.Row)
+		t.rows = make(map[string]provider.Row)
 	}
 	for _, op := range ops {
 		if t.rows[op.Key].Version != op.Expect {
-			return nil, fmt.Errorf("commit row %q: %w", op.Key, platform.ErrConflict)
+			return nil, fmt.Errorf("commit row %q: %w", op.Key, provider.ErrConflict)
 		}
 	}
 	versions := make([]uint64, len(ops))
@@ -139,7 +139,7 @@
 		default:
 			t.last++
 			versions[i] = t.last
-			t.rows[op.Key] = platform.Row{Key: op.Key, Value: slices.Clone(op.Value), Version: t.last}
+			t.rows[op.Key] = provider.Row{Key: op.Key, Value: slices.Clone(op.Value), Version: t.last}
 		}
 	}
 	return versions, nil
--- a/chain/follower.go
+++ b/chain/follower.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/event"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 const pollEvery = time.Second // a change is in force everywhere within seconds
@@ -28,7 +28,7 @@
 // fields before Run. All methods may be called from any goroutine; Current
 // takes no lock.
 type Follower struct {
-	Reader platform.Reader
+	Reader provider.Reader
 	Peers  Peers         // nil without peers
 	Log    event.Emitter // nil writes nothing
 	Every  time.Duration // between polls; 0 is 1 s
--- a/chain/linearizable_test.go
+++ b/chain/linearizable_test.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"persimmonworks.example/persimmonworks/chain/chaintest"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // call is a publication on base, or a read if nonce is empty.
@@ -95,7 +95,7 @@
 	h.ops = append(h.ops, op)
 }
 
-func (h *history) client(t *testing.T, table platform.Table, id, calls int, seed uint64) error {
+func (h *history) client(t *testing.T, table provider.Table, id, calls int, seed uint64) error {
 	r := rand.New(rand.NewPCG(seed, uint64(id)))
 	for i := range calls {
 		at := h.tick()
@@ -113,7 +113,7 @@
 		switch {
 		case err == nil:
 			out.result = won
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, provider.ErrUnknown):
 			out.result = unknown
 		}
 		h.add(id, at, in, out)
--- a/chain/publisher.go
+++ b/chain/publisher.go
@@ -9,8 +9,8 @@
 
 	"github.com/google/uuid"
 
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 const (
@@ -49,7 +49,7 @@
 // Publisher adds configurations to the chain. It holds no state between calls
 // and may be used from any goroutine.
 type Publisher struct {
-	Table platform.Table
+	Table provider.Table
 	Now   func() time.Time // nil is time.Now
 	Nonce func() string    // nil is a random UUID
 	Pause time.Duration    // between attempts after a lost answer; 0 is 200 ms
@@ -69,7 +69,7 @@
 // base is no longer the newest; ErrConflict if one of ops failed; ErrUnknown
 // if neither success nor failure could be read back, after which the caller
 // compares the chain with Find.
-func (p *Publisher) Publish(ctx context.Context, base uint64, c Configuration, by, why string, ops ...platform.Op) (uint64, error) {
+func (p *Publisher) Publish(ctx context.Context, base uint64, c Configuration, by, why string, ops ...provider.Op) (uint64, error) {
 	if err := pool.Check(&c).Err(); err != nil {
 		return 0, fmt.Errorf("publish on configuration %d: %w", base, err)
 	}
@@ -88,7 +88,7 @@
 	return p.commit(ctx, entry, all)
 }
 
-func publishOps(row platform.Row, entry Entry, ops []platform.Op) ([]platform.Op, error) {
+func publishOps(row provider.Row, entry Entry, ops []provider.Op) ([]provider.Op, error) {
 	body, err := json.Marshal(entry)
 	if err != nil {
 		return nil, fmt.Errorf("encode entry: %w", err)
@@ -97,13 +97,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode head: %w", err)
 	}
-	all := []platform.Op{platform.Create(entryKey(entry.Number), body), platform.Update(headKey, top, row.Version)}
+	all := []provider.Op{provider.Create(entryKey(entry.Number), body), provider.Update(headKey, top, row.Version)}
 	return append(all, ops...), nil
 }
 
 // commit sends the ops until an answer or a read-back decides. Once a send may
 // have taken effect, no later failure alone may deny it.
-func (p *Publisher) commit(ctx context.Context, entry Entry, ops []platform.Op) (uint64, error) {
+func (p *Publisher) commit(ctx context.Context, entry Entry, ops []provider.Op) (uint64, error) {
 	sent := false
 	var err error
 	for attempt := range publishAttempts {
@@ -114,18 +114,18 @@
 		if err == nil {
 			return entry.Number, nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) && !sent {
+		if errors.Is(err, provider.ErrUnavailable) && !sent {
 			return 0, fmt.Errorf("publish configuration %d: %w", entry.Number, err)
 		}
-		conflict := errors.Is(err, platform.ErrConflict)
-		sent = sent || !(conflict || errors.Is(err, platform.ErrUnavailable))
+		conflict := errors.Is(err, provider.ErrConflict)
+		sent = sent || !(conflict || errors.Is(err, provider.ErrUnavailable))
 		decided, number, failure := p.resolve(ctx, entry, conflict)
 		if decided {
 			return number, failure
 		}
 	}
 	return 0, fmt.Errorf("publish configuration %d: %w after %v; read the chain before the next intent",
-		entry.Number, platform.ErrUnknown, err)
+		entry.Number, provider.ErrUnknown, err)
 }
 
 // resolve reads back what became of entry. It is undecided while the platform
@@ -139,7 +139,7 @@
 		if !conflict {
 			return false, 0, nil
 		}
-		return true, 0, fmt.Errorf("publish configuration %d: another row of the commit changed: %w", entry.Number, platform.ErrConflict)
+		return true, 0, fmt.Errorf("publish configuration %d: another row of the commit changed: %w", entry.Number, provider.ErrConflict)
 	}
 	landed, err := readEntry(ctx, p.Table, entry.Number)
 	if err != nil {
@@ -153,7 +153,7 @@
 
 // Raced describes who published after base, for one that built on base and
 // found newest.
-func Raced(ctx context.Context, r platform.Reader, base, newest uint64) *RaceError {
+func Raced(ctx context.Context, r provider.Reader, base, newest uint64) *RaceError {
 	e := &RaceError{Base: base, Number: newest, By: "someone", Why: "unknown"}
 	if winner, err := readEntry(ctx, r, base+1); err == nil {
 		e.By, e.Why = winner.By, winner.Why
@@ -181,7 +181,7 @@
 		if row.Key > entryKey(at.Number-kept) {
 			break
 		}
-		if _, err := p.Table.Commit(ctx, platform.Remove(row.Key, row.Version)); err != nil {
+		if _, err := p.Table.Commit(ctx, provider.Remove(row.Key, row.Version)); err != nil {
 			return deleted, fmt.Errorf("compact row %q: %w", row.Key, err)
 		}
 		deleted++
@@ -223,8 +223,8 @@
 // notSent turns any failure of a read into one that says that nothing was
 // written.
 func notSent(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, provider.ErrUnavailable) {
 		return err
 	}
-	return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %v", provider.ErrUnavailable, err)
 }
--- a/chain/read.go
+++ b/chain/read.go
@@ -6,26 +6,26 @@
 	"errors"
 	"fmt"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // readHead returns the head and its row; both are zero for an empty chain.
-func readHead(ctx context.Context, r platform.Reader) (platform.Row, head, error) {
+func readHead(ctx context.Context, r provider.Reader) (provider.Row, head, error) {
 	row, err := r.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, head{}, nil
+	if errors.Is(err, provider.ErrNotFound) {
+		return provider.Row{}, head{}, nil
 	}
 	if err != nil {
-		return platform.Row{}, head{}, fmt.Errorf("read row %q: %w", headKey, err)
+		return provider.Row{}, head{}, fmt.Errorf("read row %q: %w", headKey, err)
 	}
 	var h head
 	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return platform.Row{}, head{}, fmt.Errorf("decode row %q: %w", headKey, err)
+		return provider.Row{}, head{}, fmt.Errorf("decode row %q: %w", headKey, err)
 	}
 	return row, h, nil
 }
 
-func readEntry(ctx context.Context, r platform.Reader, number uint64) (*Entry, error) {
+func readEntry(ctx context.Context, r provider.Reader, number uint64) (*Entry, error) {
 	key := entryKey(number)
 	row, err := r.Get(ctx, key)
 	if err != nil {
@@ -34,7 +34,7 @@
 	return decodeEntry(row)
 }
 
-func decodeEntry(row platform.Row) (*Entry, error) {
+func decodeEntry(row provider.Row) (*Entry, error) {
 	var e Entry
 	if err := json.Unmarshal(row.Value, &e); err != nil {
 		return nil, fmt.Errorf("decode row %q: %w", row.Key, err)
@@ -43,7 +43,7 @@
 }
 
 // Newest returns the newest entry, with number 0 for an empty chain.
-func Newest(ctx context.Context, r platform.Reader) (*Entry, error) {
+func Newest(ctx context.Context, r provider.Reader) (*Entry, error) {
 	_, at, err := readHead(ctx, r)
 	if err != nil {
 		return nil, err
@@ -56,12 +56,12 @@
 
 // Find returns the entry of that number, or ErrNotFound if it was never
 // published or is compacted.
-func Find(ctx context.Context, r platform.Reader, number uint64) (*Entry, error) {
+func Find(ctx context.Context, r provider.Reader, number uint64) (*Entry, error) {
 	return readEntry(ctx, r, number)
 }
 
 // History returns at most limit of the newest entries, the newest first.
-func History(ctx context.Context, r platform.Reader, limit int) ([]*Entry, error) {
+func History(ctx context.Context, r provider.Reader, limit int) ([]*Entry, error) {
 	_, at, err := readHead(ctx, r)
 	if err != nil {
 		return nil, err
--- a/command/configure.go
+++ b/command/configure.go
@@ -10,8 +10,8 @@
 
 	"persimmonworks.example/persimmonworks/chain"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // configure publishes the first configuration of a pool.
@@ -53,7 +53,7 @@
 	if found := pool.Check(&first); len(found) > 0 {
 		return c.fail(found.Err())
 	}
-	p := chain.Publisher{Table: &platform.Client{Address: c.address}}
+	p := chain.Publisher{Table: &provider.Client{Address: c.address}}
 	number, err := p.Publish(ctx, 0, first, c.by, "first configuration")
 	if err != nil {
 		return c.fail(fmt.Errorf("configure: %w", err))
--- a/command/serve.go
+++ b/command/serve.go
@@ -16,7 +16,7 @@
 	"persimmonworks.example/persimmonworks/entry"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/settings"
 )
 
@@ -50,7 +50,7 @@
 	if err := store.Load(); err != nil {
 		return s.fail(err)
 	}
-	client := &platform.Client{Address: loaded.Platform.Address, Name: loaded.Process.Name, Timeout: loaded.Platform.Timeout}
+	client := &provider.Client{Address: loaded.Platform.Address, Name: loaded.Process.Name, Timeout: loaded.Platform.Timeout}
 	p := &entry.Process{Settings: loaded, Keys: store, Table: client, Objects: client.Objects(), Hosts: client, Log: log}
 
 	ctx, stop := context.WithCancel(ctx)
--- a/command/try.go
+++ b/command/try.go
@@ -26,7 +26,7 @@
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/settings"
 	"persimmonworks.example/persimmonworks/standin"
@@ -110,7 +110,7 @@
 		return nil
 	}
 	sample := newSample()
-	publisher := chain.Publisher{Table: &platform.Client{Address: stand.Address()}}
+	publisher := chain.Publisher{Table: &provider.Client{Address: stand.Address()}}
 	if _, err := publisher.Publish(ctx, 0, sample.configuration, "try", "embedded default"); err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 		if err != nil {
 			return nil, err
 		}
-		client := &platform.Client{Address: platformAddress, Name: name}
+		client := &provider.Client{Address: platformAddress, Name: name}
 		p := &entry.Process{
 			Settings: s, Keys: bed.Store(name), Table: client, Objects: client.Objects(), Hosts: client,
 			Log: &event.Log{Writer: t.err, Console: true, Process: name, Level: event.LevelOf(t.level)},
--- a/confirmation/desk.go
+++ b/confirmation/desk.go
@@ -23,13 +23,13 @@
 
 	"persimmonworks.example/persimmonworks/chain"
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Desk stores plans and confirms them. It holds no state between calls and
 // may be used from any goroutine.
 type Desk struct {
-	Table platform.Table
+	Table provider.Table
 	// State returns the hosts, attempts and waiting work as they are now. The
 	// Desk fills in the configuration from the chain itself.
 	State     func(ctx context.Context) (intent.State, error)
@@ -75,8 +75,8 @@
 	if err != nil {
 		return intent.Plan{}, fmt.Errorf("encode plan: %w", err)
 	}
-	_, err = d.Table.Commit(ctx, platform.Create(planPrefix+plan.Digest(), body))
-	if errors.Is(err, platform.ErrConflict) {
+	_, err = d.Table.Commit(ctx, provider.Create(planPrefix+plan.Digest(), body))
+	if errors.Is(err, provider.ErrConflict) {
 		err = nil // the same plan is there already
 	}
 	if err != nil {
@@ -117,7 +117,7 @@
 		return 0, fmt.Errorf("encode plan %s: %w", digest, err)
 	}
 	number, err := d.publisher().Publish(ctx, s.Number, after, by, why(plan.Plan.Intent),
-		platform.Update(row.Key, body, row.Version))
+		provider.Update(row.Key, body, row.Version))
 	if err != nil {
 		return d.refused(ctx, digest, by, fmt.Errorf("confirm plan %s: %w", digest, err))
 	}
@@ -133,8 +133,8 @@
 	if err == nil && plan.Number > 0 {
 		return already(plan, by)
 	}
-	if err != nil && !errors.Is(cause, platform.ErrUnavailable) {
-		return 0, fmt.Errorf("confirm plan %s: %w: %v, after %v; confirm it again", digest, platform.ErrUnknown, err, cause)
+	if err != nil && !errors.Is(cause, provider.ErrUnavailable) {
+		return 0, fmt.Errorf("confirm plan %s: %w: %v, after %v; confirm it again", digest, provider.ErrUnknown, err, cause)
 	}
 	return 0, cause
 }
@@ -176,7 +176,7 @@
 			return deleted, next, fmt.Errorf("decode row %q: %w", row.Key, err)
 		}
 		if s.Plan.Intent.At.Before(before) {
-			if _, err := d.Table.Commit(ctx, platform.Remove(row.Key, row.Version)); err != nil {
+			if _, err := d.Table.Commit(ctx, provider.Remove(row.Key, row.Version)); err != nil {
 				return deleted, next, fmt.Errorf("delete row %q: %w", row.Key, err)
 			}
 			deleted++
@@ -206,10 +206,10 @@
 	return Kept(s), err
 }
 
-func (d *Desk) plan(ctx context.Context, digest string) (platform.Row, stored, error) {
+func (d *Desk) plan(ctx context.Context, digest string) (provider.Row, stored, error) {
 	var s stored
 	row, err := d.Table.Get(ctx, planPrefix+digest)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return row, s, fmt.Errorf("%w: %q; propose the intent again", ErrUnknown, digest)
 	}
 	if err != nil {
@@ -237,8 +237,8 @@
 		return s, nil
 	}
 	after, err := chain.Find(ctx, d.Table, in.Number)
-	if errors.Is(err, platform.ErrNotFound) {
-		return s, fmt.Errorf("configuration %d was never published or is not kept any more; see the history: %w", in.Number, platform.ErrNotFound)
+	if errors.Is(err, provider.ErrNotFound) {
+		return s, fmt.Errorf("configuration %d was never published or is not kept any more; see the history: %w", in.Number, provider.ErrNotFound)
 	}
 	if err != nil {
 		return s, err
--- a/confirmation/desk_test.go
+++ b/confirmation/desk_test.go
@@ -18,8 +18,8 @@
 	"persimmonworks.example/persimmonworks/chain/chaintest"
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -33,9 +33,9 @@
 			{Name: "prado", Weight: 1}, {Name: "returns", Weight: 1},
 		}},
 		Hosts: []intent.Host{
-			{ID: "w3", Kind: platform.KindWorker, Rack: "r2", DataCentre: "sofia", Capacity: cores(8)},
-			{ID: "w1", Kind: platform.KindWorker, Rack: "r1", DataCentre: "sofia", Capacity: cores(8)},
-			{ID: "u1", Kind: platform.KindRunner, Rack: "r1", DataCentre: "sofia"},
+			{ID: "w3", Kind: provider.KindWorker, Rack: "r2", DataCentre: "sofia", Capacity: cores(8)},
+			{ID: "w1", Kind: provider.KindWorker, Rack: "r1", DataCentre: "sofia", Capacity: cores(8)},
+			{ID: "u1", Kind: provider.KindRunner, Rack: "r1", DataCentre: "sofia"},
 		},
 		Attempts: []intent.Attempt{
 			{Task: "b", Number: 2, Organisation: "returns", Class: class.Batch, Host: "w1", Demand: cores(6), Checkpointable: true},
@@ -111,7 +111,7 @@
 	if number, err := d.Confirm(t.Context(), back.Digest(), "ivana"); number != 4 || err != nil {
 		t.Fatalf("undo: %d, %v", number, err)
 	}
-	if _, err := d.Undo(t.Context(), 99, "ivana"); !errors.Is(err, platform.ErrNotFound) || !strings.Contains(err.Error(), "configuration 99") {
+	if _, err := d.Undo(t.Context(), 99, "ivana"); !errors.Is(err, provider.ErrNotFound) || !strings.Contains(err.Error(), "configuration 99") {
 		t.Errorf("undo of a number that is not there: %v", err)
 	}
 	entries, err := d.History(t.Context(), 2)
@@ -233,7 +233,7 @@
 		return won
 	case errors.As(err, &raced):
 		return lost
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, provider.ErrUnknown):
 		return unknown
 	}
 	return nothing
--- a/console/console.go
+++ b/console/console.go
@@ -30,8 +30,8 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/usage"
 )
 
@@ -51,7 +51,7 @@
 // Surroundings shows what this process knows of the rest of the pool.
 type Surroundings interface {
 	// Hosts returns the platform's list as last read.
-	Hosts() []platform.Host
+	Hosts() []provider.Host
 	// Standings returns all processes that are known, this one among them.
 	Standings(now time.Time) []Standing
 }
--- a/console/console_test.go
+++ b/console/console_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 var now = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
@@ -35,7 +35,7 @@
 }
 
 func TestStateOfTwoOwners(t *testing.T) {
-	state := stateOf([]platform.Host{{ID: "w2"}, {ID: "w1"}}, []Part{
+	state := stateOf([]provider.Host{{ID: "w2"}, {ID: "w1"}}, []Part{
 		{Running: []Running{attempt("b", 1, "w1", 4), attempt("a", 2, "w2", 4)}, Waiting: []intent.Waiting{{Organisation: "prado", Tasks: 2}}},
 		{Running: []Running{attempt("b", 1, "w2", 5)}, Waiting: []intent.Waiting{{Organisation: "prado", Tasks: 3}}},
 	})
@@ -57,7 +57,7 @@
 		Intent: intent.Intent{Kind: intent.DrainRack, Target: "r1"},
 		Steps:  []intent.Step{step("moved"), step("stays"), step("stopping"), step("gone"), {Action: intent.Wait, From: "u1"}},
 	}
-	hosts := []platform.Host{{ID: "w1", Rack: "r1"}, {ID: "w2", Rack: "r2"}}
+	hosts := []provider.Host{{ID: "w1", Rack: "r1"}, {ID: "w2", Rack: "r2"}}
 	stopping := attempt("stopping", 1, "w1", 1)
 	stopping.Stopping = true
 	got := progressOf(plan, hosts, []Running{
--- a/console/plans.go
+++ b/console/plans.go
@@ -15,8 +15,8 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Proposed is the answer to an intent.
@@ -125,14 +125,14 @@
 	status := http.StatusServiceUnavailable
 	var confirmed *confirmation.ConfirmedError
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, provider.ErrUnknown):
 		status, refusal.Outcome = http.StatusBadGateway, gateway.Unknown
 		refusal.Reason += "; send the same again"
-	case errors.Is(err, confirmation.ErrUnknown), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, confirmation.ErrUnknown), errors.Is(err, provider.ErrNotFound):
 		status = http.StatusNotFound
 	case errors.Is(err, intent.ErrInvalid):
 		status = http.StatusUnprocessableEntity
-	case errors.Is(err, intent.ErrStale), errors.Is(err, chain.ErrRaced), errors.As(err, &confirmed), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, intent.ErrStale), errors.Is(err, chain.ErrRaced), errors.As(err, &confirmed), errors.Is(err, provider.ErrConflict):
 		status = http.StatusConflict
 	default:
 		refusal.RetryAfterMS = 1000
--- a/console/progress.go
+++ b/console/progress.go
@@ -7,8 +7,8 @@
 
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // StepState is how far one step of a confirmed plan is.
@@ -58,7 +58,7 @@
 }
 
 // progressOf compares a plan with what runs now.
-func progressOf(p intent.Plan, hosts []platform.Host, now []Running) Progress {
+func progressOf(p intent.Plan, hosts []provider.Host, now []Running) Progress {
 	answer := Progress{Steps: []StepProgress{}, Left: []Running{}, Done: true}
 	byTask := make(map[string]Running, len(now))
 	for _, a := range now {
@@ -96,7 +96,7 @@
 }
 
 // leavingHosts returns the hosts that an intent takes out of use.
-func leavingHosts(in intent.Intent, hosts []platform.Host) map[string]bool {
+func leavingHosts(in intent.Intent, hosts []provider.Host) map[string]bool {
 	leaving := make(map[string]bool)
 	for _, h := range hosts {
 		switch in.Kind {
--- a/console/state.go
+++ b/console/state.go
@@ -11,8 +11,8 @@
 
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/intent"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Part is what one process owns.
@@ -59,7 +59,7 @@
 
 // Host is a worker or runner for an operator.
 type Host struct {
-	platform.Host
+	provider.Host
 	Drained string `json:"drained-by,omitempty"`
 	Owner   string `json:"owner,omitempty"`  // process of its rack shard
 	Closed  string `json:"closed,omitempty"` // why it gets nothing new
@@ -120,7 +120,7 @@
 	return stateOf(s.Surroundings.Hosts(), parts), missing
 }
 
-func stateOf(hosts []platform.Host, parts []Part) intent.State {
+func stateOf(hosts []provider.Host, parts []Part) intent.State {
 	var state intent.State
 	for _, h := range hosts {
 		state.Hosts = append(state.Hosts, intent.Host{ID: h.ID, Kind: h.Kind, Rack: h.Rack, DataCentre: h.DataCentre, Capacity: h.Capacity})
--- a/dispatch/archive.go
+++ b/dispatch/archive.go
@@ -5,12 +5,12 @@
 	"errors"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"persimmonworks.example/persimmonworks/archive"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Ended is a finished job as the archive keeps it.
@@ -57,9 +57,9 @@
 	for i := range j.Tasks() {
 		e.Tasks = append(e.Tasks, d.explain(s, j, &j.Tasks()[i]))
 	}
-	x := archive.Item[Ended]{ID: j.ID, Record: e, Objects: []string{journal.SpecObject(j.ID)}}
+	x := archive.Item[Ended]{ID: j.ID, Record: e, Objects: []string{joblog.SpecObject(j.ID)}}
 	if j.Spec.Key != "" {
-		x.Rows = []string{journal.KeyRow(j.Spec.Organisation, j.Spec.Key)}
+		x.Rows = []string{joblog.KeyRow(j.Spec.Organisation, j.Spec.Key)}
 	}
 	return x
 }
@@ -85,7 +85,7 @@
 // load returns a job from the archive, and whether it is there.
 func (d *Desk) load(ctx context.Context, id string) (Ended, bool, error) {
 	e, err := d.Archive.Load(ctx, id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return Ended{}, false, nil
 	}
 	return e, err == nil, err
--- a/dispatch/bed_test.go
+++ b/dispatch/bed_test.go
@@ -18,7 +18,7 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
@@ -53,7 +53,7 @@
 	objects standin.Objects
 	table   *bedTable
 	agents  map[string]*agent.Agent
-	hosts   map[string][]platform.Host // by rack
+	hosts   map[string][]provider.Host // by rack
 	group   sync.WaitGroup
 
 	mutex  sync.Mutex // guards all below, as each process's control loop would
@@ -84,7 +84,7 @@
 
 func newBedOf(processes, workers int, capacity resource.Vector) *bed {
 	b := &bed{
-		board: fault.NewBoard(), agents: map[string]*agent.Agent{}, hosts: map[string][]platform.Host{},
+		board: fault.NewBoard(), agents: map[string]*agent.Agent{}, hosts: map[string][]provider.Host{},
 		random: rand.New(rand.NewPCG(1, 2)), groups: map[string]*rack.Group{}, owners: map[string]string{}, epochs: map[string]uint64{},
 		cut: map[string]time.Time{}, table: &bedTable{Table: &standin.Table{}, random: rand.New(rand.NewPCG(3, 4))},
 	}
@@ -94,7 +94,7 @@
 		for k := range workers {
 			id := fmt.Sprintf("w%d-%d", i, k)
 			b.agents[id] = &agent.Agent{ID: id, Capacity: capacity, Ledger: &b.ledger, Faults: b.board}
-			b.hosts[name] = append(b.hosts[name], platform.Host{ID: id, Rack: name, DataCentre: "dc1", Address: id, Capacity: capacity})
+			b.hosts[name] = append(b.hosts[name], provider.Host{ID: id, Rack: name, DataCentre: "dc1", Address: id, Capacity: capacity})
 		}
 		b.racks = append(b.racks, name)
 		b.give(name, process)
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -11,7 +11,7 @@
 
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/directory"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/resource"
@@ -100,9 +100,9 @@
 	name := "rack-" + string(rune('a'+i/26)) + string(rune('a'+i%26))
 	r := &rack.Rack{Name: name, Epoch: 1, Lease: testLease}
 	capacity := resource.Vector{MilliCPU: 1 << 40, MemoryMB: 1 << 40}
-	var hosts []platform.Host
+	var hosts []provider.Host
 	for k := range workers {
-		hosts = append(hosts, platform.Host{ID: name + "-" + string(rune('a'+k)), Rack: name, DataCentre: "dc1", Capacity: capacity})
+		hosts = append(hosts, provider.Host{ID: name + "-" + string(rune('a'+k)), Rack: name, DataCentre: "dc1", Capacity: capacity})
 	}
 	r.SetHosts(hosts, now)
 	for _, h := range hosts {
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -31,7 +31,7 @@
 	"math/rand/v2"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"golang.org/x/sync/errgroup"
 
@@ -42,7 +42,7 @@
 	"persimmonworks.example/persimmonworks/estimate"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/wire"
 	"persimmonworks.example/persimmonworks/worker"
@@ -85,8 +85,8 @@
 // Desk is the job owner's engine. Exported fields are set before Run.
 type Desk struct {
 	Loop       *control.Loop
-	Table      platform.Table
-	Objects    platform.Objects
+	Table      provider.Table
+	Objects    provider.Objects
 	Process    string
 	DataCentre string
 	Racks      Racks
@@ -155,7 +155,7 @@
 	s := &shard{
 		name: name, epoch: epoch, covered: map[string]bool{}, unresolved: map[string]bool{}, ending: map[worker.Ref]bool{},
 		links: map[string]*link{}, owners: map[string]Owner{}, sent: map[worker.Ref]*sending{}, finished: map[string]time.Time{}, cancelling: map[string]int{},
-		store: &journal.Store{
+		store: &joblog.Store{
 			Table: d.Table, Objects: d.Objects, DataCentre: d.DataCentre, Shard: name, Epoch: epoch,
 			Writer: fmt.Sprintf("%s-%d", d.Process, epoch),
 		},
--- a/dispatch/key_test.go
+++ b/dispatch/key_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 )
 
 // A key that was used for another body is refused and names the first job,
@@ -33,7 +33,7 @@
 		if o := b.desk.Submit(t.Context(), testShard, first); !o.Existing || o.Job != id {
 			t.Errorf("the same body again: %+v, want %s", o, id)
 		}
-		known, err := journal.LookupKey(t.Context(), b.desk.Table, "prado", "k")
+		known, err := joblog.LookupKey(t.Context(), b.desk.Table, "prado", "k")
 		if err != nil || known.ID != id {
 			t.Errorf("row of the key: %+v, %v", known, err)
 		}
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/queue"
@@ -21,7 +21,7 @@
 type shard struct {
 	name     string
 	epoch    uint64
-	store    *journal.Store
+	store    *joblog.Store
 	book     *job.Book
 	sequence uint64
 	// covered holds the racks whose complete inventory has been seen under
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -5,13 +5,13 @@
 	"errors"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"github.com/google/uuid"
 
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -137,7 +137,7 @@
 	}
 	now := time.Now()
 	s.committing, s.nextCommit = false, now.Add(commitInterval)
-	var taken *journal.ErrKeyTaken
+	var taken *joblog.ErrKeyTaken
 	switch {
 	case err == nil:
 		batch := s.frozen
@@ -149,10 +149,10 @@
 		d.compactDue(s)
 	case errors.As(err, &taken):
 		d.dropTaken(s, taken)
-	case errors.Is(err, journal.ErrDeposed):
+	case errors.Is(err, joblog.ErrDeposed):
 		d.Log.Emit(event.ShardLost, "shard", s.name, "epoch", s.epoch, "error", err)
-		d.deposed(s, errors.Is(err, platform.ErrUnknown))
-	case errors.Is(err, platform.ErrUnavailable) && !resolving:
+		d.deposed(s, errors.Is(err, provider.ErrUnknown))
+	case errors.Is(err, provider.ErrUnavailable) && !resolving:
 		d.unwritten(s, err)
 	default:
 		d.Log.Emit(event.JournalFailed, "shard", s.name, "epoch", s.epoch, "error", err)
@@ -202,7 +202,7 @@
 
 // dropTaken answers submissions whose idempotency key belongs to another job;
 // nothing of the batch was written.
-func (d *Desk) dropTaken(s *shard, taken *journal.ErrKeyTaken) {
+func (d *Desk) dropTaken(s *shard, taken *joblog.ErrKeyTaken) {
 	var kept []pendingEntry
 	for _, p := range s.frozen {
 		if first, ok := taken.Jobs[p.entry.Job]; ok && p.entry.Kind == job.EntryAccept {
--- a/dispatch/table_test.go
+++ b/dispatch/table_test.go
@@ -6,14 +6,14 @@
 	"sync"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
-var _ platform.Table = (*bedTable)(nil)
+var _ provider.Table = (*bedTable)(nil)
 
 // bedTable loses answers and refuses writes until a time.
 type bedTable struct {
-	platform.Table
+	provider.Table
 	mutex  sync.Mutex
 	random *rand.Rand
 	until  time.Time
@@ -33,22 +33,22 @@
 	return time.Now().Before(t.away)
 }
 
-func (t *bedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *bedTable) Get(ctx context.Context, key string) (provider.Row, error) {
 	time.Sleep(time.Millisecond)
 	if t.chance(20) {
-		return platform.Row{}, platform.ErrUnavailable
+		return provider.Row{}, provider.ErrUnavailable
 	}
 	return t.Table.Get(ctx, key)
 }
 
-func (t *bedTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (t *bedTable) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	time.Sleep(time.Millisecond)
 	if t.isAway() || t.chance(20) {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	versions, err := t.Table.Commit(ctx, ops...)
 	if t.chance(30) {
-		return nil, platform.ErrUnknown
+		return nil, provider.ErrUnknown
 	}
 	return versions, err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,8 +46,8 @@
 	"persimmonworks.example/persimmonworks/meter"
 	"persimmonworks.example/persimmonworks/ownership"
 	"persimmonworks.example/persimmonworks/peer"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/rack"
@@ -63,9 +63,9 @@
 type Process struct {
 	Settings *settings.Settings
 	Keys     relay.Keys
-	Table    platform.Table
-	Objects  platform.Objects
-	Hosts    platform.HostLister
+	Table    provider.Table
+	Objects  provider.Objects
+	Hosts    provider.HostLister
 	// Agent returns the agent of a worker at an address; nil uses HTTP.
 	Agent func(address string) worker.Agent
 	Log   event.Emitter
@@ -311,7 +311,7 @@
 	var largest resource.Vector
 	if v := p.hosts.Load(); v != nil {
 		for _, h := range v.hosts {
-			if h.Kind == platform.KindWorker && h.DataCentre == p.Settings.Process.DataCentre {
+			if h.Kind == provider.KindWorker && h.DataCentre == p.Settings.Process.DataCentre {
 				largest = largest.Max(h.Capacity)
 			}
 		}
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -7,14 +7,14 @@
 
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/gateway"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/runner"
 )
 
 // hostView is the platform's list of hosts as last read.
 type hostView struct {
-	hosts []platform.Host
+	hosts []provider.Host
 	read  time.Time
 	racks []string // rack shards of this data centre
 }
@@ -45,7 +45,7 @@
 	}
 }
 
-func (p *Process) viewOf(hosts []platform.Host) *hostView {
+func (p *Process) viewOf(hosts []provider.Host) *hostView {
 	v := &hostView{hosts: hosts, read: time.Now()}
 	seen := map[string]bool{}
 	for _, h := range hosts {
@@ -82,7 +82,7 @@
 	var poolSize resource.Vector
 	slots := map[string]int{}
 	p.departing = map[string]bool{}
-	workers := map[string][]platform.Host{}
+	workers := map[string][]provider.Host{}
 	for _, h := range v.hosts {
 		if _, drained := c.Drained(h.ID, h.Rack, h.DataCentre); drained || p.markedLeaving(h.ID, now) {
 			h.Leaving = true
@@ -91,14 +91,14 @@
 		_, owned := p.racks.Rack(shard)
 		owned = owned && h.DataCentre == p.Settings.Process.DataCentre
 		switch h.Kind {
-		case platform.KindWorker:
+		case provider.KindWorker:
 			if h.DataCentre == p.Settings.Process.DataCentre {
 				poolSize = poolSize.Add(h.Capacity)
 			}
 			if owned {
 				workers[shard] = append(workers[shard], h)
 			}
-		case platform.KindRunner:
+		case provider.KindRunner:
 			slots[h.Service] += h.Slots
 			p.applyRunner(h, owned, now)
 		}
@@ -116,7 +116,7 @@
 	}
 }
 
-func (p *Process) applyRunner(h platform.Host, owned bool, now time.Time) {
+func (p *Process) applyRunner(h provider.Host, owned bool, now time.Time) {
 	if h.Leaving {
 		p.departing[h.ID] = true // also when its owner advertises it again
 		p.peerSlots.SetLeaving(h.ID)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -19,7 +19,7 @@
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/intent"
 	"persimmonworks.example/persimmonworks/ownership"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/upkeep"
 	"persimmonworks.example/persimmonworks/usage"
@@ -127,7 +127,7 @@
 type view struct{ p *Process }
 
 // Hosts implements console.Surroundings.
-func (v *view) Hosts() []platform.Host {
+func (v *view) Hosts() []provider.Host {
 	if known := v.p.hosts.Load(); known != nil {
 		return known.hosts
 	}
--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -24,8 +24,8 @@
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/job"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/settings"
 	"persimmonworks.example/persimmonworks/standin"
@@ -50,14 +50,14 @@
 
 // link is the path of one process to everything that it does not run itself.
 type link struct {
-	*platform.Client
+	*provider.Client
 	cut atomic.Bool
 	// Traffic about configurations and plans, apart from the polls of the head.
 	reads, readBytes, writes, writtenBytes, polls atomic.Int64
 }
 
 // read counts rows of configurations and plans.
-func (l *link) read(key string, rows ...platform.Row) {
+func (l *link) read(key string, rows ...provider.Row) {
 	switch {
 	case key == "chain-head":
 		l.polls.Add(1)
@@ -71,21 +71,21 @@
 
 func (l *link) gone() error {
 	if l.cut.Load() {
-		return fmt.Errorf("the process is dead: %w", platform.ErrUnavailable)
+		return fmt.Errorf("the process is dead: %w", provider.ErrUnavailable)
 	}
 	return nil
 }
 
-func (l *link) Get(ctx context.Context, key string) (platform.Row, error) {
+func (l *link) Get(ctx context.Context, key string) (provider.Row, error) {
 	if err := l.gone(); err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	row, err := l.Client.Get(ctx, key)
 	l.read(key, row)
 	return row, err
 }
 
-func (l *link) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (l *link) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	if err := l.gone(); err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 	return rows, err
 }
 
-func (l *link) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (l *link) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	if err := l.gone(); err != nil {
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 
 // deadObjects is the object store as a dead process sees it.
 type deadObjects struct {
-	platform.Objects
+	provider.Objects
 	link *link
 }
 
@@ -171,7 +171,7 @@
 		Services:   []pool.Service{{Name: "jobs", RetryPercent: 10}},
 		Objectives: []pool.Objective{{Organisation: "prado", Class: class.Urgent, Latency: 50 * time.Millisecond, Percent: 99, Window: 24 * time.Hour}},
 	}
-	b.publisher = chain.Publisher{Table: &platform.Client{Address: b.stand.Address()}}
+	b.publisher = chain.Publisher{Table: &provider.Client{Address: b.stand.Address()}}
 	if _, err := b.publisher.Publish(t.Context(), 0, b.configured, "test", "first"); err != nil {
 		t.Fatal(err)
 	}
@@ -217,7 +217,7 @@
 		}
 		free := netip.MustParseAddrPort("127.0.0.1:0")
 		s.Process.CallerAddress, s.Process.RelayAddress = free, free
-		l := &link{Client: &platform.Client{Address: b.stand.Address(), Name: name}}
+		l := &link{Client: &provider.Client{Address: b.stand.Address(), Name: name}}
 		p := &Process{
 			Settings: s, Keys: made.Store(name), Table: l, Objects: &deadObjects{l.Client.Objects(), l}, Hosts: l.Client,
 			Agent: func(address string) worker.Agent { return &deadAgent{&worker.Client{Address: address, Name: name}, l} },
--- a/entry/slope_bench_test.go
+++ b/entry/slope_bench_test.go
@@ -15,7 +15,7 @@
 
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/rack"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/settings"
@@ -132,7 +132,7 @@
 			n := 0
 			for b.Loop() {
 				begin := time.Now()
-				var hosts []platform.Host
+				var hosts []provider.Host
 				if err := json.Unmarshal(body, &hosts); err != nil {
 					b.Fatal(err)
 				}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/event"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/watch"
 )
@@ -91,7 +91,7 @@
 	}
 }
 
-func (p *Process) ownsRackOf(h platform.Host) bool {
+func (p *Process) ownsRackOf(h provider.Host) bool {
 	_, owned := p.racks.Rack(rackShard(h.Rack))
 	return owned && h.DataCentre == p.Settings.Process.DataCentre
 }
--- a/entry/witness.go
+++ b/entry/witness.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/ownership"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -34,7 +34,7 @@
 	}
 	g := reply.GetPromiseGiven()
 	if g == nil {
-		return 0, false, fmt.Errorf("promise of %s: the answer holds none: %w", peerName, platform.ErrUnavailable)
+		return 0, false, fmt.Errorf("promise of %s: the answer holds none: %w", peerName, provider.ErrUnavailable)
 	}
 	return time.Duration(g.ForMs) * time.Millisecond, g.Given, nil
 }
@@ -42,20 +42,20 @@
 func (w *witness) call(ctx context.Context, peerName string, c *wire.Call) (*wire.Reply, error) {
 	address := w.p.address(peerName)
 	if address == "" {
-		return nil, fmt.Errorf("process %s has no known address: %w", peerName, platform.ErrUnavailable)
+		return nil, fmt.Errorf("process %s has no known address: %w", peerName, provider.ErrUnavailable)
 	}
 	reply, err := w.p.node.Call(ctx, address, c)
 	switch {
 	case errors.Is(err, relay.ErrNotSent):
-		return nil, fmt.Errorf("%v: %w", err, platform.ErrUnavailable)
+		return nil, fmt.Errorf("%v: %w", err, provider.ErrUnavailable)
 	case err != nil:
-		return nil, fmt.Errorf("%v: %w", err, platform.ErrUnknown)
+		return nil, fmt.Errorf("%v: %w", err, provider.ErrUnknown)
 	case reply.Refusal != nil && reply.Refusal.Outcome == wire.Outcome_OUTCOME_UNKNOWN:
-		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, platform.ErrUnknown)
+		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, provider.ErrUnknown)
 	case reply.Refusal != nil && reply.Refusal.Outcome == wire.Outcome_OUTCOME_FAILED:
-		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, platform.ErrConflict)
+		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, provider.ErrConflict)
 	case reply.Refusal != nil:
-		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, platform.ErrUnavailable)
+		return nil, fmt.Errorf("process %s: %s: %w", peerName, reply.Refusal.Reason, provider.ErrUnavailable)
 	}
 	return reply, nil
 }
@@ -64,9 +64,9 @@
 // conflict travels as failed.
 func platformOutcome(err error) wire.Outcome {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, provider.ErrConflict):
 		return wire.Outcome_OUTCOME_FAILED
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, provider.ErrUnknown):
 		return wire.Outcome_OUTCOME_UNKNOWN
 	default:
 		return wire.Outcome_OUTCOME_NOT_RUN
--- a/forward/expiry.go
+++ b/forward/expiry.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // An intent is noted in a second row, in order of time, so that it is found
@@ -25,7 +25,7 @@
 // Intents deletes the records of keyed non-idempotent requests. The field is
 // set before the first call.
 type Intents struct {
-	Table platform.Table
+	Table provider.Table
 }
 
 // Expire deletes a page of the records made before a time and returns how many
@@ -36,20 +36,20 @@
 		return 0, fmt.Errorf("expiry of request intents: %w", err)
 	}
 	limit := fmt.Sprintf("%s%012d/", agePrefix, before.Unix())
-	var ops []platform.Op
+	var ops []provider.Op
 	expired := 0
 	for _, r := range rows {
 		if r.Key >= limit {
 			break
 		}
 		expired++
-		ops = append(ops, platform.Remove(r.Key, r.Version))
+		ops = append(ops, provider.Remove(r.Key, r.Version))
 		_, key, _ := strings.Cut(strings.TrimPrefix(r.Key, agePrefix), "/")
 		intent, err := i.Table.Get(ctx, intentPrefix+key)
 		switch {
 		case err == nil && string(r.Value) == requestOf(intent.Value):
-			ops = append(ops, platform.Remove(intent.Key, intent.Version))
-		case err != nil && !errors.Is(err, platform.ErrNotFound):
+			ops = append(ops, provider.Remove(intent.Key, intent.Version))
+		case err != nil && !errors.Is(err, provider.ErrNotFound):
 			return 0, fmt.Errorf("expiry of request intents: %w", err)
 		}
 	}
--- a/forward/expiry_test.go
+++ b/forward/expiry_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/admission"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/standin"
 )
 
@@ -24,14 +24,14 @@
 	}
 	has := func(key string) bool {
 		_, err := f.Table.Get(t.Context(), intentPrefix+"prado/"+key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, provider.ErrNotFound) {
 			t.Fatal(err)
 		}
 		return err == nil
 	}
 	claim("e1-1", "old")
 	version := claim("e1-2", "again")
-	if _, err := f.Table.Commit(t.Context(), platform.Remove(intentPrefix+"prado/again", version)); err != nil {
+	if _, err := f.Table.Commit(t.Context(), provider.Remove(intentPrefix+"prado/again", version)); err != nil {
 		t.Fatal(err)
 	}
 	i := Intents{Table: f.Table}
@@ -39,7 +39,7 @@
 		t.Fatalf("%d new intents expired, %v", n, err)
 	}
 	body := []byte(`{"request":"e2-9"}`) // a later request under the key that became free
-	if _, err := f.Table.Commit(t.Context(), platform.Create(intentPrefix+"prado/again", body)); err != nil {
+	if _, err := f.Table.Commit(t.Context(), provider.Create(intentPrefix+"prado/again", body)); err != nil {
 		t.Fatal(err)
 	}
 	if n, err := i.Expire(t.Context(), time.Now().Add(time.Minute)); n != 2 || err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,8 +32,8 @@
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/event"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/wire"
@@ -74,7 +74,7 @@
 	// keeps no connections, since net/http may send a request again by itself
 	// when a connection that was kept breaks off.
 	SingleUse *http.Client
-	Table     platform.Table
+	Table     provider.Table
 	// PlatformReachable tells whether intents can be made durable.
 	PlatformReachable func() bool
 	// Services returns the configuration in force.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,8 +19,8 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/gateway"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/standin"
 )
@@ -124,7 +124,7 @@
 }
 
 func full(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(platform.OutcomeHeader, platform.OutcomeNotRun)
+	w.Header().Set(provider.OutcomeHeader, provider.OutcomeNotRun)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/forward/once.go
+++ b/forward/once.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/gateway"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/runner"
 )
 
@@ -74,11 +74,11 @@
 	if err != nil {
 		return 0, &result{outcome: runner.NotRun, reason: err.Error()}, nil
 	}
-	versions, err := f.Table.Commit(ctx, platform.Create(intentKey(q), body), platform.Create(ageKey(time.Now(), q), []byte(q.ID)))
+	versions, err := f.Table.Commit(ctx, provider.Create(intentKey(q), body), provider.Create(ageKey(time.Now(), q), []byte(q.ID)))
 	if err == nil {
 		return versions[0], nil, nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, provider.ErrUnavailable) {
 		return 0, &result{outcome: runner.NotRun, reason: "the intent could not be made durable: the platform does not take writes now", retry: 5 * time.Second}, nil
 	}
 	// After a lost answer the row says who wrote it. If it cannot be read, or
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	if res.outcome == runner.NotRun && !res.answered {
-		_, _ = f.Table.Commit(ctx, platform.Remove(intentKey(q), version)) // the key may be used again
+		_, _ = f.Table.Commit(ctx, provider.Remove(intentKey(q), version)) // the key may be used again
 		return
 	}
 	r := intentRecord{Request: q.ID, Outcome: res.outcome.String()}
@@ -115,7 +115,7 @@
 		}
 	}
 	if body, err := json.Marshal(r); err == nil {
-		_, _ = f.Table.Commit(ctx, platform.Update(intentKey(q), body, version))
+		_, _ = f.Table.Commit(ctx, provider.Update(intentKey(q), body, version))
 	}
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -13,7 +13,7 @@
 
 	"persimmonworks.example/persimmonworks/buffer"
 	"persimmonworks.example/persimmonworks/gateway"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/relay"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/wire"
@@ -106,7 +106,7 @@
 		answer.Body.Close()
 		return nil, result{outcome: runner.Unknown, reason: fmt.Sprintf("runner %s: %v", r.ID, errOtherAnswer)}
 	}
-	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(platform.OutcomeHeader) == platform.OutcomeNotRun {
+	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(provider.OutcomeHeader) == provider.OutcomeNotRun {
 		answer.Body.Close()
 		return nil, result{outcome: runner.NotRun, reason: "runner " + r.ID + " has no free slot", retry: time.Second}
 	}
--- a/intent/change.go
+++ b/intent/change.go
@@ -5,8 +5,8 @@
 	"reflect"
 	"slices"
 
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Apply returns the configuration that the intent leads to. It changes nothing
@@ -127,9 +127,9 @@
 	case DrainDataCentre:
 		d.DataCentre, known = in.Target, func(h Host) bool { return h.DataCentre == in.Target }
 	case DrainRunner:
-		d.Host, known = in.Target, func(h Host) bool { return h.ID == in.Target && h.Kind == platform.KindRunner }
+		d.Host, known = in.Target, func(h Host) bool { return h.ID == in.Target && h.Kind == provider.KindRunner }
 	default:
-		d.Host, known = in.Target, func(h Host) bool { return h.ID == in.Target && h.Kind == platform.KindWorker }
+		d.Host, known = in.Target, func(h Host) bool { return h.ID == in.Target && h.Kind == provider.KindWorker }
 	}
 	if in.Target == "" || !slices.ContainsFunc(s.Hosts, known) {
 		return fmt.Errorf("no host answers to %q", in.Target)
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -27,8 +27,8 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/class"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -114,7 +114,7 @@
 // Host is a worker or runner as a plan sees it.
 type Host struct {
 	ID         string            `json:"id"`
-	Kind       platform.HostKind `json:"kind"`
+	Kind       provider.HostKind `json:"kind"`
 	Rack       string            `json:"rack"`
 	DataCentre string            `json:"data-centre"`
 	Capacity   resource.Vector   `json:"capacity"`
--- a/intent/intent_test.go
+++ b/intent/intent_test.go
@@ -13,8 +13,8 @@
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/finding"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -30,10 +30,10 @@
 			{Name: "prado", Weight: 1}, {Name: "returns", Weight: 1},
 		}, Operators: []pool.Operator{{Name: "ivana", TokenHash: strings.Repeat("ef", 32), Role: pool.RoleOperator}}},
 		Hosts: []Host{
-			{"w3", platform.KindWorker, "r2", "sofia", cores(8)},
-			{"w1", platform.KindWorker, "r1", "sofia", cores(8)},
-			{"w2", platform.KindWorker, "r1", "sofia", cores(16)},
-			{"u1", platform.KindRunner, "r1", "sofia", resource.Vector{}},
+			{"w3", provider.KindWorker, "r2", "sofia", cores(8)},
+			{"w1", provider.KindWorker, "r1", "sofia", cores(8)},
+			{"w2", provider.KindWorker, "r1", "sofia", cores(16)},
+			{"u1", provider.KindRunner, "r1", "sofia", resource.Vector{}},
 		},
 		Attempts: []Attempt{
 			{"c", 1, "prado", class.Batch, "w1", cores(2), false},
--- a/intent/plan.go
+++ b/intent/plan.go
@@ -7,8 +7,8 @@
 	"strings"
 	"text/tabwriter"
 
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -47,7 +47,7 @@
 func (p *planner) findFree() {
 	p.free = make(map[string]resource.Vector)
 	for _, h := range p.hosts {
-		if h.Kind == platform.KindWorker && !drained(&p.after, h) {
+		if h.Kind == provider.KindWorker && !drained(&p.after, h) {
 			p.free[h.ID] = h.Capacity
 		}
 	}
@@ -64,7 +64,7 @@
 		if drained(&p.state.Configuration, h) || !drained(&p.after, h) {
 			continue
 		}
-		if h.Kind == platform.KindRunner {
+		if h.Kind == provider.KindRunner {
 			p.add(Step{Action: Wait, From: h.ID, Reason: "requests in flight finish on the runner; it gets no new ones"})
 		}
 		for _, a := range attemptsOn(p.state, h.ID) {
@@ -152,7 +152,7 @@
 func (p *planner) shares(c *pool.Configuration) map[string]float64 {
 	var whole, usable resource.Vector
 	for _, h := range p.hosts {
-		if h.Kind != platform.KindWorker {
+		if h.Kind != provider.KindWorker {
 			continue
 		}
 		whole = whole.Add(h.Capacity)
--- a/job/book_test.go
+++ b/job/book_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/standin"
 )
 
@@ -77,8 +77,8 @@
 // and owner, and nothing of a batch that has a taken key is written.
 func TestKeyTaken(t *testing.T) {
 	var table standin.Table
-	open := func(shard string) *journal.Store {
-		s := &journal.Store{Table: &table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: shard, Epoch: 1, Writer: shard}
+	open := func(shard string) *joblog.Store {
+		s := &joblog.Store{Table: &table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: shard, Epoch: 1, Writer: shard}
 		if _, err := s.Open(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -93,12 +93,12 @@
 	}
 	next := b.Next()
 	err := b.Append(t.Context(), []job.Entry{accept("dc1.jobs-2.1", "other"), accept("dc1.jobs-2.2", "k")})
-	var taken *journal.ErrKeyTaken
+	var taken *joblog.ErrKeyTaken
 	if !errors.As(err, &taken) || len(taken.Jobs) != 1 || taken.Jobs["dc1.jobs-2.2"].ID != "dc1.jobs-1.1" || b.Next() != next {
 		t.Fatalf("%v, next row %d, was %d", err, b.Next(), next)
 	}
 	for key, want := range map[string]string{"k": "dc1.jobs-1.1", "other": "", "none": ""} {
-		if got, err := journal.LookupKey(t.Context(), &table, "prado", key); got.ID != want || err != nil {
+		if got, err := joblog.LookupKey(t.Context(), &table, "prado", key); got.ID != want || err != nil {
 			t.Errorf("key %q belongs to %q, %v, want %q", key, got, err, want)
 		}
 	}
@@ -109,8 +109,8 @@
 func TestDeposedAfterSnapshot(t *testing.T) {
 	var table standin.Table
 	var objects standin.Objects
-	owner := func(epoch uint64) (*journal.Store, *job.Book) {
-		s := &journal.Store{Table: &table, Objects: &objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: epoch, Writer: "e1"}
+	owner := func(epoch uint64) (*joblog.Store, *job.Book) {
+		s := &joblog.Store{Table: &table, Objects: &objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: epoch, Writer: "e1"}
 		b, err := s.Open(t.Context())
 		if err != nil {
 			t.Fatal(err)
@@ -127,7 +127,7 @@
 		t.Fatal(err)
 	}
 	err = old.Append(t.Context(), []job.Entry{job.Accept("dc1.jobs-1.1", job.Spec{Tasks: make([]job.TaskSpec, 1)}, time.Time{})})
-	if !errors.Is(err, journal.ErrDeposed) || !errors.Is(err, platform.ErrUnknown) {
+	if !errors.Is(err, joblog.ErrDeposed) || !errors.Is(err, provider.ErrUnknown) {
 		t.Errorf("append by the deposed owner: %v", err)
 	}
 	if err := latest.Append(t.Context(), []job.Entry{{Kind: job.EntryForget, Job: "none"}}); err != nil {
--- a/journal/batch.go
+++ b/joblog/batch.go
@@ -1,4 +1,4 @@
-package journal
+package joblog
 
 import (
 	"encoding/json"
--- a/journal/bench_test.go
+++ b/joblog/bench_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package joblog_test
 
 import (
 	"context"
@@ -7,28 +7,28 @@
 	"testing"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/standin"
 )
 
 // meteredTable counts what a takeover asks of the platform.
 type meteredTable struct {
-	platform.Table
+	provider.Table
 	reads, writes, bytes int
 }
 
-func (m *meteredTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (m *meteredTable) Get(ctx context.Context, key string) (provider.Row, error) {
 	r, err := m.Table.Get(ctx, key)
 	m.reads, m.bytes = m.reads+1, m.bytes+len(r.Value)
 	return r, err
 }
 
-func (m *meteredTable) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (m *meteredTable) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	rows, err := m.Table.Range(ctx, prefix, after, limit)
 	m.reads++
 	for _, r := range rows {
@@ -37,7 +37,7 @@
 	return rows, err
 }
 
-func (m *meteredTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (m *meteredTable) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	m.writes++
 	return m.Table.Commit(ctx, ops...)
 }
@@ -50,7 +50,7 @@
 	for _, snapshot := range []bool{false, true} {
 		b.Run(fmt.Sprintf("snapshot=%v", snapshot), func(b *testing.B) {
 			table := &meteredTable{Table: &standin.Table{}}
-			s := &journal.Store{Table: table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: "jobs-1", Epoch: 1, Writer: "e1"}
+			s := &joblog.Store{Table: table, Objects: &standin.Objects{}, DataCentre: "dc1", Shard: "jobs-1", Epoch: 1, Writer: "e1"}
 			book, err := s.Open(b.Context())
 			if err != nil {
 				b.Fatal(err)
@@ -96,7 +96,7 @@
 			runtime.ReadMemStats(&before)
 			var kept []*job.Book
 			for n := 0; b.Loop(); n++ {
-				next := &journal.Store{Table: table, Objects: s.Objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: uint64(n) + 2, Writer: fmt.Sprint(n)}
+				next := &joblog.Store{Table: table, Objects: s.Objects, DataCentre: "dc1", Shard: "jobs-1", Epoch: uint64(n) + 2, Writer: fmt.Sprint(n)}
 				book, err := next.Open(b.Context())
 				if err != nil {
 					b.Fatal(err)
--- a/journal/key.go
+++ b/joblog/key.go
@@ -1,4 +1,4 @@
-package journal
+package joblog
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // KeyRow returns the row of an idempotency key.
@@ -48,7 +48,7 @@
 		}
 		first, err := LookupKey(ctx, s.Table, e.Spec.Organisation, e.Spec.Key)
 		if err != nil {
-			return fmt.Errorf("conflict not explained: %v: %w", err, platform.ErrUnavailable)
+			return fmt.Errorf("conflict not explained: %v: %w", err, provider.ErrUnavailable)
 		}
 		if first.ID != "" && first.ID != e.Job {
 			taken.Jobs[e.Job] = first
@@ -62,9 +62,9 @@
 
 // LookupKey returns the job that first used an idempotency key; its ID is ""
 // for none.
-func LookupKey(ctx context.Context, t platform.Reader, organisation, key string) (FirstJob, error) {
+func LookupKey(ctx context.Context, t provider.Reader, organisation, key string) (FirstJob, error) {
 	row, err := t.Get(ctx, KeyRow(organisation, key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return FirstJob{}, nil
 	}
 	if err != nil {
--- a/journal/slope_bench_test.go
+++ b/joblog/slope_bench_test.go
@@ -1,4 +1,4 @@
-package journal
+package joblog
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"persimmonworks.example/persimmonworks/job"
 
 	"persimmonworks.example/persimmonworks/class"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/standin"
 )
@@ -70,14 +70,14 @@
 	reads int
 }
 
-// Get implements platform.Reader.
-func (c *counted) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements provider.Reader.
+func (c *counted) Get(ctx context.Context, key string) (provider.Row, error) {
 	c.reads++
 	return c.Table.Get(ctx, key)
 }
 
-// Range implements platform.Reader.
-func (c *counted) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Range implements provider.Reader.
+func (c *counted) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	c.reads++
 	return c.Table.Range(ctx, prefix, after, limit)
 }
--- a/journal/snapshot.go
+++ b/joblog/snapshot.go
@@ -1,4 +1,4 @@
-package journal
+package joblog
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 func (s *Store) loadBase(ctx context.Context, b *job.Book) (epoch uint64, err error) {
@@ -31,7 +31,7 @@
 // there is none.
 func (s *Store) readBase(ctx context.Context) (r baseRecord, version uint64, err error) {
 	row, err := s.Table.Get(ctx, s.baseKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return r, 0, nil
 	}
 	if err != nil {
@@ -62,7 +62,7 @@
 	if err != nil {
 		return fmt.Errorf("row %q: %w", s.baseKey(), err)
 	}
-	versions, err := s.Table.Commit(ctx, platform.Update(s.baseKey(), body, s.baseRow))
+	versions, err := s.Table.Commit(ctx, provider.Update(s.baseKey(), body, s.baseRow))
 	if err != nil {
 		return s.reloadBase(ctx, err)
 	}
@@ -90,10 +90,10 @@
 		if err != nil {
 			return fmt.Errorf("removal of rows below %d: %w", to, err)
 		}
-		var ops []platform.Op
+		var ops []provider.Op
 		for _, r := range rows {
 			if r.Key < s.rowKey(to) {
-				ops = append(ops, platform.Remove(r.Key, r.Version))
+				ops = append(ops, provider.Remove(r.Key, r.Version))
 			}
 		}
 		if len(ops) == 0 {
@@ -105,7 +105,7 @@
 		from += uint64(len(ops))
 	}
 	if oldSnapshot != "" {
-		if err := s.Objects.Delete(ctx, oldSnapshot); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := s.Objects.Delete(ctx, oldSnapshot); err != nil && !errors.Is(err, provider.ErrNotFound) {
 			return fmt.Errorf("removal of snapshot %q: %w", oldSnapshot, err)
 		}
 	}
--- a/journal/store.go
+++ b/joblog/store.go
@@ -1,4 +1,4 @@
-// Package journal makes the history of a job shard durable.
+// Package joblog makes the history of a job shard durable.
 //
 // A Store appends entries of package job to numbered rows of the platform's
 // table, one row for each group commit, and replays them into a job.Book. Rows
@@ -14,12 +14,12 @@
 //
 // Usage:
 //
-//	s := journal.Store{Table: t, Objects: o, DataCentre: "dc1", Shard: "jobs-2", Writer: "e1-7", Epoch: 7}
+//	s := joblog.Store{Table: t, Objects: o, DataCentre: "dc1", Shard: "jobs-2", Writer: "e1-7", Epoch: 7}
 //	book, err := s.Open(ctx)           // replays and appends the opening entry
 //	entry := job.Accept(id, spec, now)
 //	err = s.Append(ctx, []job.Entry{entry})
 //	book.Apply(entry)                  // only after Append succeeded
-package journal
+package joblog
 
 import (
 	"context"
@@ -28,14 +28,14 @@
 	"fmt"
 
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Store reads and writes the journal of one job shard. Exported fields are set
 // before Open. Its methods are called by one goroutine at a time.
 type Store struct {
-	Table      platform.Table
-	Objects    platform.Objects
+	Table      provider.Table
+	Objects    provider.Objects
 	DataCentre string
 	Shard      string
 	// Writer is unique to this ownership of the shard (process, incarnation
@@ -85,7 +85,7 @@
 			return nil, fmt.Errorf("job shard %s/%s epoch %d, journal has epoch %d: %w", s.DataCentre, s.Shard, s.Epoch, epoch, ErrDeposed)
 		}
 		err = s.appendRow(ctx, []job.Entry{{Kind: job.EntryOpen, Epoch: s.Epoch}}, nil)
-		if errors.Is(err, platform.ErrConflict) || errors.Is(err, errBaseMoved) {
+		if errors.Is(err, provider.ErrConflict) || errors.Is(err, errBaseMoved) {
 			continue // the previous owner wrote after the replay
 		}
 		if err != nil {
@@ -129,7 +129,7 @@
 	}
 }
 
-func (s *Store) applyRow(ctx context.Context, b *job.Book, r platform.Row) (epoch uint64, err error) {
+func (s *Store) applyRow(ctx context.Context, b *job.Book, r provider.Row) (epoch uint64, err error) {
 	rows, err := decodeBatch(r.Key, r.Value)
 	if err != nil {
 		return 0, err
@@ -161,16 +161,16 @@
 }
 
 // Append makes entries durable as one row. On ErrDeposed the shard is lost and
-// nothing was written, unless the error is platform.ErrUnknown too: then an
-// earlier try of these entries may have been. On platform.ErrUnknown alone the
+// nothing was written, unless the error is provider.ErrUnknown too: then an
+// earlier try of these entries may have been. On provider.ErrUnknown alone the
 // same entries must be appended again before any others, which succeeds whether
-// or not the first write took effect; on platform.ErrUnavailable this try wrote
+// or not the first write took effect; on provider.ErrUnavailable this try wrote
 // nothing.
 //
 // Accepted jobs that carry an idempotency key take the key's row in the same
 // commit; ErrKeyTaken is returned when another job has one of the keys.
 func (s *Store) Append(ctx context.Context, entries []job.Entry) error {
-	var keys []platform.Op
+	var keys []provider.Op
 	for i := range entries {
 		e := &entries[i]
 		if e.Kind != job.EntryAccept {
@@ -184,14 +184,14 @@
 			if err != nil {
 				return err
 			}
-			keys = append(keys, platform.Create(KeyRow(e.Spec.Organisation, e.Spec.Key), body))
+			keys = append(keys, provider.Create(KeyRow(e.Spec.Organisation, e.Spec.Key), body))
 		}
 	}
 	err := s.appendRow(ctx, entries, keys)
 	for errors.Is(err, errBaseMoved) {
 		err = s.appendRow(ctx, entries, keys)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, provider.ErrConflict) {
 		return s.explainConflict(ctx, entries, err)
 	}
 	return err
@@ -212,13 +212,13 @@
 	name := SpecObject(e.Job)
 	if err := s.Objects.Put(ctx, name, body); err != nil {
 		// A stray object harms nobody: no row refers to it.
-		return fmt.Errorf("object %q: %v: %w", name, err, platform.ErrUnavailable)
+		return fmt.Errorf("object %q: %v: %w", name, err, provider.ErrUnavailable)
 	}
 	e.Object = name
 	return nil
 }
 
-func (s *Store) appendRow(ctx context.Context, entries []job.Entry, keys []platform.Op) error {
+func (s *Store) appendRow(ctx context.Context, entries []job.Entry, keys []provider.Op) error {
 	slim := make([]job.Entry, len(entries))
 	for i, e := range entries {
 		if e.Object != "" {
@@ -231,9 +231,9 @@
 		return err
 	}
 	key := s.rowKey(s.next)
-	ops := []platform.Op{platform.Create(key, body), platform.Require(s.baseKey(), s.baseRow)}
+	ops := []provider.Op{provider.Create(key, body), provider.Require(s.baseKey(), s.baseRow)}
 	_, err = s.Table.Commit(ctx, append(ops, keys...)...)
-	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, provider.ErrUnknown) || errors.Is(err, provider.ErrConflict) {
 		err = s.resolve(ctx, key, body, err)
 	}
 	if err != nil {
@@ -256,13 +256,13 @@
 	case err == nil && string(row.Value) == string(body):
 		return nil
 	case err == nil:
-		return platform.ErrConflict
-	case errors.Is(err, platform.ErrNotFound) && errors.Is(cause, platform.ErrConflict):
+		return provider.ErrConflict
+	case errors.Is(err, provider.ErrNotFound) && errors.Is(cause, provider.ErrConflict):
 		return s.followBase(ctx, cause)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, provider.ErrNotFound):
 		return cause
 	default:
-		return fmt.Errorf("read back after %v: %v: %w", cause, err, platform.ErrUnknown)
+		return fmt.Errorf("read back after %v: %v: %w", cause, err, provider.ErrUnknown)
 	}
 }
 
@@ -272,11 +272,11 @@
 	r, version, err := s.readBase(ctx)
 	switch {
 	case err != nil:
-		return fmt.Errorf("read of the base after %v: %v: %w", cause, err, platform.ErrUnknown)
+		return fmt.Errorf("read of the base after %v: %v: %w", cause, err, provider.ErrUnknown)
 	case version == s.baseRow:
 		return cause
 	case r.Epoch > s.Epoch:
-		return fmt.Errorf("%w: %w", ErrDeposed, platform.ErrUnknown)
+		return fmt.Errorf("%w: %w", ErrDeposed, provider.ErrUnknown)
 	}
 	s.base, s.baseRow, s.snapshot = r.Number, version, r.Object
 	return errBaseMoved
--- a/journal/store_test.go
+++ b/joblog/store_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package joblog_test
 
 import (
 	"context"
@@ -8,23 +8,23 @@
 	"testing"
 	"time"
 
-	"persimmonworks.example/persimmonworks/journal"
+	"persimmonworks.example/persimmonworks/joblog"
 
 	"pgregory.net/rapid"
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/job"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/standin"
 )
 
 // flaky is a table that refuses calls, loses answers, and lets writes whose
 // answer was lost take effect later or never.
 type flaky struct {
-	platform.Table
+	provider.Table
 	random *rand.Rand
 	broken bool // faults are on
-	late   [][]platform.Op
+	late   [][]provider.Op
 }
 
 func (f *flaky) chance(percent int) bool { return f.broken && f.random.IntN(100) < percent }
@@ -42,40 +42,40 @@
 	f.late = kept
 }
 
-func (f *flaky) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *flaky) Get(ctx context.Context, key string) (provider.Row, error) {
 	f.settle()
 	if f.chance(10) {
-		return platform.Row{}, platform.ErrUnavailable
+		return provider.Row{}, provider.ErrUnavailable
 	}
 	return f.Table.Get(ctx, key)
 }
 
-func (f *flaky) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *flaky) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	f.settle()
 	if f.chance(10) {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return f.Table.Range(ctx, prefix, after, limit)
 }
 
-func (f *flaky) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (f *flaky) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	f.settle()
 	switch {
 	case f.chance(10):
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	case f.chance(15):
 		f.late = append(f.late, ops)
-		return nil, platform.ErrUnknown
+		return nil, provider.ErrUnknown
 	case f.chance(15):
 		_, _ = f.Table.Commit(ctx, ops...) // whether it took effect is what the answer would have told
-		return nil, platform.ErrUnknown
+		return nil, provider.ErrUnknown
 	}
 	return f.Table.Commit(ctx, ops...)
 }
 
 // owner is a process that acts for the job shard, or believes so.
 type owner struct {
-	store *journal.Store
+	store *joblog.Store
 	book  *job.Book
 	// batch may have been written; it is appended again before any other.
 	batch []job.Entry
@@ -118,13 +118,13 @@
 
 // open starts the next owner.
 func (s *shard) open() {
-	o := &owner{store: &journal.Store{
+	o := &owner{store: &joblog.Store{
 		Table: s.table, Objects: &s.objects, DataCentre: "dc1", Shard: "jobs-1",
 		Epoch: s.epoch + 1, Writer: fmt.Sprintf("e-%d", s.epoch+1),
 	}}
 	var err error
 	if o.book, err = o.store.Open(s.Context()); err != nil {
-		if errors.Is(err, journal.ErrDeposed) {
+		if errors.Is(err, joblog.ErrDeposed) {
 			s.Fatalf("the latest owner is deposed: %v", err)
 		}
 		s.tried = true
@@ -172,17 +172,17 @@
 	case err == nil:
 		s.applied(o, o.batch)
 		o.batch = nil
-	case errors.Is(err, platform.ErrUnavailable) && !o.uncertain:
+	case errors.Is(err, provider.ErrUnavailable) && !o.uncertain:
 		o.batch = nil // nothing of it was written, now or before
-	case errors.Is(err, journal.ErrDeposed):
+	case errors.Is(err, joblog.ErrDeposed):
 		if latest && !s.tried {
 			s.Fatalf("the latest owner is told that it is deposed: %v", err)
 		}
-		if o.landed && !errors.Is(err, platform.ErrUnknown) {
+		if o.landed && !errors.Is(err, provider.ErrUnknown) {
 			s.Fatalf("owner of epoch %d is told that nothing was written, but it was: %v", o.store.Epoch, err)
 		}
 		o.batch, o.landed = nil, false
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, provider.ErrUnknown):
 		o.uncertain = true
 		if latest {
 			s.uncertain(o)
@@ -208,7 +208,7 @@
 
 // uncertain works out the book with a batch that may have been written.
 func (s *shard) uncertain(o *owner) {
-	scratch := &journal.Store{Table: &standin.Table{}, Objects: &s.objects, DataCentre: "x", Shard: "x", Epoch: 1, Writer: "x"}
+	scratch := &joblog.Store{Table: &standin.Table{}, Objects: &s.objects, DataCentre: "x", Shard: "x", Epoch: 1, Writer: "x"}
 	if _, err := scratch.Open(s.Context()); err != nil {
 		s.Fatal(err)
 	}
--- a/load/bed_test.go
+++ b/load/bed_test.go
@@ -17,8 +17,8 @@
 	"persimmonworks.example/persimmonworks/entry"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/settings"
 	"persimmonworks.example/persimmonworks/standin"
 )
@@ -26,7 +26,7 @@
 // bed is a stand-in and some entry processes in this process.
 type bed struct {
 	stand     *standin.Platform
-	table     *platform.Client
+	table     *provider.Client
 	processes map[string]*entry.Process // by name
 	token     string
 }
@@ -45,7 +45,7 @@
 	tb.Cleanup(func() { stop(); _ = group.Wait(); stopStand(); _ = standGroup.Wait() })
 	standGroup.Go(func() error { return b.stand.Run(outer) })
 	<-b.stand.Ready()
-	b.table = &platform.Client{Address: b.stand.Address(), Name: "bed"}
+	b.table = &provider.Client{Address: b.stand.Address(), Name: "bed"}
 	token := keys.NewToken()
 	b.token = token.Reveal()
 	c := pool.Configuration{
@@ -94,7 +94,7 @@
 	}
 	s.Process.CallerAddress = netAddress
 	s.Process.RelayAddress = netAddress
-	client := &platform.Client{Address: b.stand.Address(), Name: name}
+	client := &provider.Client{Address: b.stand.Address(), Name: name}
 	p := &entry.Process{
 		Settings: s, Keys: store, Table: client, Objects: client.Objects(), Hosts: client,
 		Log: &event.Log{Writer: io.Discard, Process: name, Level: event.LevelOf("error")},
--- a/meter/platform.go
+++ b/meter/platform.go
@@ -5,44 +5,44 @@
 	"errors"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
-// Table is a platform.Table whose calls are counted.
+// Table is a provider.Table whose calls are counted.
 type Table struct {
-	platform.Table
+	provider.Table
 	Meter *Meter
 }
 
-// Objects is a platform.Objects whose calls are counted.
+// Objects is a provider.Objects whose calls are counted.
 type Objects struct {
-	platform.Objects
+	provider.Objects
 	Meter *Meter
 }
 
-// Hosts is a platform.HostLister whose calls are counted.
+// Hosts is a provider.HostLister whose calls are counted.
 type Hosts struct {
-	platform.HostLister
+	provider.HostLister
 	Meter *Meter
 }
 
 var (
-	_ platform.Table      = (*Table)(nil)
-	_ platform.Objects    = (*Objects)(nil)
-	_ platform.HostLister = (*Hosts)(nil)
+	_ provider.Table      = (*Table)(nil)
+	_ provider.Objects    = (*Objects)(nil)
+	_ provider.HostLister = (*Hosts)(nil)
 )
 
 // platformResult names the result of a call to the platform. A row that is not
 // there is an answer.
 func platformResult(err error) string {
 	switch {
-	case err == nil, errors.Is(err, platform.ErrNotFound):
+	case err == nil, errors.Is(err, provider.ErrNotFound):
 		return ResultOK
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, provider.ErrConflict):
 		return ResultConflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, provider.ErrUnavailable):
 		return ResultUnavailable
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, provider.ErrUnknown):
 		return ResultUnknown
 	}
 	return ResultFailed
@@ -52,31 +52,31 @@
 	m.PlatformCall(call, platformResult(err), time.Since(begin))
 }
 
-// Get implements platform.Reader.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements provider.Reader.
+func (t *Table) Get(ctx context.Context, key string) (provider.Row, error) {
 	begin := time.Now()
 	row, err := t.Table.Get(ctx, key)
 	t.Meter.platformCall("get", begin, err)
 	return row, err
 }
 
-// Range implements platform.Reader.
-func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Range implements provider.Reader.
+func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	begin := time.Now()
 	rows, err := t.Table.Range(ctx, prefix, after, limit)
 	t.Meter.platformCall("range", begin, err)
 	return rows, err
 }
 
-// Commit implements platform.Writer.
-func (t *Table) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+// Commit implements provider.Writer.
+func (t *Table) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	begin := time.Now()
 	versions, err := t.Table.Commit(ctx, ops...)
 	t.Meter.platformCall("commit", begin, err)
 	return versions, err
 }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
 	begin := time.Now()
 	err := o.Objects.Put(ctx, name, body)
@@ -84,7 +84,7 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	begin := time.Now()
 	body, err := o.Objects.Get(ctx, name)
@@ -92,7 +92,7 @@
 	return body, err
 }
 
-// Delete implements platform.Objects.
+// Delete implements provider.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
 	begin := time.Now()
 	err := o.Objects.Delete(ctx, name)
@@ -100,8 +100,8 @@
 	return err
 }
 
-// Hosts implements platform.HostLister.
-func (h *Hosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements provider.HostLister.
+func (h *Hosts) Hosts(ctx context.Context) ([]provider.Host, error) {
 	begin := time.Now()
 	hosts, err := h.HostLister.Hosts(ctx)
 	h.Meter.platformCall("hosts", begin, err)
--- a/ownership/fake_test.go
+++ b/ownership/fake_test.go
@@ -9,52 +9,52 @@
 	"sync"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // fakeTable is a correct table that also checks what rows may never do.
 type fakeTable struct {
 	mu            sync.Mutex
-	rows          map[string]platform.Row
+	rows          map[string]provider.Row
 	version       uint64
 	reads, writes int
 	violation     string
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]provider.Row{}} }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (provider.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	r, ok := f.rows[key]
 	if !ok {
-		return r, platform.ErrNotFound
+		return r, provider.ErrNotFound
 	}
 	return r, nil
 }
 
-func (f *fakeTable) Range(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *fakeTable) Range(_ context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
-	var rs []platform.Row
+	var rs []provider.Row
 	for k, r := range f.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			rs = append(rs, r)
 		}
 	}
-	slices.SortFunc(rs, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rs, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rs[:min(limit, len(rs))], nil
 }
 
-func (f *fakeTable) Commit(_ context.Context, ops ...platform.Op) ([]uint64, error) {
+func (f *fakeTable) Commit(_ context.Context, ops ...provider.Op) ([]uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.writes++
 	for _, o := range ops {
 		if f.rows[o.Key].Version != o.Expect {
-			return nil, platform.ErrConflict
+			return nil, provider.ErrConflict
 		}
 	}
 	vs := make([]uint64, len(ops))
@@ -66,18 +66,18 @@
 		f.version++
 		vs[i] = f.version
 		f.check(o)
-		f.rows[o.Key] = platform.Row{Key: o.Key, Value: o.Value, Version: f.version}
+		f.rows[o.Key] = provider.Row{Key: o.Key, Value: o.Value, Version: f.version}
 	}
 	return vs, nil
 }
 
 // check notes an epoch or incarnation that goes down.
-func (f *fakeTable) check(o platform.Op) {
+func (f *fakeTable) check(o provider.Op) {
 	old, ok := f.rows[o.Key]
 	if !ok {
 		return
 	}
-	now := platform.Row{Key: o.Key, Value: o.Value}
+	now := provider.Row{Key: o.Key, Value: o.Value}
 	if strings.HasPrefix(o.Key, "shard/") {
 		a, _ := decode[shardRow](old)
 		b, _ := decode[shardRow](now)
@@ -142,16 +142,16 @@
 	return err
 }
 
-func (l *link) Get(ctx context.Context, key string) (platform.Row, error) {
+func (l *link) Get(ctx context.Context, key string) (provider.Row, error) {
 	if err := l.travel(ctx); err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	r, err := l.table.Get(ctx, key)
 	l.pause()
 	return r, err
 }
 
-func (l *link) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (l *link) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	if err := l.travel(ctx); err != nil {
 		return nil, err
 	}
@@ -160,23 +160,23 @@
 	return rs, err
 }
 
-func (l *link) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (l *link) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	if err := l.travel(ctx); err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
 	if l.now(&l.loseUntil) && l.chance(50) {
 		l.arriveLate(ops)
-		return nil, platform.ErrUnknown
+		return nil, provider.ErrUnknown
 	}
 	vs, err := l.table.Commit(ctx, ops...)
 	if back := l.travel(ctx); back != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnknown, back)
+		return nil, fmt.Errorf("%w: %w", provider.ErrUnknown, back)
 	}
 	return vs, err
 }
 
 // arriveLate applies a write after up to 12 s, or at once.
-func (l *link) arriveLate(ops []platform.Op) {
+func (l *link) arriveLate(ops []provider.Op) {
 	l.mu.Lock()
 	d := time.Duration(l.rand.IntN(12)) * time.Second * time.Duration(l.rand.IntN(2))
 	l.mu.Unlock()
--- a/ownership/guard_test.go
+++ b/ownership/guard_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // oddTable answers commits late, or loses the write and its answer.
@@ -17,9 +17,9 @@
 	lose  bool
 }
 
-func (o *oddTable) Commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (o *oddTable) Commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	if o.lose {
-		return nil, platform.ErrUnknown
+		return nil, provider.ErrUnknown
 	}
 	vs, err := o.fakeTable.Commit(ctx, ops...)
 	time.Sleep(o.delay)
@@ -59,9 +59,9 @@
 		}
 		row := s.self
 		row.State = Expired
-		mustCommit(t, f, platform.Update("session/entry-0", encode(&row), s.version))
-		take := platform.Create("shard/pernik/rack-000", encode(&shardRow{Session: "entry-0@1", Epoch: 1}))
-		if _, err := s.commit(ctx, take); !errors.Is(err, platform.ErrConflict) {
+		mustCommit(t, f, provider.Update("session/entry-0", encode(&row), s.version))
+		take := provider.Create("shard/pernik/rack-000", encode(&shardRow{Session: "entry-0@1", Epoch: 1}))
+		if _, err := s.commit(ctx, take); !errors.Is(err, provider.ErrConflict) {
 			t.Errorf("take by an expired session: %v, want a conflict", err)
 		}
 	})
@@ -95,7 +95,7 @@
 		o.lose = true
 		time.Sleep(s.RenewEvery)
 		row, version := s.next()
-		if err := s.putOver(context.Background(), row, version); !errors.Is(err, platform.ErrUnknown) {
+		if err := s.putOver(context.Background(), row, version); !errors.Is(err, provider.ErrUnknown) {
 			t.Errorf("put = %v, want an unknown outcome", err)
 		}
 		if !s.deadline.Equal(before) {
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Member is a session as this process last saw it.
@@ -113,7 +113,7 @@
 }
 
 // learn records the rows that have changed and reports those that are not valid.
-func (s *Session) learn(rows []platform.Row, now time.Time) error {
+func (s *Session) learn(rows []provider.Row, now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var errs []error
@@ -134,7 +134,7 @@
 	return errors.Join(errs...)
 }
 
-func (s *Session) learnRow(r platform.Row, row *sessionRow, now time.Time) {
+func (s *Session) learnRow(r provider.Row, row *sessionRow, now time.Time) {
 	e := &seen{row: row, version: r.Version, since: now, started: now}
 	if old := s.members[r.Key]; old != nil && old.row.sameStart(row) {
 		e.started = old.started
@@ -175,9 +175,9 @@
 		row := *e.row
 		row.State, row.ExpiredBy = Expired, s.ID()
 		value := encode(&row)
-		_, err := s.commit(ctx, platform.Update(key, value, e.version))
+		_, err := s.commit(ctx, provider.Update(key, value, e.version))
 		wrote = true
-		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+		if errors.Is(err, provider.ErrConflict) || errors.Is(err, provider.ErrUnknown) {
 			continue // the row is read back
 		}
 		if err != nil {
@@ -261,8 +261,8 @@
 }
 
 // readAll reads every row under prefix, a page at a time.
-func readAll(ctx context.Context, t platform.Reader, prefix string, timeout time.Duration) ([]platform.Row, error) {
-	var all []platform.Row
+func readAll(ctx context.Context, t provider.Reader, prefix string, timeout time.Duration) ([]provider.Row, error) {
+	var all []provider.Row
 	after := ""
 	for {
 		page, err := readPage(ctx, t, prefix, after, timeout)
@@ -282,7 +282,7 @@
 
 // readSize estimates the bytes that reading rows has moved, with their values
 // in base64.
-func readSize(rows []platform.Row) int {
+func readSize(rows []provider.Row) int {
 	n := 0
 	for _, r := range rows {
 		n += len(r.Key) + len(r.Value)*4/3 + rowOverhead
@@ -290,7 +290,7 @@
 	return n
 }
 
-func readPage(ctx context.Context, t platform.Reader, prefix, after string, timeout time.Duration) ([]platform.Row, error) {
+func readPage(ctx context.Context, t provider.Reader, prefix, after string, timeout time.Duration) ([]provider.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return t.Range(ctx, prefix, after, pageSize)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -19,7 +19,7 @@
 // platform never promises, and one that has begun to expire a session, or has
 // denied a promise to its successor, never promises to that session again.
 //
-// A lost answer (platform.ErrUnknown) is resolved by reading the row back: all
+// A lost answer (provider.ErrUnknown) is resolved by reading the row back: all
 // rows carry the session that wrote them. A late write is harmless, because it
 // expects a version that the next write has already replaced.
 //
@@ -38,7 +38,7 @@
 	"context"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Defaults of the fields of Session and Shards.
@@ -71,12 +71,12 @@
 // NoWitness is a Witness without peers.
 type NoWitness struct{}
 
-// Renew fails with platform.ErrUnavailable.
+// Renew fails with provider.ErrUnavailable.
 func (*NoWitness) Renew(context.Context, string, string, uint64, []byte) (uint64, error) {
-	return 0, platform.ErrUnavailable
+	return 0, provider.ErrUnavailable
 }
 
-// Promise fails with platform.ErrUnavailable.
+// Promise fails with provider.ErrUnavailable.
 func (*NoWitness) Promise(context.Context, string, string, time.Duration) (time.Duration, bool, error) {
-	return 0, false, platform.ErrUnavailable
+	return 0, false, provider.ErrUnavailable
 }
--- a/ownership/renewal.go
+++ b/ownership/renewal.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // register writes a row for a new incarnation over none, an ended or expired
@@ -38,7 +38,7 @@
 			return s.replacedBy(old)
 		}
 		row.Incarnation, row.Previous = old.Incarnation+1, old.past()
-	case !errors.Is(err, platform.ErrNotFound):
+	case !errors.Is(err, provider.ErrNotFound):
 		return fmt.Errorf("register session of %q: %w", s.Process, err)
 	}
 	s.mu.Lock()
@@ -118,12 +118,12 @@
 func (s *Session) put(ctx context.Context, row sessionRow, version uint64) error {
 	s.noteSent(row)
 	key := sessionPrefix + row.Process
-	vs, err := s.tableCommit(ctx, platform.Op{Key: key, Value: encode(&row), Expect: version})
+	vs, err := s.tableCommit(ctx, provider.Op{Key: key, Value: encode(&row), Expect: version})
 	if err == nil {
 		s.confirm(row, vs[0])
 		return nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+	if !errors.Is(err, provider.ErrConflict) && !errors.Is(err, provider.ErrUnknown) {
 		return err
 	}
 	return s.readBack(ctx, row, version, err)
@@ -134,7 +134,7 @@
 // whose answer was lost; the renewal is then repeated over it, once a round.
 func (s *Session) readBack(ctx context.Context, row sessionRow, version uint64, cause error) error {
 	current, err := s.tableGet(ctx, sessionPrefix+row.Process)
-	if errors.Is(err, platform.ErrNotFound) && version == 0 {
+	if errors.Is(err, provider.ErrNotFound) && version == 0 {
 		return cause
 	}
 	if err != nil {
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // State is what a session row says of its session.
@@ -88,7 +88,7 @@
 
 func shardPrefix(dataCentre string) string { return "shard/" + dataCentre + "/" }
 
-func decode[T any](r platform.Row) (*T, error) {
+func decode[T any](r provider.Row) (*T, error) {
 	v := new(T)
 	if err := json.Unmarshal(r.Value, v); err != nil {
 		return nil, fmt.Errorf("row %q version %d is not valid, restore or remove it: %w", r.Key, r.Version, err)
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // errLost tells that the session row belongs to another start or has expired.
@@ -22,7 +22,7 @@
 // Session is this process's registration, one per process start. The exported
 // fields are set before Run and not changed after.
 type Session struct {
-	Table                       platform.Table
+	Table                       provider.Table
 	Process, DataCentre         string
 	RelayAddress, CallerAddress string
 	RenewEvery, TTL, Margin     time.Duration
@@ -206,16 +206,16 @@
 }
 
 // commit applies ops if this session is still the one in the table.
-func (s *Session) commit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (s *Session) commit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	if err := s.lock(ctx); err != nil {
 		return nil, err
 	}
 	defer s.unlock()
 	if !s.Valid(time.Now()) {
-		return nil, fmt.Errorf("session of %q is not valid, waits for its renewal: %w", s.Process, platform.ErrUnavailable)
+		return nil, fmt.Errorf("session of %q is not valid, waits for its renewal: %w", s.Process, provider.ErrUnavailable)
 	}
 	s.mu.Lock()
-	guard := platform.Require(sessionPrefix+s.Process, s.version)
+	guard := provider.Require(sessionPrefix+s.Process, s.version)
 	s.mu.Unlock()
 	vs, err := s.tableCommit(ctx, append(ops, guard)...)
 	if err != nil {
@@ -224,7 +224,7 @@
 	return vs[:len(ops)], nil
 }
 
-func (s *Session) tableCommit(ctx context.Context, ops ...platform.Op) ([]uint64, error) {
+func (s *Session) tableCommit(ctx context.Context, ops ...provider.Op) ([]uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.RenewEvery/callsPerRenewal)
 	defer cancel()
 	vs, err := s.Table.Commit(ctx, ops...)
@@ -232,7 +232,7 @@
 	return vs, err
 }
 
-func (s *Session) tableGet(ctx context.Context, key string) (platform.Row, error) {
+func (s *Session) tableGet(ctx context.Context, key string) (provider.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.RenewEvery/callsPerRenewal)
 	defer cancel()
 	r, err := s.Table.Get(ctx, key)
@@ -242,7 +242,7 @@
 
 // noteTable remembers whether the platform answered.
 func (s *Session) noteTable(err error) {
-	answered := err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound)
+	answered := err == nil || errors.Is(err, provider.ErrConflict) || errors.Is(err, provider.ErrNotFound)
 	s.mu.Lock()
 	s.cutOff = !answered
 	s.mu.Unlock()
--- a/ownership/shards.go
+++ b/ownership/shards.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Grant is a shard that this process holds.
@@ -36,7 +36,7 @@
 type Shards struct {
 	Session *Session
 	// Table and DataCentre default to those of the session.
-	Table      platform.Table
+	Table      provider.Table
 	DataCentre string
 	// Known returns the names of all shards of the data centre.
 	Known func() []string
@@ -287,7 +287,7 @@
 	id := h.session
 	h.mu.Unlock()
 	if !ok {
-		return fmt.Errorf("release shard %q: %w; it is not held", shard, platform.ErrNotFound)
+		return fmt.Errorf("release shard %q: %w; it is not held", shard, provider.ErrNotFound)
 	}
 	h.drop(shard, g.Epoch)
 	h.mu.Lock()
@@ -297,7 +297,7 @@
 		return nil
 	}
 	err := h.write(ctx, []change{c})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, provider.ErrConflict) {
 		return fmt.Errorf("release shard %q: %w; the next round reads it again", shard, err)
 	}
 	return err
--- a/ownership/shards_test.go
+++ b/ownership/shards_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // observed returns a session that has read the given rows and waited.
@@ -21,7 +21,7 @@
 	s.registered = true
 	for i, r := range rows {
 		key := sessionPrefix + r.Process
-		_ = s.learn([]platform.Row{{Key: key, Value: encode(&r), Version: uint64(i + 1)}}, time.Now())
+		_ = s.learn([]provider.Row{{Key: key, Value: encode(&r), Version: uint64(i + 1)}}, time.Now())
 	}
 	time.Sleep(wait)
 	return s
@@ -109,9 +109,9 @@
 		extended := sessionRow{Process: "entry-0", Incarnation: 1, State: Expired, DataCentre: "pernik", Witnesses: []string{"entry-8@1"}, ExpiredBy: "entry-7@1"}
 		ended := sessionRow{Process: "entry-1", Incarnation: 1, State: Ended, DataCentre: "pernik"}
 		shard := shardRow{Session: "entry-1@1", Epoch: 2, Unsettled: []string{"entry-0@1"}}
-		mustCommit(t, c.table, platform.Create("session/entry-0", encode(&extended)),
-			platform.Create("session/entry-1", encode(&ended)),
-			platform.Create("shard/pernik/rack-000", encode(&shard)))
+		mustCommit(t, c.table, provider.Create("session/entry-0", encode(&extended)),
+			provider.Create("session/entry-1", encode(&ended)),
+			provider.Create("shard/pernik/rack-000", encode(&shard)))
 		n := c.start("entry-2")
 		c.watch(20 * time.Second)
 		got := n.shards.Held()
@@ -127,7 +127,7 @@
 	})
 }
 
-func mustCommit(t *testing.T, f *fakeTable, ops ...platform.Op) {
+func mustCommit(t *testing.T, f *fakeTable, ops ...provider.Op) {
 	t.Helper()
 	if _, err := f.Commit(context.Background(), ops...); err != nil {
 		t.Fatal(err)
--- a/ownership/slope_bench_test.go
+++ b/ownership/slope_bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // BenchmarkObserve is what one process reads and decodes in each renewal: the
@@ -23,7 +23,7 @@
 				for w := range near - 1 {
 					row.Witnesses = append(row.Witnesses, fmt.Sprintf("entry-%02d@7", w))
 				}
-				table.rows[sessionPrefix+row.Process] = platform.Row{Key: sessionPrefix + row.Process, Value: encode(&row), Version: uint64(i + 1)}
+				table.rows[sessionPrefix+row.Process] = provider.Row{Key: sessionPrefix + row.Process, Value: encode(&row), Version: uint64(i + 1)}
 			}
 			s := &Session{Table: table, Process: "entry-00", DataCentre: "dc1"}
 			s.init()
@@ -56,7 +56,7 @@
 				known = append(known, name)
 				row := shardRow{Session: fmt.Sprintf("entry-%02d@7", i%8), Epoch: 12}
 				key := shardPrefix("dc1") + name
-				table.rows[key] = platform.Row{Key: key, Value: encode(&row), Version: uint64(i + 1)}
+				table.rows[key] = provider.Row{Key: key, Value: encode(&row), Version: uint64(i + 1)}
 			}
 			s := &Session{Table: table, Process: "entry-00", DataCentre: "dc1"}
 			h := &Shards{Session: s, Known: func() []string { return known }}
@@ -77,7 +77,7 @@
 }
 
 // jsonSize returns the bytes of rows as the platform's client reads them.
-func jsonSize(rows []platform.Row) int {
+func jsonSize(rows []provider.Row) int {
 	n := 0
 	for _, r := range rows {
 		n += len(encode(&r)) + 1
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // change is one write of a shard row.
@@ -149,10 +149,10 @@
 // write commits the changes under the session and records them. After a lost
 // answer the next refresh shows what happened.
 func (h *Shards) write(ctx context.Context, cs []change) error {
-	ops := make([]platform.Op, 0, len(cs)+1)
+	ops := make([]provider.Op, 0, len(cs)+1)
 	for _, c := range cs {
 		key := shardPrefix(h.DataCentre) + c.shard
-		ops = append(ops, platform.Op{Key: key, Value: encode(&c.row), Expect: c.version})
+		ops = append(ops, provider.Op{Key: key, Value: encode(&c.row), Expect: c.version})
 	}
 	vs, err := h.Session.commit(ctx, ops...)
 	if err != nil {
--- a/ownership/witness.go
+++ b/ownership/witness.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // maxRelays is how many peers are asked to relay one renewal.
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.RenewEvery/callsPerRenewal)
 	defer cancel()
 	value := encode(&row)
-	err := platform.ErrUnavailable
+	err := provider.ErrUnavailable
 	for _, p := range s.somePeers() {
 		v, callErr := s.Peers.Renew(ctx, p, row.id(), version, value)
 		if callErr == nil {
@@ -48,11 +48,11 @@
 
 // RelayRenewal serves a peer's Renew: it writes value, the row of session,
 // over version or over an earlier row of the same process start. It returns
-// the row's new version. Errors are those of platform.Table.
+// the row's new version. Errors are those of provider.Table.
 func (s *Session) RelayRenewal(ctx context.Context, session string, version uint64, value []byte) (uint64, error) {
 	s.init()
 	key := sessionPrefix + processOf(session)
-	row, err := decode[sessionRow](platform.Row{Key: key, Value: value, Version: version})
+	row, err := decode[sessionRow](provider.Row{Key: key, Value: value, Version: version})
 	if err != nil {
 		return 0, err
 	}
@@ -60,11 +60,11 @@
 		return 0, fmt.Errorf("relay for session %q: row of %q, %s, data centre %q; send the session's own live row",
 			session, row.id(), row.State, row.DataCentre)
 	}
-	vs, err := s.tableCommit(ctx, platform.Update(key, value, version))
+	vs, err := s.tableCommit(ctx, provider.Update(key, value, version))
 	if err == nil {
 		return vs[0], nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+	if !errors.Is(err, provider.ErrConflict) && !errors.Is(err, provider.ErrUnknown) {
 		return 0, err
 	}
 	return s.relayOver(ctx, key, row, value, err)
@@ -87,7 +87,7 @@
 	if !found.sameStart(row) || found.State != Live || found.Sequence >= row.Sequence {
 		return 0, cause
 	}
-	vs, err := s.tableCommit(ctx, platform.Update(key, value, current.Version))
+	vs, err := s.tableCommit(ctx, provider.Update(key, value, current.Version))
 	if err != nil {
 		return 0, err
 	}
--- a/platform/cache.go
+++ b/provider/cache.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"errors"
--- a/platform/client_test.go
+++ b/provider/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package provider_test
 
 import (
 	"context"
@@ -10,13 +10,13 @@
 	"testing"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 func status(code int, outcome string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if outcome != "" {
-			w.Header().Set(platform.OutcomeHeader, outcome)
+			w.Header().Set(provider.OutcomeHeader, outcome)
 		}
 		w.WriteHeader(code)
 		_, _ = fmt.Fprint(w, `{"versions":[1]}`)
@@ -45,27 +45,27 @@
 		read, write error
 	}{
 		{"good", status(http.StatusOK, ""), nil, nil},
-		{"not found", status(http.StatusNotFound, ""), platform.ErrNotFound, platform.ErrNotFound},
-		{"conflict", status(http.StatusConflict, ""), platform.ErrConflict, platform.ErrConflict},
-		{"refused", status(http.StatusServiceUnavailable, platform.OutcomeNotApplied), platform.ErrUnavailable, platform.ErrUnavailable},
-		{"refused by another", status(http.StatusServiceUnavailable, ""), platform.ErrUnavailable, platform.ErrUnknown},
-		{"broken server", status(http.StatusInternalServerError, ""), platform.ErrUnavailable, platform.ErrUnknown},
-		{"broken connection", broken, platform.ErrUnavailable, platform.ErrUnknown},
-		{"answer cut short", truncated, platform.ErrUnavailable, platform.ErrUnknown},
-		{"no answer", silent, platform.ErrUnavailable, platform.ErrUnknown},
+		{"not found", status(http.StatusNotFound, ""), provider.ErrNotFound, provider.ErrNotFound},
+		{"conflict", status(http.StatusConflict, ""), provider.ErrConflict, provider.ErrConflict},
+		{"refused", status(http.StatusServiceUnavailable, provider.OutcomeNotApplied), provider.ErrUnavailable, provider.ErrUnavailable},
+		{"refused by another", status(http.StatusServiceUnavailable, ""), provider.ErrUnavailable, provider.ErrUnknown},
+		{"broken server", status(http.StatusInternalServerError, ""), provider.ErrUnavailable, provider.ErrUnknown},
+		{"broken connection", broken, provider.ErrUnavailable, provider.ErrUnknown},
+		{"answer cut short", truncated, provider.ErrUnavailable, provider.ErrUnknown},
+		{"no answer", silent, provider.ErrUnavailable, provider.ErrUnknown},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(c.handler)
 			defer server.Close()
-			client := &platform.Client{Address: server.URL, HTTP: server.Client()}
+			client := &provider.Client{Address: server.URL, HTTP: server.Client()}
 			if c.name == "no answer" {
 				client.Timeout = 50 * time.Millisecond
 			}
 			if _, err := client.Get(t.Context(), "a"); !errors.Is(err, c.read) {
 				t.Errorf("read: %v, want %v", err, c.read)
 			}
-			if _, err := client.Commit(t.Context(), platform.Create("a", nil)); !errors.Is(err, c.write) {
+			if _, err := client.Commit(t.Context(), provider.Create("a", nil)); !errors.Is(err, c.write) {
 				t.Errorf("commit: %v, want %v", err, c.write)
 			}
 			if err := client.Objects().Put(t.Context(), "a", []byte("1")); !errors.Is(err, c.write) {
@@ -78,18 +78,18 @@
 // A write that sent nothing is never of unknown outcome.
 func TestNothingSent(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(broken))
-	client := &platform.Client{Address: server.URL}
+	client := &provider.Client{Address: server.URL}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if _, err := client.Commit(ctx, platform.Create("a", nil)); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(ctx, provider.Create("a", nil)); !errors.Is(err, provider.ErrUnavailable) {
 		t.Errorf("cancelled before: %v", err)
 	}
 	server.Close()
-	if _, err := client.Commit(t.Context(), platform.Create("a", nil)); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(t.Context(), provider.Create("a", nil)); !errors.Is(err, provider.ErrUnavailable) {
 		t.Errorf("connection refused: %v", err)
 	}
 	client.Address = "no such address"
-	if _, err := client.Commit(t.Context(), platform.Create("a", nil)); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(t.Context(), provider.Create("a", nil)); !errors.Is(err, provider.ErrUnavailable) {
 		t.Errorf("bad address: %v", err)
 	}
 }
@@ -99,8 +99,8 @@
 func TestRejected(t *testing.T) {
 	server := httptest.NewServer(status(http.StatusBadRequest, ""))
 	defer server.Close()
-	_, err := (&platform.Client{Address: server.URL}).Commit(t.Context(), platform.Create("a", nil))
-	for _, known := range []error{nil, platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrUnknown} {
+	_, err := (&provider.Client{Address: server.URL}).Commit(t.Context(), provider.Create("a", nil))
+	for _, known := range []error{nil, provider.ErrNotFound, provider.ErrConflict, provider.ErrUnavailable, provider.ErrUnknown} {
 		if errors.Is(err, known) {
 			t.Errorf("rejected commit: %v is %v", err, known)
 		}
--- a/platform/platform.go
+++ b/provider/platform.go
@@ -1,4 +1,4 @@
-// Package platform describes the service that the users run for everything
+// Package provider describes the service that the users run for everything
 // that has to last: a transactional table, an object store and a lagging list
 // of hosts.
 //
@@ -14,12 +14,12 @@
 //
 // Usage:
 //
-//	c := platform.Client{Address: "http://127.0.0.1:7000"}
-//	versions, err := c.Commit(ctx, platform.Create("job/a/1", body))
-//	if errors.Is(err, platform.ErrUnknown) {
+//	c := provider.Client{Address: "http://127.0.0.1:7000"}
+//	versions, err := c.Commit(ctx, provider.Create("job/a/1", body))
+//	if errors.Is(err, provider.ErrUnknown) {
 //		row, err = c.Get(ctx, "job/a/1")
 //	}
-package platform
+package provider
 
 import (
 	"context"
--- a/rack/bed_test.go
+++ b/rack/bed_test.go
@@ -10,7 +10,7 @@
 	"persimmonworks.example/persimmonworks/agent"
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/worker"
 )
@@ -29,7 +29,7 @@
 	ledger ledger.Ledger
 	board  *fault.Board
 	agents map[string]*agent.Agent
-	hosts  []platform.Host
+	hosts  []provider.Host
 	stop   chan struct{}
 	group  sync.WaitGroup
 	random *rand.Rand
@@ -63,7 +63,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i+1)
 		b.agents[id] = &agent.Agent{ID: id, Capacity: capacity, Ledger: &b.ledger, Faults: b.board, Stopping: b.stop}
-		b.hosts = append(b.hosts, platform.Host{ID: id, Rack: "r1", DataCentre: "dc1", Address: id, Capacity: capacity})
+		b.hosts = append(b.hosts, provider.Host{ID: id, Rack: "r1", DataCentre: "dc1", Address: id, Capacity: capacity})
 	}
 	b.takeOver(1)
 	return b
--- a/rack/group_test.go
+++ b/rack/group_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/wire"
 	"persimmonworks.example/persimmonworks/worker"
@@ -17,7 +17,7 @@
 	t.Helper()
 	now := time.Unix(0, 0)
 	r := &Rack{Name: "rack-r1", Epoch: 4, Lease: testLease}
-	r.SetHosts([]platform.Host{{ID: "w1", Capacity: resource.Vector{MilliCPU: 2 * testDemand}}}, now)
+	r.SetHosts([]provider.Host{{ID: "w1", Capacity: resource.Vector{MilliCPU: 2 * testDemand}}}, now)
 	s, _ := r.Outbox("w1", now)
 	if _, err := r.Answer("w1", s, worker.Report{Epoch: 4, Boot: "b"}, nil, now); err != nil {
 		t.Fatal(err)
--- a/rack/late_test.go
+++ b/rack/late_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/worker"
 )
@@ -43,7 +43,7 @@
 	t.Helper()
 	now := time.Unix(0, 0)
 	r := &Rack{Name: "rack-r1", Epoch: 1, Lease: testLease}
-	r.SetHosts([]platform.Host{{ID: "w1", Capacity: resource.Vector{MilliCPU: testDemand}}}, now)
+	r.SetHosts([]provider.Host{{ID: "w1", Capacity: resource.Vector{MilliCPU: testDemand}}}, now)
 	s, _ := r.Outbox("w1", now)
 	if _, err := r.Answer("w1", s, worker.Report{Epoch: 1, Boot: "b1", Until: until}, nil, now); err != nil {
 		t.Fatal(err)
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -37,7 +37,7 @@
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/placement"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/worker"
 )
@@ -114,7 +114,7 @@
 
 // member is a worker of the rack.
 type member struct {
-	host     platform.Host
+	host     provider.Host
 	accepted bool // the worker has accepted the epoch and shown its inventory
 	gone     bool // unreachable, and its leases have lapsed
 	busy     bool // a Sync is under way
@@ -137,7 +137,7 @@
 
 // SetHosts sets the workers of the rack, as the platform's list gives them.
 // Workers that have gone from the list stay while attempts may be on them.
-func (r *Rack) SetHosts(hosts []platform.Host, now time.Time) {
+func (r *Rack) SetHosts(hosts []provider.Host, now time.Time) {
 	if r.members == nil {
 		r.members, r.attempts = map[string]*member{}, map[worker.Ref]*Attempt{}
 		r.shard.Reserve = r.Reserve
--- a/rack/slope_bench_test.go
+++ b/rack/slope_bench_test.go
@@ -10,7 +10,7 @@
 	"persimmonworks.example/persimmonworks/agent"
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/worker"
 )
@@ -29,7 +29,7 @@
 	capacity := resource.Vector{MilliCPU: 16 * resource.MilliPerCore, MemoryMB: 32 << 10}
 	w := &agent.Agent{ID: "w-dc1-r1-01", Capacity: capacity, Ledger: &ledger.Ledger{}, Faults: fault.NewBoard()}
 	r := &Rack{Name: "rack-dc1-r1", Epoch: 3, Lease: time.Minute, Transit: time.Second}
-	r.SetHosts([]platform.Host{{ID: w.ID, Kind: platform.KindWorker, DataCentre: "dc1", Rack: "dc1-r1", Capacity: capacity}}, now)
+	r.SetHosts([]provider.Host{{ID: w.ID, Kind: provider.KindWorker, DataCentre: "dc1", Rack: "dc1-r1", Capacity: capacity}}, now)
 	r.AllowWaitOut(now)
 	var owner, member time.Duration
 	bytes, n := 0, 0
--- a/standin/hosts.go
+++ b/standin/hosts.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // HostList is the platform's list of hosts, which shows every change Lag after
@@ -21,27 +21,27 @@
 
 type hostState struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []provider.Host
 }
 
-var _ platform.HostLister = (*HostList)(nil)
+var _ provider.HostLister = (*HostList)(nil)
 
 // Set makes hosts the true state. The first Set is visible at once.
-func (h *HostList) Set(hosts []platform.Host) {
+func (h *HostList) Set(hosts []provider.Host) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.states = append(h.states, hostState{at: time.Now(), hosts: slices.Clone(hosts)})
 }
 
 // Hosts returns the list as it was Lag ago.
-func (h *HostList) Hosts(context.Context) ([]platform.Host, error) {
+func (h *HostList) Hosts(context.Context) ([]provider.Host, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for len(h.states) > 1 && time.Since(h.states[1].at) >= h.Lag {
 		h.states = h.states[1:]
 	}
 	if len(h.states) == 0 {
-		return []platform.Host{}, nil
+		return []provider.Host{}, nil
 	}
 	return slices.Clone(h.states[0].hosts), nil
 }
--- a/standin/hosts_test.go
+++ b/standin/hosts_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // The list shows each change Lag after it was made, in turn.
@@ -18,12 +18,12 @@
 				t.Fatalf("%d hosts, want %d", len(hosts), count)
 			}
 		}
-		h.Set(make([]platform.Host, 1))
+		h.Set(make([]provider.Host, 1))
 		want(1)
 		time.Sleep(time.Minute)
-		h.Set(make([]platform.Host, 2))
+		h.Set(make([]provider.Host, 2))
 		time.Sleep(time.Second)
-		h.Set(make([]platform.Host, 3))
+		h.Set(make([]provider.Host, 3))
 		time.Sleep(4*time.Second - 1)
 		want(1)
 		time.Sleep(1)
--- a/standin/layout.go
+++ b/standin/layout.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -22,8 +22,8 @@
 
 // Hosts returns the hosts, each with an address below base, which may be empty
 // until it is known.
-func (l Layout) Hosts(base string) []platform.Host {
-	var hosts []platform.Host
+func (l Layout) Hosts(base string) []provider.Host {
+	var hosts []provider.Host
 	for d := range l.DataCentres {
 		for r := range l.Racks {
 			hosts = append(hosts, l.rack(base, fmt.Sprintf("dc%d", d+1), r+1)...)
@@ -32,20 +32,20 @@
 	return hosts
 }
 
-func (l Layout) rack(base, dataCentre string, number int) []platform.Host {
+func (l Layout) rack(base, dataCentre string, number int) []provider.Host {
 	rack := fmt.Sprintf("%s-r%d", dataCentre, number)
-	var hosts []platform.Host
+	var hosts []provider.Host
 	for i := range l.Workers {
 		id := fmt.Sprintf("w-%s-%02d", rack, i+1)
-		hosts = append(hosts, platform.Host{
-			ID: id, Kind: platform.KindWorker, DataCentre: dataCentre, Rack: rack,
+		hosts = append(hosts, provider.Host{
+			ID: id, Kind: provider.KindWorker, DataCentre: dataCentre, Rack: rack,
 			Address: base + workerPrefix + id, Capacity: l.Capacity,
 		})
 	}
 	for i := range l.Runners {
 		id := fmt.Sprintf("u-%s-%02d", rack, i+1)
-		hosts = append(hosts, platform.Host{
-			ID: id, Kind: platform.KindRunner, DataCentre: dataCentre, Rack: rack,
+		hosts = append(hosts, provider.Host{
+			ID: id, Kind: provider.KindRunner, DataCentre: dataCentre, Rack: rack,
 			Address: base + runnerPrefix + id, Service: l.Service, Slots: l.Slots,
 		})
 	}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -13,7 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/worker"
 )
 
@@ -26,13 +26,13 @@
 	m.HandleFunc(PathCheck, p.serveCheck).Methods(http.MethodGet)
 	m.HandleFunc(PathCounters, p.serveCounters).Methods(http.MethodGet, http.MethodDelete)
 	if p.Role != HostsOnly {
-		m.HandleFunc(platform.PathRow, p.read(p.serveRow)).Methods(http.MethodGet)
-		m.HandleFunc(platform.PathRange, p.read(p.serveRange)).Methods(http.MethodGet)
-		m.HandleFunc(platform.PathHosts, p.read(p.serveHosts)).Methods(http.MethodGet)
-		m.HandleFunc(platform.PathObjects, p.read(p.serveObject)).Methods(http.MethodGet)
-		m.HandleFunc(platform.PathCommit, p.write(p.serveCommit)).Methods(http.MethodPost)
-		m.HandleFunc(platform.PathObjects, p.write(p.putObject)).Methods(http.MethodPut)
-		m.HandleFunc(platform.PathObjects, p.write(p.deleteObject)).Methods(http.MethodDelete)
+		m.HandleFunc(provider.PathRow, p.read(p.serveRow)).Methods(http.MethodGet)
+		m.HandleFunc(provider.PathRange, p.read(p.serveRange)).Methods(http.MethodGet)
+		m.HandleFunc(provider.PathHosts, p.read(p.serveHosts)).Methods(http.MethodGet)
+		m.HandleFunc(provider.PathObjects, p.read(p.serveObject)).Methods(http.MethodGet)
+		m.HandleFunc(provider.PathCommit, p.write(p.serveCommit)).Methods(http.MethodPost)
+		m.HandleFunc(provider.PathObjects, p.write(p.putObject)).Methods(http.MethodPut)
+		m.HandleFunc(provider.PathObjects, p.write(p.deleteObject)).Methods(http.MethodDelete)
 	}
 	if p.Role != Service {
 		m.HandleFunc(workerPrefix+"{id}"+worker.PathSync, p.serveSync).Methods(http.MethodPost)
@@ -91,12 +91,12 @@
 // admit applies the platform's faults before a call has any effect. A slow
 // call whose client has left still takes effect.
 func (p *Platform) admit(w http.ResponseWriter, q *http.Request) bool {
-	if p.faults.CutFromPlatform(q.Header.Get(platform.ClientHeader)) {
+	if p.faults.CutFromPlatform(q.Header.Get(provider.ClientHeader)) {
 		panic(http.ErrAbortHandler)
 	}
 	f := p.faults.Platform()
 	if f.Away {
-		w.Header().Set(platform.OutcomeHeader, platform.OutcomeNotApplied)
+		w.Header().Set(provider.OutcomeHeader, provider.OutcomeNotApplied)
 		http.Error(w, "platform is away", http.StatusServiceUnavailable)
 		return false
 	}
@@ -114,9 +114,9 @@
 
 func reply(w http.ResponseWriter, answer any, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, provider.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, provider.ErrConflict):
 		http.Error(w, err.Error(), http.StatusConflict)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -131,7 +131,7 @@
 }
 
 func body(q *http.Request) ([]byte, error) {
-	return io.ReadAll(http.MaxBytesReader(nil, q.Body, platform.MaxBodyBytes))
+	return io.ReadAll(http.MaxBytesReader(nil, q.Body, provider.MaxBodyBytes))
 }
 
 func (p *Platform) serveRow(q *http.Request) (any, error) {
@@ -153,12 +153,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("commit: %w", err)
 	}
-	var request platform.CommitRequest
+	var request provider.CommitRequest
 	if err := json.Unmarshal(content, &request); err != nil {
 		return nil, fmt.Errorf("commit is not valid: %w", err)
 	}
 	versions, err := p.table.Commit(q.Context(), request.Ops...)
-	return platform.CommitAnswer{Versions: versions}, err
+	return provider.CommitAnswer{Versions: versions}, err
 }
 
 func (p *Platform) serveObject(q *http.Request) (any, error) {
@@ -181,7 +181,7 @@
 // of the host.
 func (p *Platform) reach(q *http.Request) string {
 	id := mux.Vars(q)["id"]
-	if p.faults.CutFromHosts(q.Header.Get(platform.ClientHeader), p.hosts[id].DataCentre) {
+	if p.faults.CutFromHosts(q.Header.Get(provider.ClientHeader), p.hosts[id].DataCentre) {
 		panic(http.ErrAbortHandler)
 	}
 	return id
--- a/standin/slope_bench_test.go
+++ b/standin/slope_bench_test.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -55,7 +55,7 @@
 			}
 			transport := &http.Transport{DialContext: dial}
 			defer transport.CloseIdleConnections()
-			c := platform.Client{Address: p.Address(), Name: "e1", HTTP: &http.Client{Transport: transport}}
+			c := provider.Client{Address: p.Address(), Name: "e1", HTTP: &http.Client{Transport: transport}}
 			if _, err := c.Hosts(ctx); err != nil {
 				b.Fatal(err)
 			}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -17,7 +17,7 @@
 //
 //	p := standin.Platform{Listen: "127.0.0.1:0", Role: standin.All, Layout: layout}
 //	group.Go(func() error { return p.Run(ctx) })
-//	client := platform.Client{Address: p.Address()}
+//	client := provider.Client{Address: p.Address()}
 package standin
 
 import (
@@ -34,7 +34,7 @@
 	"persimmonworks.example/persimmonworks/agent"
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/upstream"
 )
 
@@ -85,8 +85,8 @@
 	writes   meter
 	agents   map[string]*agent.Agent
 	runners  map[string]*upstream.Runner
-	hosts    map[string]platform.Host
-	order    []platform.Host
+	hosts    map[string]provider.Host
+	order    []provider.Host
 	marks    map[string]ledger.Run // hosts marked as leaving
 	apply    sync.Mutex
 	ready    chan struct{}
@@ -102,7 +102,7 @@
 		p.marks = make(map[string]ledger.Run)
 		p.agents = make(map[string]*agent.Agent)
 		p.runners = make(map[string]*upstream.Runner)
-		p.hosts = make(map[string]platform.Host)
+		p.hosts = make(map[string]provider.Host)
 	})
 }
 
@@ -151,7 +151,7 @@
 		p.hosts[h.ID] = h
 		switch {
 		case p.Role == Service:
-		case h.Kind == platform.KindWorker:
+		case h.Kind == provider.KindWorker:
 			p.agents[h.ID] = &agent.Agent{ID: h.ID, Capacity: h.Capacity, UsageLag: p.UsageLag, Ledger: &p.ledger, Faults: p.faults, Stopping: p.stopping}
 		default:
 			p.runners[h.ID] = &upstream.Runner{ID: h.ID, Slots: h.Slots, Ledger: &p.ledger, Faults: p.faults, Stopping: p.stopping}
@@ -202,7 +202,7 @@
 // faults.
 func (p *Platform) listHosts() {
 	state := p.faults.State()
-	listed := make([]platform.Host, 0, len(p.order))
+	listed := make([]provider.Host, 0, len(p.order))
 	for _, h := range p.order {
 		f := state.Hosts[h.ID]
 		p.mark(h.ID, f.Leaving)
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -13,7 +13,7 @@
 
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/upstream"
 	"persimmonworks.example/persimmonworks/worker"
@@ -59,23 +59,23 @@
 		applied      bool
 	}{
 		{"none", `{}`, patience, nil, nil, true},
-		{"away", `{"platform":{"away":true}}`, patience, platform.ErrUnavailable, platform.ErrUnavailable, false},
-		{"next answer lost", `{"platform":{"lose-next":1}}`, patience, nil, platform.ErrUnknown, true},
-		{"all answers lost", `{"platform":{"lose-probability":1,"seed":7}}`, patience, nil, platform.ErrUnknown, true},
-		{"slow", `{"platform":{"slow-ms":300}}`, 20 * time.Millisecond, platform.ErrUnavailable, platform.ErrUnknown, true},
-		{"cut off", `{"partitions":[{"client":"e1","platform":true}]}`, patience, platform.ErrUnavailable, platform.ErrUnknown, false},
+		{"away", `{"platform":{"away":true}}`, patience, provider.ErrUnavailable, provider.ErrUnavailable, false},
+		{"next answer lost", `{"platform":{"lose-next":1}}`, patience, nil, provider.ErrUnknown, true},
+		{"all answers lost", `{"platform":{"lose-probability":1,"seed":7}}`, patience, nil, provider.ErrUnknown, true},
+		{"slow", `{"platform":{"slow-ms":300}}`, 20 * time.Millisecond, provider.ErrUnavailable, provider.ErrUnknown, true},
+		{"cut off", `{"partitions":[{"client":"e1","platform":true}]}`, patience, provider.ErrUnavailable, provider.ErrUnknown, false},
 		{"another cut off", `{"partitions":[{"client":"e2","platform":true}]}`, patience, nil, nil, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			p := &Platform{}
 			control := serve(t, p)
-			client := &platform.Client{Address: p.Address(), Name: "e1", Timeout: c.timeout}
+			client := &provider.Client{Address: p.Address(), Name: "e1", Timeout: c.timeout}
 			apply(t, control, c.change)
 			if _, err := client.Range(t.Context(), "", "", 1); !errors.Is(err, c.read) {
 				t.Errorf("read: %v, want %v", err, c.read)
 			}
-			if _, err := client.Commit(t.Context(), platform.Create("a", []byte("1"))); !errors.Is(err, c.write) {
+			if _, err := client.Commit(t.Context(), provider.Create("a", []byte("1"))); !errors.Is(err, c.write) {
 				t.Errorf("write: %v, want %v", err, c.write)
 			}
 			if err := control.SetPlatform(t.Context(), fault.Platform{}); err != nil {
@@ -87,7 +87,7 @@
 			if c.timeout < patience {
 				waitForRow(t, p, "a")
 			}
-			_, err := (&platform.Client{Address: p.Address()}).Get(t.Context(), "a")
+			_, err := (&provider.Client{Address: p.Address()}).Get(t.Context(), "a")
 			if applied := err == nil; applied != c.applied {
 				t.Errorf("applied %v (%v), want %v", applied, err, c.applied)
 			}
@@ -113,7 +113,7 @@
 func TestHostsOverHTTP(t *testing.T) {
 	p := &Platform{}
 	control := serve(t, p)
-	hosts, err := (&platform.Client{Address: p.Address()}).Hosts(t.Context())
+	hosts, err := (&provider.Client{Address: p.Address()}).Hosts(t.Context())
 	if err != nil || len(hosts) != 6 || hosts[0].ID != "w-dc1-r1-01" || hosts[2].ID != "u-dc1-r1-01" {
 		t.Fatalf("hosts %v, %v", hosts, err)
 	}
--- a/standin/table.go
+++ b/standin/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/btree"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 const tableDegree = 32 // of the B-tree
@@ -19,33 +19,33 @@
 // empty and ready; it is safe for concurrent use.
 type Table struct {
 	mutex   sync.RWMutex
-	rows    *btree.BTreeG[platform.Row]
+	rows    *btree.BTreeG[provider.Row]
 	version uint64
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
-// Get returns the row, or platform.ErrNotFound.
-func (t *Table) Get(_ context.Context, key string) (platform.Row, error) {
+// Get returns the row, or provider.ErrNotFound.
+func (t *Table) Get(_ context.Context, key string) (provider.Row, error) {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 	row, found := t.row(key)
 	if !found {
-		return platform.Row{}, fmt.Errorf("row %q: %w", key, platform.ErrNotFound)
+		return provider.Row{}, fmt.Errorf("row %q: %w", key, provider.ErrNotFound)
 	}
 	return row, nil
 }
 
 // Range returns at most limit rows whose keys start with prefix and come after
 // the key after.
-func (t *Table) Range(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) Range(_ context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
-	rows := []platform.Row{}
+	rows := []provider.Row{}
 	if t.rows == nil || limit <= 0 {
 		return rows, nil
 	}
-	t.rows.AscendGreaterOrEqual(platform.Row{Key: max(prefix, after)}, func(row platform.Row) bool {
+	t.rows.AscendGreaterOrEqual(provider.Row{Key: max(prefix, after)}, func(row provider.Row) bool {
 		if !strings.HasPrefix(row.Key, prefix) {
 			return false
 		}
@@ -57,17 +57,17 @@
 	return rows, nil
 }
 
-// Commit applies all ops or none. The error is platform.ErrConflict when a row
+// Commit applies all ops or none. The error is provider.ErrConflict when a row
 // has another version than expected; a commit that names a row twice is
 // invalid.
-func (t *Table) Commit(_ context.Context, ops ...platform.Op) ([]uint64, error) {
+func (t *Table) Commit(_ context.Context, ops ...provider.Op) ([]uint64, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if err := t.check(ops); err != nil {
 		return nil, err
 	}
 	if t.rows == nil {
-		t.rows = btree.NewG(tableDegree, func(a, b platform.Row) bool { return a.Key < b.Key })
+		t.rows = btree.NewG(tableDegree, func(a, b provider.Row) bool { return a.Key < b.Key })
 	}
 	t.version++
 	versions := make([]uint64, len(ops))
@@ -76,16 +76,16 @@
 		case op.Check:
 			versions[i] = op.Expect
 		case op.Delete:
-			t.rows.Delete(platform.Row{Key: op.Key})
+			t.rows.Delete(provider.Row{Key: op.Key})
 		default:
-			t.rows.ReplaceOrInsert(platform.Row{Key: op.Key, Value: append([]byte{}, op.Value...), Version: t.version})
+			t.rows.ReplaceOrInsert(provider.Row{Key: op.Key, Value: append([]byte{}, op.Value...), Version: t.version})
 			versions[i] = t.version
 		}
 	}
 	return versions, nil
 }
 
-func (t *Table) check(ops []platform.Op) error {
+func (t *Table) check(ops []provider.Op) error {
 	named := make(map[string]bool, len(ops))
 	for _, op := range ops {
 		if named[op.Key] {
@@ -94,15 +94,15 @@
 		named[op.Key] = true
 		row, _ := t.row(op.Key)
 		if row.Version != op.Expect {
-			return fmt.Errorf("row %q has version %d, not %d: %w", op.Key, row.Version, op.Expect, platform.ErrConflict)
+			return fmt.Errorf("row %q has version %d, not %d: %w", op.Key, row.Version, op.Expect, provider.ErrConflict)
 		}
 	}
 	return nil
 }
 
-func (t *Table) row(key string) (platform.Row, bool) {
+func (t *Table) row(key string) (provider.Row, bool) {
 	if t.rows == nil {
-		return platform.Row{}, false
+		return provider.Row{}, false
 	}
-	return t.rows.Get(platform.Row{Key: key})
+	return t.rows.Get(provider.Row{Key: key})
 }
--- a/standin/table_test.go
+++ b/standin/table_test.go
@@ -10,14 +10,14 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // tableModel compares a Table with a plain map. Dead holds, for each key, the
 // highest version that it ever had.
 type tableModel struct {
 	table Table
-	rows  map[string]platform.Row
+	rows  map[string]provider.Row
 	dead  map[string]uint64
 }
 
@@ -26,26 +26,26 @@
 }
 
 // op draws an op that mostly names the right version.
-func (m *tableModel) op(t *rapid.T) platform.Op {
+func (m *tableModel) op(t *rapid.T) provider.Op {
 	key := drawKey(t)
 	expect := m.rows[key].Version
 	if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
 		expect = rapid.SampledFrom([]uint64{0, m.dead[key], expect + 1}).Draw(t, "expect")
 	}
 	value := []byte(rapid.StringN(0, 4, -1).Draw(t, "value"))
-	return rapid.SampledFrom([]platform.Op{
-		platform.Update(key, value, expect),
-		platform.Remove(key, expect),
-		platform.Require(key, expect),
+	return rapid.SampledFrom([]provider.Op{
+		provider.Update(key, value, expect),
+		provider.Remove(key, expect),
+		provider.Require(key, expect),
 	}).Draw(t, "op")
 }
 
 func (m *tableModel) commit(t *rapid.T) {
-	var ops []platform.Op
+	var ops []provider.Op
 	valid := true
 	for range rapid.IntRange(1, 4).Draw(t, "ops") {
 		op := m.op(t)
-		if slices.ContainsFunc(ops, func(o platform.Op) bool { return o.Key == op.Key }) {
+		if slices.ContainsFunc(ops, func(o provider.Op) bool { return o.Key == op.Key }) {
 			continue
 		}
 		valid = valid && op.Expect == m.rows[op.Key].Version
@@ -53,7 +53,7 @@
 	}
 	versions, err := m.table.Commit(t.Context(), ops...)
 	if !valid {
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, provider.ErrConflict) {
 			t.Fatalf("commit of %+v: %v, want a conflict", ops, err)
 		}
 		return
@@ -66,7 +66,7 @@
 	}
 }
 
-func (m *tableModel) apply(t *rapid.T, op platform.Op, version uint64) {
+func (m *tableModel) apply(t *rapid.T, op provider.Op, version uint64) {
 	switch {
 	case op.Check:
 		if version != op.Expect {
@@ -82,7 +82,7 @@
 			t.Fatalf("version %d of %q was used before (up to %d)", version, op.Key, m.dead[op.Key])
 		}
 		m.dead[op.Key] = version
-		m.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: version}
+		m.rows[op.Key] = provider.Row{Key: op.Key, Value: op.Value, Version: version}
 	}
 }
 
@@ -90,7 +90,7 @@
 	key := drawKey(t)
 	row, err := m.table.Get(t.Context(), key)
 	want, exists := m.rows[key]
-	if exists != (err == nil) || (err != nil && !errors.Is(err, platform.ErrNotFound)) {
+	if exists != (err == nil) || (err != nil && !errors.Is(err, provider.ErrNotFound)) {
 		t.Fatalf("row %q: %v, exists %v", key, err, exists)
 	}
 	if diff := cmp.Diff(want, row); diff != "" {
@@ -102,7 +102,7 @@
 	prefix := rapid.SampledFrom([]string{"", "a/", "b/a"}).Draw(t, "prefix")
 	after := rapid.SampledFrom([]string{"", "a/b", "b/ab", "c"}).Draw(t, "after")
 	limit := rapid.IntRange(0, 5).Draw(t, "limit")
-	want := []platform.Row{}
+	want := []provider.Row{}
 	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(want) < limit {
 			want = append(want, m.rows[key])
@@ -119,7 +119,7 @@
 
 func TestTableAgainstMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := tableModel{rows: make(map[string]platform.Row), dead: make(map[string]uint64)}
+		m := tableModel{rows: make(map[string]provider.Row), dead: make(map[string]uint64)}
 		t.Repeat(map[string]func(*rapid.T){"commit": m.commit, "get": m.get, "range": m.scan})
 	})
 }
@@ -127,10 +127,10 @@
 // A commit that names a row twice could expect only one of its two versions.
 func TestCommitRefusesARowNamedTwice(t *testing.T) {
 	var table Table
-	if _, err := table.Commit(t.Context(), platform.Create("a", nil), platform.Create("a", nil)); err == nil {
+	if _, err := table.Commit(t.Context(), provider.Create("a", nil), provider.Create("a", nil)); err == nil {
 		t.Fatal("commit passed")
 	}
-	if _, err := table.Get(t.Context(), "a"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := table.Get(t.Context(), "a"); !errors.Is(err, provider.ErrNotFound) {
 		t.Fatalf("row: %v", err)
 	}
 }
--- a/testbed/bed_test.go
+++ b/testbed/bed_test.go
@@ -39,8 +39,8 @@
 
 	"persimmonworks.example/persimmonworks/chain"
 	"persimmonworks.example/persimmonworks/keys"
-	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/pool"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/standin"
 )
 
@@ -136,7 +136,7 @@
 	t        *testing.T
 	folder   string
 	control  standin.Control
-	table    *platform.Client
+	table    *provider.Client
 	stand    *process
 	entries  []*process
 	token    string
@@ -159,7 +159,7 @@
 	port := freePort(t)
 	b.platform = fmt.Sprintf("http://127.0.0.1:%d", port)
 	b.control = standin.Control{Address: b.platform}
-	b.table = &platform.Client{Address: b.platform, Name: "tester"}
+	b.table = &provider.Client{Address: b.platform, Name: "tester"}
 	b.stand = &process{name: "standin", log: filepath.Join(b.folder, "standin.log")}
 	b.start(b.stand, "standin", "serve", "-listen", fmt.Sprintf("127.0.0.1:%d", port), "-data-centres", fmt.Sprint(dataCentres),
 		"-racks", "2", "-workers", "4", "-runners", "4", "-host-lag", "500ms", "-for", bedLife.String())
--- a/upstream/runner.go
+++ b/upstream/runner.go
@@ -27,7 +27,7 @@
 	"persimmonworks.example/persimmonworks/buffer"
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Headers of a request to a runner and of its answer.
@@ -135,7 +135,7 @@
 
 func (r *Runner) refuse(w http.ResponseWriter, q *http.Request, status int, err error) {
 	r.Ledger.Refuse(r.entry(q))
-	w.Header().Set(platform.OutcomeHeader, platform.OutcomeNotRun)
+	w.Header().Set(provider.OutcomeHeader, provider.OutcomeNotRun)
 	http.Error(w, err.Error(), status)
 }
 
--- a/upstream/runner_test.go
+++ b/upstream/runner_test.go
@@ -13,7 +13,7 @@
 
 	"persimmonworks.example/persimmonworks/fault"
 	"persimmonworks.example/persimmonworks/ledger"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 func newRunner() *Runner {
@@ -52,14 +52,14 @@
 		}
 		synctest.Wait()
 		a := ask(r, "3", "0")
-		if a.Code != http.StatusServiceUnavailable || a.Header().Get(platform.OutcomeHeader) != platform.OutcomeNotRun {
+		if a.Code != http.StatusServiceUnavailable || a.Header().Get(provider.OutcomeHeader) != provider.OutcomeNotRun {
 			t.Errorf("above the slots: %d %v", a.Code, a.Header())
 		}
 		_ = group.Wait()
 		if r.Busy() != 0 {
 			t.Errorf("%d slots busy after all answers", r.Busy())
 		}
-		if a := ask(r, "4", "soon"); a.Code != http.StatusBadRequest || a.Header().Get(platform.OutcomeHeader) != platform.OutcomeNotRun {
+		if a := ask(r, "4", "soon"); a.Code != http.StatusBadRequest || a.Header().Get(provider.OutcomeHeader) != provider.OutcomeNotRun {
 			t.Errorf("bad work time: %d %v", a.Code, a.Header())
 		}
 		how := map[string]int{}
--- a/usage/archive.go
+++ b/usage/archive.go
@@ -9,15 +9,15 @@
 
 	"github.com/google/uuid"
 
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // Archive stores records: the body in the object store, and a row that makes
 // it known, since the object store has no list. The pair of process and
 // incarnation never comes again, so names are unique.
 type Archive struct {
-	Table       platform.Table
-	Objects     platform.Objects
+	Table       provider.Table
+	Objects     provider.Objects
 	Process     string
 	Incarnation uint64
 }
@@ -36,7 +36,7 @@
 	name := fmt.Sprintf("%s%s/%s-%d-%d", rowPrefix, r.Period.UTC().Format(timeForm), a.Process, a.Incarnation, part)
 	if _, err := a.Table.Get(ctx, name); err == nil {
 		return nil
-	} else if !errors.Is(err, platform.ErrNotFound) {
+	} else if !errors.Is(err, provider.ErrNotFound) {
 		return fmt.Errorf("close accounts %q: %w", name, err)
 	}
 	body, err := json.Marshal(r)
@@ -46,8 +46,8 @@
 	if err := a.Objects.Put(ctx, name, body); err != nil {
 		return fmt.Errorf("store accounts %q: %w", name, err)
 	}
-	_, err = a.Table.Commit(ctx, platform.Create(name, nil))
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	_, err = a.Table.Commit(ctx, provider.Create(name, nil))
+	if err != nil && !errors.Is(err, provider.ErrConflict) {
 		return fmt.Errorf("list accounts %q: %w", name, err)
 	}
 	return nil
@@ -70,7 +70,7 @@
 				return &b, nil
 			}
 			err := a.load(ctx, &b, row.Key)
-			if errors.Is(err, platform.ErrNotFound) && again < maxAgain {
+			if errors.Is(err, provider.ErrNotFound) && again < maxAgain {
 				again++ // Merge has replaced it: read the period again, which counts nothing twice
 				after = row.Key[:len(rowPrefix)+len(timeForm)]
 				break
@@ -130,7 +130,7 @@
 }
 
 // periodOf returns the first rows, as far as they are of one period.
-func periodOf(rows []platform.Row) []platform.Row {
+func periodOf(rows []provider.Row) []provider.Row {
 	const length = len(rowPrefix) + len(timeForm)
 	for i, r := range rows {
 		if len(r.Key) < length || r.Key[:length] != rows[0].Key[:length] {
@@ -140,19 +140,19 @@
 	return rows
 }
 
-func (a *Archive) merge(ctx context.Context, rows []platform.Row) error {
+func (a *Archive) merge(ctx context.Context, rows []provider.Row) error {
 	const length = len(rowPrefix) + len(timeForm)
 	period, err := time.Parse(timeForm, rows[0].Key[len(rowPrefix):length])
 	if err != nil {
 		return fmt.Errorf("period of accounts %q: %w", rows[0].Key, err)
 	}
 	var b Book
-	ops := make([]platform.Op, 0, len(rows)+1)
+	ops := make([]provider.Op, 0, len(rows)+1)
 	for _, r := range rows {
 		if err := a.load(ctx, &b, r.Key); err != nil {
 			return err
 		}
-		ops = append(ops, platform.Remove(r.Key, r.Version))
+		ops = append(ops, provider.Remove(r.Key, r.Version))
 	}
 	body, err := json.Marshal(b.Record(period, period.Add(farther)))
 	if err != nil {
@@ -162,7 +162,7 @@
 	if err := a.Objects.Put(ctx, name, body); err != nil {
 		return fmt.Errorf("store accounts %q: %w", name, err)
 	}
-	if _, err := a.Table.Commit(ctx, append(ops, platform.Create(name, nil))...); err != nil {
+	if _, err := a.Table.Commit(ctx, append(ops, provider.Create(name, nil))...); err != nil {
 		return fmt.Errorf("replace the accounts of %v: %w", period, err)
 	}
 	for _, r := range rows {
@@ -186,7 +186,7 @@
 		if r.Key >= end {
 			return i, nil
 		}
-		if _, err := a.Table.Commit(ctx, platform.Remove(r.Key, r.Version)); err != nil {
+		if _, err := a.Table.Commit(ctx, provider.Remove(r.Key, r.Version)); err != nil {
 			return i, fmt.Errorf("delete accounts %q: %w", r.Key, err)
 		}
 		_ = a.Objects.Delete(ctx, r.Key) // no row names it any more
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -13,7 +13,7 @@
 
 	"persimmonworks.example/persimmonworks/chain/chaintest"
 	"persimmonworks.example/persimmonworks/class"
-	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/resource"
 )
 
@@ -171,7 +171,7 @@
 // store is a fake object store.
 type store map[string][]byte
 
-var _ platform.Objects = store(nil)
+var _ provider.Objects = store(nil)
 
 func (s store) Put(_ context.Context, name string, body []byte) error { s[name] = body; return nil }
 func (s store) Delete(_ context.Context, name string) error           { delete(s, name); return nil }
@@ -180,7 +180,7 @@
 	if body, ok := s[name]; ok {
 		return body, nil
 	}
-	return nil, platform.ErrNotFound
+	return nil, provider.ErrNotFound
 }
 
 func TestArchiveCountsRepeatedClosesOnce(t *testing.T) {
