--- /dev/null
+++ b/cell/advice.go
@@ -0,0 +1,196 @@
+package cell
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/packing"
+)
+
+const (
+	adviceMost     = 100 // workers that one question may name
+	adviceTimeout  = 4 * time.Second
+	adviceRetry    = 150 * time.Millisecond
+	adviceSpare    = 1.4 // asked for, over what is likely needed
+	allowedFirst   = 0.4 // share of workers allowed until it is learned
+	allowedGain    = 0.05
+	allowedLeast   = 0.1
+	reserveTimeout = 1500 * time.Millisecond
+)
+
+// seekAdvice asks which workers may run the step: those with room whose
+// permission is known and has expired, else unknown ones with room.
+func (c *Cell) seekAdvice(s *step, indices []uint32, fit []*worker, now time.Time) {
+	if s.asking || now.Before(s.askAgain) {
+		return
+	}
+	amount := demand(s.shape)
+	var known, unknown []*worker
+	holdsKnown := 0
+	for _, w := range fit {
+		r := c.room(s, w)
+		n := r.Holds(amount, len(indices))
+		if n == 0 {
+			continue
+		}
+		if t, ok := s.tickets[w.host.ID]; ok && t.life == w.life {
+			known = append(known, w)
+			holdsKnown += n
+		} else {
+			unknown = append(unknown, w)
+		}
+	}
+	switch {
+	case s.shape.GetGang() && holdsKnown >= len(indices):
+		c.renewGang(s, indices, known, now)
+	case !s.shape.GetGang() && len(known) > 0:
+		c.ask(s, c.most(s, known, indices), now)
+	case len(unknown) > 0:
+		c.ask(s, c.most(s, unknown, indices), now)
+	}
+}
+
+// renewGang renews the tickets that a whole gang needs and keeps its room
+// meanwhile.
+func (c *Cell) renewGang(s *step, indices []uint32, known []*worker, now time.Time) {
+	counts, ok := c.fitGang(s, len(indices), known)
+	if !ok {
+		return
+	}
+	var named []*worker
+	for i, n := range counts {
+		if n == 0 {
+			continue
+		}
+		amount := demand(s.shape).Scale(int64(n))
+		known[i].used = known[i].used.Add(amount)
+		s.reserved = append(s.reserved, reservation{known[i], amount})
+		if !s.valid(known[i], now) {
+			named = append(named, known[i])
+		}
+	}
+	if len(named) == 0 {
+		c.unreserve(s)
+		return
+	}
+	c.ask(s, named, now)
+}
+
+func (c *Cell) unreserve(s *step) {
+	for _, r := range s.reserved {
+		r.worker.used = r.worker.used.Sub(r.amount)
+	}
+	s.reserved = nil
+}
+
+// most returns the workers to name: as many as are likely needed for the tasks,
+// those with most room first.
+func (c *Cell) most(s *step, workers []*worker, indices []uint32) []*worker {
+	amount := demand(s.shape)
+	slices.SortStableFunc(workers, func(v, w *worker) int {
+		rv, rw := c.room(s, v), c.room(s, w)
+		return rw.Holds(amount, len(indices)) - rv.Holds(amount, len(indices))
+	})
+	share := c.allowedShare(s.queue.GetName())
+	want := float64(len(indices)) / share * adviceSpare
+	count, holds := 0, 0.0
+	for _, w := range workers {
+		r := c.room(s, w)
+		if _, known := s.tickets[w.host.ID]; known {
+			holds += float64(r.Holds(amount, len(indices))) / share
+		} else {
+			holds += float64(r.Holds(amount, len(indices)))
+		}
+		count++
+		if holds >= want {
+			break
+		}
+	}
+	least := int(math.Ceil(2 / share))
+	return workers[:min(len(workers), max(count, least), adviceMost)]
+}
+
+func (c *Cell) allowedShare(queue string) float64 {
+	if share, ok := c.Advice.shares[queue]; ok {
+		return max(share, allowedLeast)
+	}
+	return allowedFirst
+}
+
+// ask puts the question; the answer is taken in on the loop.
+func (c *Cell) ask(s *step, workers []*worker, now time.Time) {
+	a := s.queue.GetAdvice()
+	names := make([]string, len(workers))
+	lives := make(map[string]int64, len(workers))
+	for i, w := range workers {
+		names[i] = w.host.ID
+		lives[w.host.ID] = w.life
+	}
+	takes := time.Duration((a.GetDecisionMs() + float64(len(names))*a.GetPerWorkerMs()) * float64(time.Millisecond))
+	helper := c.Advice.choose(takes, now)
+	s.asking = true
+	c.group.Go(func() error {
+		call, cancel := context.WithTimeout(c.ctx, adviceTimeout)
+		defer cancel()
+		permits, err := helper.Advisor.Advise(call, s.id, names)
+		c.loop.Post(func() { c.advised(s, helper, names, lives, permits, now, err) })
+		return nil
+	})
+}
+
+// advised takes in the answer to a question sent at a time.
+func (c *Cell) advised(s *step, h *Helper, names []string, lives map[string]int64, permits []Permit, sent time.Time, err error) {
+	now := time.Now()
+	s.asking = false
+	c.unreserve(s)
+	c.Advice.done(h, err, now)
+	c.Meter.Observe("advice", now.Sub(sent))
+	if err != nil {
+		s.askAgain = now.Add(adviceRetry)
+		c.Log.Emit(event.AdviceFailed, "step", s.id.String(), "helper", h.Name, "error", err)
+		c.touch()
+		return
+	}
+	valid := time.Duration(s.queue.GetAdvice().GetValidityMs() * float64(time.Millisecond))
+	share := c.allowedShare(s.queue.GetName())
+	fresh := 0
+	for _, name := range names {
+		if _, known := s.tickets[name]; !known {
+			fresh++
+			s.denied[name] = true
+		}
+	}
+	allowedFresh := 0
+	for _, p := range permits {
+		if s.denied[p.Worker] {
+			allowedFresh++
+			delete(s.denied, p.Worker)
+		}
+		// The service has decided at its earliest when the call arrived.
+		s.tickets[p.Worker] = ticket{value: p.Ticket, life: lives[p.Worker], until: now.Add(valid - now.Sub(sent)/8)}
+	}
+	if fresh > 0 {
+		c.Advice.shares[s.queue.GetName()] = share + allowedGain*(float64(allowedFresh)/float64(fresh)-share)
+	}
+	c.Log.Emit(event.Advised, "job", s.id.Job, "step", s.id.String(), "asked", len(names), "allowed", len(permits),
+		"helper", h.Name, "took-ms", now.Sub(sent).Milliseconds())
+	if _, ok := c.steps[s.id]; ok {
+		c.tryStep(s, c.openWorkers(now), now)
+	}
+	c.touch()
+}
+
+func (c *Cell) openWorkers(now time.Time) []*worker {
+	var open []*worker
+	for _, w := range c.workers {
+		if c.takes(w, now) {
+			open = append(open, w)
+		}
+	}
+	return open
+}
+
+var _ = packing.One
--- /dev/null
+++ b/cell/answer.go
@@ -0,0 +1,138 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// ErrUndecided is returned when the caller's time is over, or the docket was
+// lost, before the outcome was stored.
+var ErrUndecided = errors.New("the outcome is not known")
+
+// Refused tells that a job was not accepted and never runs.
+type Refused struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refused) Error() string { return fmt.Sprintf("job refused: %s", r.Reason) }
+
+// ErrNoJob is returned for a job that was never accepted, or ended long ago.
+var ErrNoJob = errors.New("no such job")
+
+// await runs ask on the loop; ask is given a function to be called, on the
+// loop, with the outcome.
+func await[T any](ctx context.Context, c *Cell, ask func(done func(T))) (T, error) {
+	result := make(chan T, 1)
+	var zero T
+	if err := c.loop.Do(ctx, func() { ask(func(v T) { result <- v }) }); err != nil {
+		return zero, fmt.Errorf("%w: %w", ErrUndecided, err)
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		return zero, fmt.Errorf("%w: %w", ErrUndecided, ctx.Err())
+	case <-c.ctx.Done():
+		return zero, fmt.Errorf("%w: the docket was given up", ErrUndecided)
+	}
+}
+
+// Submit accepts a job and returns once that is stored. The same job again is
+// accepted once. The error is a *Refused, or wraps ErrUndecided.
+func (c *Cell) Submit(ctx context.Context, job *wire.DocketAccepted) error {
+	answer, err := await(ctx, c, func(done func(error)) { c.submit(job, done) })
+	if err != nil {
+		return err
+	}
+	return answer
+}
+
+func (c *Cell) submit(job *wire.DocketAccepted, done func(error)) {
+	id := job.GetJob()
+	if j, ok := c.Docket.Job(id); ok {
+		c.Log.Emit(event.DocketJobRepeated, "job", id, "state", string(j.State()))
+		c.afterDurable(j.Changed(), func() { done(nil) })
+		return
+	}
+	if reason, after := c.overload(job); reason != "" {
+		c.Log.Emit(event.DocketJobRefused, "job", id, "queue", job.GetQueue().GetName(), "reason", reason, "retry-after-ms", after.Milliseconds())
+		c.Meter.Count("jobs", "refused")
+		done(&Refused{Reason: reason, RetryAfter: after})
+		return
+	}
+	job.AcceptedMs = time.Now().UnixMilli()
+	if !c.append(docket.Accept(job), func() { done(nil) }) {
+		done(&Refused{Reason: "the job cannot be stored", RetryAfter: time.Second})
+		return
+	}
+	j, _ := c.Docket.Job(id)
+	c.Log.Emit(event.DocketJobAccepted, "job", id, "queue", job.GetQueue().GetName(), "steps", len(job.GetSteps()), "waiting-steps", len(c.steps))
+	c.Meter.Count("jobs", "accepted")
+	c.open(j)
+}
+
+// State returns the stored state of a job.
+func (c *Cell) State(ctx context.Context, id string) (docket.State, error) {
+	s, err := await(ctx, c, func(done func(docket.State)) {
+		j, ok := c.Docket.Job(id)
+		if !ok {
+			done("")
+			return
+		}
+		state := j.State()
+		c.afterDurable(j.Changed(), func() { done(state) })
+	})
+	if err == nil && s == "" {
+		return "", fmt.Errorf("job %s: %w", id, ErrNoJob)
+	}
+	return s, err
+}
+
+// Cancel ends a job and returns once that is stored.
+func (c *Cell) Cancel(ctx context.Context, id string) error {
+	found, err := await(ctx, c, func(done func(bool)) {
+		j, ok := c.Docket.Job(id)
+		if !ok {
+			done(false)
+			return
+		}
+		if j.Terminal() {
+			c.afterDurable(j.Changed(), func() { done(true) })
+			return
+		}
+		c.Log.Emit(event.DocketJobCancelled, "job", id, "state", string(j.State()))
+		c.append(docket.Cancel(id, time.Now().UnixMilli()), func() { done(true) })
+		c.closeJob(j)
+	})
+	if err == nil && !found {
+		return fmt.Errorf("job %s: %w", id, ErrNoJob)
+	}
+	return err
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (c *Cell) Waiting(ctx context.Context, queue string) (uint32, error) {
+	return await(ctx, c, func(done func(uint32)) { done(c.Docket.Waiting(queue)) })
+}
+
+// Hear notes that another process lives and puts questions for advice.
+func (c *Cell) Hear(ctx context.Context, name string, a func() Advisor) error {
+	return c.loop.Do(ctx, func() { c.Advice.Hear(name, a, time.Now()) })
+}
+
+// overload returns why a job is refused now, empty if it is accepted.
+func (c *Cell) overload(*wire.DocketAccepted) (reason string, retryAfter time.Duration) {
+	const mostSteps = 4000 // bounds memory
+	if len(c.steps) > mostSteps {
+		return "too many steps wait", time.Second
+	}
+	return "", 0
+}
--- /dev/null
+++ b/cell/commit.go
@@ -0,0 +1,158 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"persimmonworks.example/persimmonworks/changelog"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	heartbeatInterval = 400 * time.Millisecond // a commit at least this often shows that the owner lives
+	snapshotRows      = 4000                   // rows of changes before a snapshot replaces them
+	finishTimeout     = 500 * time.Millisecond // for the last commit of a cell that ends
+)
+
+// waiter runs when the change of its number is durable.
+type waiter struct {
+	number uint64
+	then   func()
+}
+
+// commitLog is what has been applied and not been stored yet. Numbers count
+// entries of this owner from 1.
+type commitLog struct {
+	pending   []*wire.DocketEntry
+	applied   uint64
+	durable   uint64
+	waiters   []waiter
+	kick      chan struct{}
+	durableAt time.Time // when the newest commit that succeeded was sent
+}
+
+// append applies an entry and stores it; then runs on the loop once it is
+// durable. It reports false for an entry that does not fit the docket.
+func (c *Cell) append(e *wire.DocketEntry, then func()) bool {
+	if err := c.Docket.Apply(e, c.log.applied+1); err != nil {
+		c.Log.Emit(event.DocketRefused, "error", err)
+		return false
+	}
+	c.log.applied++
+	c.log.pending = append(c.log.pending, e)
+	if then != nil {
+		c.log.waiters = append(c.log.waiters, waiter{c.log.applied, then})
+	}
+	c.kick()
+	return true
+}
+
+// afterDurable runs f once the change of that number is durable, at once if it
+// is already.
+func (c *Cell) afterDurable(number uint64, f func()) {
+	if number <= c.log.durable {
+		f()
+		return
+	}
+	// Waiters are kept in order of their numbers; a late one for an early number
+	// runs with the next commit that covers it.
+	c.log.waiters = append(c.log.waiters, waiter{number, f})
+}
+
+func (c *Cell) kick() {
+	select {
+	case c.log.kick <- struct{}{}:
+	default:
+	}
+}
+
+// commitAll stores what is pending, one row at a time, until ctx ends.
+func (c *Cell) commitAll(ctx context.Context) error {
+	timer := time.NewTimer(heartbeatInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.log.kick:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for {
+			more, err := c.commitOne(ctx)
+			if err != nil {
+				return err
+			}
+			if !more {
+				break
+			}
+		}
+		timer.Reset(heartbeatInterval)
+	}
+}
+
+func (c *Cell) commitOne(ctx context.Context) (more bool, err error) {
+	var batch []*wire.DocketEntry
+	if err := c.loop.Do(ctx, func() {
+		n := changelog.Fits(c.log.pending)
+		batch = c.log.pending[:n:n]
+		c.log.pending = c.log.pending[n:]
+	}); err != nil {
+		return false, nil
+	}
+	sent := time.Now()
+	// A commit that is on its way is finished also when the cell ends, so that the
+	// writer knows the head and can hand the docket over.
+	finish, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(finishTimeout, cancel) })()
+	if err := c.Writer.Append(finish, batch); err != nil {
+		if ctx.Err() != nil {
+			return false, nil
+		}
+		return false, err
+	}
+	c.Meter.Observe("commit", time.Since(sent))
+	left := 0
+	if err := c.loop.Do(ctx, func() { left = c.stored(len(batch), sent) }); err != nil {
+		return false, nil
+	}
+	if left == 0 && c.Writer.Rows() > snapshotRows {
+		return false, c.snapshot(ctx)
+	}
+	return left > 0, nil
+}
+
+// stored notes that a batch is durable and returns how many entries are left.
+func (c *Cell) stored(entries int, sent time.Time) int {
+	c.log.durable += uint64(entries)
+	c.log.durableAt = sent
+	waiters := c.log.waiters
+	c.log.waiters = nil
+	for _, w := range waiters {
+		if w.number <= c.log.durable {
+			w.then()
+			continue
+		}
+		c.log.waiters = append(c.log.waiters, w)
+	}
+	return len(c.log.pending)
+}
+
+// snapshot replaces the rows so far, provided that nothing is pending, since a
+// snapshot stands for what is durable.
+func (c *Cell) snapshot(ctx context.Context) error {
+	var entries []*wire.DocketEntry
+	if err := c.loop.Do(ctx, func() {
+		if len(c.log.pending) == 0 {
+			entries = c.Docket.Snapshot()
+		}
+	}); err != nil || entries == nil {
+		return nil
+	}
+	if err := c.Writer.Snapshot(ctx, entries); err != nil && ctx.Err() == nil {
+		return err
+	}
+	c.Log.Emit(event.DocketSnapshot, "entries", len(entries))
+	return nil
+}
--- /dev/null
+++ b/cell/desk.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	longQuestion   = 200 * time.Millisecond // questions above it use only half of the helpers
+	helperSilence  = 3 * time.Second        // a helper that was not heard for so long is not asked
+	helperDistrust = 2 * time.Second        // after a failed question
+)
+
+// Helper is a process through which questions are put. The advisory service
+// takes one question at a time from each.
+type Helper struct {
+	Name    string
+	Advisor Advisor
+
+	heard time.Time
+	busy  time.Time // when it has put all questions given to it, as estimated
+	shy   time.Time // not asked before
+	open  int
+}
+
+// Desk spreads questions over helpers. It belongs to the cell's loop.
+type Desk struct {
+	helpers []*Helper
+	shares  map[string]float64 // of the workers asked about, by queue
+}
+
+// NewDesk returns a desk with the process itself as first helper.
+func NewDesk(name string, own Advisor) *Desk {
+	const always = 1000 * time.Hour
+	return &Desk{helpers: []*Helper{{Name: name, Advisor: own, heard: time.Now().Add(always)}}, shares: map[string]float64{}}
+}
+
+// Hear notes that a helper is there.
+func (d *Desk) Hear(name string, a func() Advisor, now time.Time) {
+	for _, h := range d.helpers {
+		if h.Name == name {
+			if h.heard.Before(now) {
+				h.heard = now
+			}
+			return
+		}
+	}
+	d.helpers = append(d.helpers, &Helper{Name: name, Advisor: a(), heard: now})
+	slices.SortFunc(d.helpers, func(a, b *Helper) int { return compareText(a.Name, b.Name) })
+}
+
+// choose returns the helper that can put a question soonest. Long questions go
+// to one half of the helpers, so that short ones find the other half free.
+func (d *Desk) choose(takes time.Duration, now time.Time) *Helper {
+	var live []*Helper
+	for _, h := range d.helpers {
+		if now.Sub(h.heard) < helperSilence && now.After(h.shy) {
+			live = append(live, h)
+		}
+	}
+	if len(live) == 0 {
+		live = d.helpers
+	}
+	if takes >= longQuestion {
+		live = live[:(len(live)+1)/2]
+	}
+	best := live[len(live)-1]
+	for _, h := range live {
+		if h.busy.Before(best.busy) && (best.busy.After(now) || h.open < best.open) || h.open == 0 && best.open > 0 {
+			best = h
+		}
+	}
+	if best.busy.Before(now) || best.open == 0 {
+		best.busy = now
+	}
+	best.busy = best.busy.Add(takes)
+	best.open++
+	return best
+}
+
+// done notes that a question was answered or failed.
+func (d *Desk) done(h *Helper, err error, now time.Time) {
+	h.open--
+	if err != nil {
+		h.shy = now.Add(helperDistrust)
+	}
+	if h.open == 0 {
+		h.busy = now
+	}
+}
--- a/command/command.go
+++ b/command/command.go
@@ -40,7 +40,7 @@
 		}
 	}
 	register("", commander.HelpCommand(), commander.FlagsCommand(), commander.CommandsCommand(), &version{output: o})
-	register("processes", &serve{output: o}, &check{output: o}, &makeKeys{output: o}, &try{output: o}, &configure{output: o})
+	register("processes", &serve{output: o}, &schedule{output: o}, &check{output: o}, &makeKeys{output: o}, &try{output: o}, &configure{output: o})
 	register("callers", &submit{output: o}, &status{output: o}, &cancel{output: o}, &call{output: o})
 	register("experiments", &measurements{output: o}, &generate{output: o})
 	c := client{notes: stderr}
--- /dev/null
+++ b/command/node.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/exchange"
+	"persimmonworks.example/persimmonworks/meter"
+	"persimmonworks.example/persimmonworks/node"
+	"persimmonworks.example/persimmonworks/platform"
+	"persimmonworks.example/persimmonworks/process"
+)
+
+const (
+	settingsVariable = "PERSIMMONWORKS_SETTINGS"
+	docketTable      = "docket"
+	heapShare        = 0.6 // of the memory limit, from where the garbage collector works harder
+	heapGrowth       = 60  // percent between two collections
+)
+
+// schedule runs a process on the operators' platform.
+type schedule struct {
+	output
+	settings string
+}
+
+func (*schedule) Name() string { return "schedule" }
+func (*schedule) Synopsis() string {
+	return "run a process of the scheduler on the operators' platform"
+}
+
+func (*schedule) Usage() string {
+	return "persimmonworks schedule [-settings FILE]\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (s *schedule) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.settings, "settings", os.Getenv(settingsVariable), "settings file")
+}
+
+// Execute implements subcommands.Command.
+func (s *schedule) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	loaded, err := process.LoadSettings(s.settings)
+	if err != nil {
+		return s.fail(err)
+	}
+	debug.SetGCPercent(heapGrowth)
+	debug.SetMemoryLimit(int64(heapShare * float64(loaded.MemoryMB<<20)))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	queue := &event.Queue{Writer: s.out}
+	defer queue.Flush()
+	log := &event.Log{Writer: queue, Process: loaded.Name}
+	p, err := assemble(loaded, log)
+	if err != nil {
+		return s.fail(err)
+	}
+	p.Tasks = append(p.Tasks, queue.Run)
+	log.Emit(event.ProcessStarting, "version", Version, "data-centre", loaded.DataCentre)
+	if err := p.Run(ctx, signals); err != nil {
+		log.Emit(event.ProcessFailed, "error", err)
+		return s.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// assemble makes the process out of its parts.
+func assemble(s *process.Settings, log event.Emitter) (*process.Process, error) {
+	flow := &meter.Flow{}
+	if err := flow.Open(); err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	store := &platform.Store{Address: s.Store}
+	routes := &platform.Routes{Store: store, Log: log}
+	n := &node.Node{
+		Identity: exchange.Hello{
+			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre,
+		},
+		Table: store.Table(docketTable), Orders: &platform.Orders{}, Advisor: &platform.Advisor{Address: s.Advisor},
+		Fleet: &platform.Fleet{Store: store, Log: log}, Log: log, Meter: flow, Limits: s.Limits,
+	}
+	n.Prepare()
+	peers := &exchange.Server{Service: n}
+	return &process.Process{
+		Settings: s,
+		Callers:  &platform.Front{Node: n, Routes: routes, Log: log, Meter: flow},
+		Peers:    peers.Handler(),
+		Metrics:  flow.Handler(),
+		Known:    routes.Ready,
+		Node:     n,
+		Tasks:    []func(context.Context) error{routes.Run},
+		Log:      log,
+	}, nil
+}
--- /dev/null
+++ b/docket/entry.go
@@ -0,0 +1,32 @@
+package docket
+
+import "persimmonworks.example/persimmonworks/wire"
+
+// Accept returns the entry that accepts a job.
+func Accept(job *wire.DocketAccepted) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Accepted{Accepted: job}}
+}
+
+// Start returns the entry that starts a run of a task on one life of a worker.
+func Start(t TaskID, run uint32, worker string, born int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Started{
+		Started: &wire.DocketStarted{Task: t.Name(), Run: run, Worker: worker, BornMs: born},
+	}}
+}
+
+// End returns the entry that ends a run.
+func End(t TaskID, run uint32, how wire.DocketOutcome, checkpoint string, atMS int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Ended{
+		Ended: &wire.DocketEnded{Task: t.Name(), Run: run, Outcome: how, Checkpoint: checkpoint, AtMs: atMS},
+	}}
+}
+
+// Cancel returns the entry that cancels a job.
+func Cancel(job string, atMS int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Cancelled{Cancelled: &wire.DocketCancelled{Job: job, AtMs: atMS}}}
+}
+
+// Forget returns the entry that drops a job that has ended.
+func Forget(job string) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Forgotten{Forgotten: &wire.DocketForgotten{Job: job}}}
+}
--- /dev/null
+++ b/docket/snapshot.go
@@ -0,0 +1,90 @@
+package docket
+
+import (
+	"fmt"
+
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// Snapshot returns entries that lead an empty docket to the same state.
+func (d *Docket) Snapshot() []*wire.DocketEntry {
+	var entries []*wire.DocketEntry
+	ended := make(map[string]bool, len(d.ended))
+	for _, id := range d.ended {
+		if j, ok := d.jobs[id]; ok {
+			ended[id] = true
+			entries = append(entries, j.snapshot()...)
+		}
+	}
+	for id, j := range d.jobs {
+		if !ended[id] {
+			entries = append(entries, j.snapshot()...)
+		}
+	}
+	return entries
+}
+
+// snapshot puts the cancellation before the tasks, since failures counted after
+// it do not make the job failed.
+func (j *Job) snapshot() []*wire.DocketEntry {
+	entries := []*wire.DocketEntry{{Kind: &wire.DocketEntry_Accepted{Accepted: j.accepted}}}
+	if j.state == Cancelled {
+		entries = append(entries, &wire.DocketEntry{Kind: &wire.DocketEntry_Cancelled{
+			Cancelled: &wire.DocketCancelled{Job: j.ID(), AtMs: j.endedAt},
+		}})
+	}
+	for occurrence, steps := range j.occurrences {
+		for step, s := range steps {
+			for index := range s.tasks {
+				t := &s.tasks[index]
+				if t.run == 0 && !t.done {
+					continue
+				}
+				id := TaskID{j.ID(), occurrence, uint32(step), uint32(index)}
+				entries = append(entries, &wire.DocketEntry{Kind: &wire.DocketEntry_Task{Task: t.snapshot(id, j.endedAt)}})
+			}
+		}
+	}
+	return entries
+}
+
+func (t *Task) snapshot(id TaskID, at int64) *wire.DocketTask {
+	return &wire.DocketTask{
+		Task: id.Name(), Run: t.run, Failures: t.failures, Done: t.done, Active: t.active,
+		Worker: t.worker, BornMs: t.born, Checkpoint: t.checkpoint, AtMs: at,
+	}
+}
+
+// restore sets a task of a snapshot.
+func (d *Docket) restore(r *wire.DocketTask) error {
+	j, step, t, err := d.task(r.GetTask())
+	if err != nil {
+		return err
+	}
+	if t.run != 0 || t.done {
+		return fmt.Errorf("task %v: restored twice", taskID(r.GetTask()))
+	}
+	t.run, t.failures, t.worker, t.born, t.checkpoint = r.GetRun(), r.GetFailures(), r.GetWorker(), r.GetBornMs(), r.GetCheckpoint()
+	if j.state == Pending {
+		j.state = Running
+	}
+	if r.GetActive() {
+		t.active = true
+		step.active++
+	}
+	if r.GetDone() {
+		t.done = true
+		step.done++
+		if step.Done() {
+			j.openSteps--
+		}
+	}
+	switch {
+	case j.Terminal():
+	case j.openSteps == 0:
+		d.close(j, Completed, r.GetAtMs())
+	case !t.done && t.failures >= j.accepted.GetQueue().GetMaxAttempts() && !j.Shape(r.GetTask().GetStep()).GetLongRunning():
+		d.close(j, Failed, r.GetAtMs())
+	}
+	return nil
+}
--- /dev/null
+++ b/event/queue.go
@@ -0,0 +1,72 @@
+package event
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	queueBytes    = 256 << 10 // lines beyond it are dropped and counted
+	flushInterval = 100 * time.Millisecond
+)
+
+// Queue is a writer for a Log that never blocks: lines are kept in memory and
+// written many at a time. When the reader is too slow lines are dropped, and
+// their number is kept. Set Writer before Run.
+type Queue struct {
+	Writer io.Writer
+
+	mu      sync.Mutex
+	lines   []byte
+	spare   []byte
+	dropped atomic.Uint64
+}
+
+// Write implements io.Writer; it keeps a copy of the line or drops it.
+func (q *Queue) Write(line []byte) (int, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.lines)+len(line) > queueBytes {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
+	q.lines = append(q.lines, line...)
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (q *Queue) Dropped() uint64 { return q.dropped.Load() }
+
+// Run writes the lines until ctx ends, then those that are left.
+func (q *Queue) Run(ctx context.Context) error {
+	t := time.NewTicker(flushInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			q.Flush()
+		case <-ctx.Done():
+			q.Flush()
+			return nil
+		}
+	}
+}
+
+// Flush writes the lines kept so far.
+func (q *Queue) Flush() {
+	q.mu.Lock()
+	lines := q.lines
+	q.lines, q.spare = q.spare[:0], nil
+	q.mu.Unlock()
+	if len(lines) > 0 {
+		if _, err := q.Writer.Write(lines); err != nil {
+			q.dropped.Add(1)
+		}
+	}
+	q.mu.Lock()
+	q.spare = lines[:0]
+	q.mu.Unlock()
+}
--- /dev/null
+++ b/exchange/client.go
@@ -0,0 +1,152 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	dialTimeout    = 400 * time.Millisecond
+	connsPerHost   = 64
+	idleConnsEach  = 8
+	readBufferSize = 4 << 10
+)
+
+// Client sends requests to other processes. The zero value is ready. Methods
+// may be called from any goroutine.
+type Client struct {
+	once   sync.Once
+	client *http.Client
+}
+
+func (c *Client) open() {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c.client = &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxConnsPerHost: connsPerHost, MaxIdleConnsPerHost: idleConnsEach,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: readBufferSize, WriteBufferSize: readBufferSize,
+	}}
+}
+
+// call posts a message and reads the answer. The error wraps ErrNotReached when
+// the process cannot have got the message.
+func (c *Client) call(ctx context.Context, address, path string, in, out proto.Message) error {
+	c.once.Do(c.open)
+	body, err := proto.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("call %s%s: %w", address, path, err)
+	}
+	q.Header.Set("Content-Type", contentType)
+	a, err := c.client.Do(q)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return fmt.Errorf("%w: %w", ErrNotReached, err)
+		}
+		return fmt.Errorf("call %s%s: %w", address, path, err)
+	}
+	defer a.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(a.Body, maxMessageBytes))
+	if err != nil {
+		return fmt.Errorf("answer of %s%s: %w", address, path, err)
+	}
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("answer of %s%s: status %d", address, path, a.StatusCode)
+	}
+	if err := proto.Unmarshal(answer, out); err != nil {
+		return fmt.Errorf("answer of %s%s: %w", address, path, err)
+	}
+	return nil
+}
+
+func (c *Client) ask(ctx context.Context, address, path string, in proto.Message) (*wire.ExchangeAnswer, error) {
+	out := &wire.ExchangeAnswer{}
+	if err := c.call(ctx, address, path, in, out); err != nil {
+		return out, err
+	}
+	switch out.GetResult() {
+	case wire.ExchangeResult_EXCHANGE_RESULT_DONE:
+		return out, nil
+	case wire.ExchangeResult_EXCHANGE_RESULT_REFUSED:
+		return out, &cell.Refused{Reason: out.GetReason(), RetryAfter: time.Duration(out.GetRetryAfterMs()) * time.Millisecond}
+	case wire.ExchangeResult_EXCHANGE_RESULT_NOT_OWNER:
+		return out, fmt.Errorf("%s: %w", address, ErrNotOwner)
+	case wire.ExchangeResult_EXCHANGE_RESULT_UNKNOWN_JOB:
+		return out, cell.ErrNoJob
+	}
+	return out, fmt.Errorf("%s: %w: %s", address, cell.ErrUndecided, out.GetReason())
+}
+
+// Submit hands a job in at the owner.
+func (c *Client) Submit(ctx context.Context, address string, job *wire.DocketAccepted) error {
+	_, err := c.ask(ctx, address, pathSubmit, &wire.ExchangeSubmit{Job: job})
+	return err
+}
+
+// State asks the owner for the state of a job.
+func (c *Client) State(ctx context.Context, address, job string) (docket.State, error) {
+	a, err := c.ask(ctx, address, pathState, &wire.ExchangeJob{Job: job})
+	return docket.State(a.GetState()), err
+}
+
+// Cancel cancels a job at the owner.
+func (c *Client) Cancel(ctx context.Context, address, job string) error {
+	_, err := c.ask(ctx, address, pathCancel, &wire.ExchangeJob{Job: job})
+	return err
+}
+
+// Waiting asks the owner how many jobs of a queue have not begun.
+func (c *Client) Waiting(ctx context.Context, address, queue string) (uint32, error) {
+	a, err := c.ask(ctx, address, pathWaiting, &wire.ExchangeQueue{Queue: queue})
+	return a.GetWaiting(), err
+}
+
+// Hello makes the calling process known to the owner and returns the epoch.
+func (c *Client) Hello(ctx context.Context, address string, h Hello) (uint64, error) {
+	a, err := c.ask(ctx, address, pathHello, &wire.ExchangeHello{
+		Process: h.Name, Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre,
+	})
+	return a.GetEpoch(), err
+}
+
+// Advisor returns the advisor that asks through the process at an address.
+func (c *Client) Advisor(address string) cell.Advisor {
+	return &remoteAdvisor{client: c, address: address}
+}
+
+type remoteAdvisor struct {
+	client  *Client
+	address string
+}
+
+// Advise implements cell.Advisor.
+func (r *remoteAdvisor) Advise(ctx context.Context, step docket.StepID, workers []string) ([]cell.Permit, error) {
+	out := &wire.ExchangePermits{}
+	if err := r.client.call(ctx, r.address, pathAdvise, &wire.ExchangeAdvise{Step: step.String(), Workers: workers}, out); err != nil {
+		return nil, err
+	}
+	if out.GetBusy() {
+		return nil, fmt.Errorf("%s: the advisory service did not answer", r.address)
+	}
+	permits := make([]cell.Permit, 0, len(out.GetPermits()))
+	for _, p := range out.GetPermits() {
+		permits = append(permits, cell.Permit{Worker: p.GetWorker(), Ticket: p.GetTicket()})
+	}
+	return permits, nil
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,65 @@
+// Package exchange carries requests between the processes of the scheduler:
+// callers' requests to the owner of a docket, and the owner's questions for
+// advice to the others.
+//
+// It speaks HTTP/1.1 with the messages of package wire. Every request may be
+// repeated: the owner tells a repeated one by the name of its job.
+//
+// Usage:
+//
+//	s := exchange.Server{Service: n}
+//	http.Serve(listener, s.Handler())
+//	c := exchange.Client{}
+//	err := c.Submit(ctx, "10.1.0.13:7720", job)
+package exchange
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// Failures of a request to another process. Errors are wrapped; compare with
+// errors.Is. Besides, the errors of package cell are passed on.
+var (
+	// ErrNotOwner: the process answered and does not own the docket.
+	ErrNotOwner = errors.New("the process does not own the docket")
+	// ErrNotReached: the process did not get the request.
+	ErrNotReached = errors.New("the process was not reached")
+)
+
+// Hello says which process calls.
+type Hello struct {
+	Name        string
+	Incarnation uint64 // Unix milliseconds of its start
+	Address     string // ip:port of its own server
+	DataCentre  string
+}
+
+// Service is what a process does for others.
+type Service interface {
+	SubmitHere(ctx context.Context, job *wire.DocketAccepted) error
+	StateHere(ctx context.Context, job string) (docket.State, error)
+	CancelHere(ctx context.Context, job string) error
+	WaitingHere(ctx context.Context, queue string) (uint32, error)
+	// HelloHere notes a process and returns the epoch, or ErrNotOwner.
+	HelloHere(ctx context.Context, h Hello) (uint64, error)
+	cell.Advisor
+}
+
+const (
+	pathSubmit  = "/submit"
+	pathState   = "/state"
+	pathCancel  = "/cancel"
+	pathWaiting = "/waiting"
+	pathHello   = "/hello"
+	pathAdvise  = "/advise"
+
+	maxMessageBytes = 1 << 20
+	contentType     = "application/protobuf"
+	idleTimeout     = 30 * time.Second
+)
--- /dev/null
+++ b/exchange/server.go
@@ -0,0 +1,112 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"google.golang.org/protobuf/proto"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// Server answers other processes.
+type Server struct {
+	Service Service
+}
+
+// Handler returns the server's HTTP handler.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	handle(r, pathSubmit, func(ctx context.Context, m *wire.ExchangeSubmit) proto.Message {
+		return answer("", 0, s.Service.SubmitHere(ctx, m.GetJob()))
+	})
+	handle(r, pathState, func(ctx context.Context, m *wire.ExchangeJob) proto.Message {
+		state, err := s.Service.StateHere(ctx, m.GetJob())
+		return answer(string(state), 0, err)
+	})
+	handle(r, pathCancel, func(ctx context.Context, m *wire.ExchangeJob) proto.Message {
+		return answer("", 0, s.Service.CancelHere(ctx, m.GetJob()))
+	})
+	handle(r, pathWaiting, func(ctx context.Context, m *wire.ExchangeQueue) proto.Message {
+		waiting, err := s.Service.WaitingHere(ctx, m.GetQueue())
+		return answer("", waiting, err)
+	})
+	handle(r, pathHello, func(ctx context.Context, m *wire.ExchangeHello) proto.Message {
+		epoch, err := s.Service.HelloHere(ctx, Hello{m.GetProcess(), m.GetIncarnation(), m.GetAddress(), m.GetDataCentre()})
+		a := answer("", 0, err)
+		a.Epoch = epoch
+		return a
+	})
+	handle(r, pathAdvise, s.advise)
+	return r
+}
+
+func (s *Server) advise(ctx context.Context, m *wire.ExchangeAdvise) proto.Message {
+	id, err := docket.ParseTaskID(m.GetStep() + ".0")
+	if err != nil {
+		return &wire.ExchangePermits{Busy: true}
+	}
+	permits, err := s.Service.Advise(ctx, id.StepID(), m.GetWorkers())
+	if err != nil {
+		return &wire.ExchangePermits{Busy: true}
+	}
+	out := &wire.ExchangePermits{}
+	for _, p := range permits {
+		out.Permits = append(out.Permits, &wire.ExchangePermit{Worker: p.Worker, Ticket: p.Ticket})
+	}
+	return out
+}
+
+// message is a pointer to a generated message.
+type message[T any] interface {
+	*T
+	proto.Message
+}
+
+func handle[T any, M message[T]](r *mux.Router, path string, f func(context.Context, M) proto.Message) {
+	r.HandleFunc(path, func(w http.ResponseWriter, q *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxMessageBytes))
+		if err != nil {
+			http.Error(w, "body cannot be read", http.StatusBadRequest)
+			return
+		}
+		var m M = new(T)
+		if err := proto.Unmarshal(body, m); err != nil {
+			http.Error(w, "body is not the message of this path", http.StatusBadRequest)
+			return
+		}
+		out, err := proto.Marshal(f(q.Context(), m))
+		if err != nil {
+			http.Error(w, "answer cannot be encoded", http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", contentType)
+		_, _ = w.Write(out) // the caller has gone if this fails, and asks again
+	}).Methods(http.MethodPost)
+}
+
+// answer returns the message for an outcome.
+func answer(state string, waiting uint32, err error) *wire.ExchangeAnswer {
+	a := &wire.ExchangeAnswer{State: state, Waiting: waiting}
+	var refused *cell.Refused
+	switch {
+	case err == nil:
+		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_DONE
+	case errors.As(err, &refused):
+		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_REFUSED
+		a.Reason, a.RetryAfterMs = refused.Reason, uint32(refused.RetryAfter.Milliseconds())
+	case errors.Is(err, ErrNotOwner):
+		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_NOT_OWNER
+	case errors.Is(err, cell.ErrNoJob):
+		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_UNKNOWN_JOB
+	default:
+		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_UNDECIDED
+		a.Reason = err.Error()
+	}
+	return a
+}
--- /dev/null
+++ b/meter/flow.go
@@ -0,0 +1,83 @@
+package meter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Flow counts outcomes and times under names of a small fixed set. Open must be
+// called first; the other methods may be called from any goroutine.
+type Flow struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+
+	mu       sync.Mutex
+	counters map[string]metric.Int64Counter
+	outcomes map[string]metric.MeasurementOption
+	times    map[string]metric.Float64Histogram
+}
+
+// Open makes the registry.
+func (f *Flow) Open() error {
+	f.registry = prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(f.registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	f.meter = sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("persimmonworks")
+	f.counters = map[string]metric.Int64Counter{}
+	f.outcomes = map[string]metric.MeasurementOption{}
+	f.times = map[string]metric.Float64Histogram{}
+	return nil
+}
+
+// Handler serves the metrics as text.
+func (f *Flow) Handler() http.Handler { return promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}) }
+
+// Count adds one to a counter under an outcome.
+func (f *Flow) Count(name, outcome string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, ok := f.counters[name]
+	if !ok {
+		made, err := f.meter.Int64Counter("persimmonworks." + name)
+		if err != nil {
+			return // the names are constants; a faulty one fails the test of this package
+		}
+		c = made
+		f.counters[name] = c
+	}
+	o, ok := f.outcomes[outcome]
+	if !ok {
+		o = metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", outcome)))
+		f.outcomes[outcome] = o
+	}
+	c.Add(context.Background(), 1, o)
+}
+
+// Observe adds a time to a histogram.
+func (f *Flow) Observe(name string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h, ok := f.times[name]
+	if !ok {
+		made, err := f.meter.Float64Histogram("persimmonworks."+name+".duration", metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(waitBounds...))
+		if err != nil {
+			return // as above
+		}
+		h = made
+		f.times[name] = h
+	}
+	h.Record(context.Background(), d.Seconds())
+}
--- /dev/null
+++ b/node/requests.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/exchange"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	tryTimeout  = 900 * time.Millisecond // of one request to the owner; then another connection is tried
+	searchMost  = 700 * time.Millisecond // how long a caller waits for a new owner
+	searchRetry = 60 * time.Millisecond
+	ownerRetry  = time.Second // told to callers while there is no owner
+)
+
+// Submit hands a job in at the owner. The error is a *cell.Refused, or wraps
+// cell.ErrUndecided when the job may have been accepted.
+func (n *Node) Submit(ctx context.Context, job *wire.DocketAccepted) error {
+	_, err := onOwner(ctx, n, true, func(ctx context.Context, v view) (struct{}, error) {
+		if v.cell != nil {
+			return struct{}{}, v.cell.Submit(ctx, job)
+		}
+		return struct{}{}, n.client.Submit(ctx, v.address, job)
+	})
+	return err
+}
+
+// State returns the stored state of a job, or cell.ErrNoJob.
+func (n *Node) State(ctx context.Context, job string) (docket.State, error) {
+	return onOwner(ctx, n, false, func(ctx context.Context, v view) (docket.State, error) {
+		if v.cell != nil {
+			return v.cell.State(ctx, job)
+		}
+		return n.client.State(ctx, v.address, job)
+	})
+}
+
+// Cancel ends a job, or returns cell.ErrNoJob.
+func (n *Node) Cancel(ctx context.Context, job string) error {
+	_, err := onOwner(ctx, n, false, func(ctx context.Context, v view) (struct{}, error) {
+		if v.cell != nil {
+			return struct{}{}, v.cell.Cancel(ctx, job)
+		}
+		return struct{}{}, n.client.Cancel(ctx, v.address, job)
+	})
+	return err
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (n *Node) Waiting(ctx context.Context, queue string) (uint32, error) {
+	return onOwner(ctx, n, false, func(ctx context.Context, v view) (uint32, error) {
+		if v.cell != nil {
+			return v.cell.Waiting(ctx, queue)
+		}
+		return n.client.Waiting(ctx, v.address, queue)
+	})
+}
+
+// onOwner does a request at the owner, again at the next one when the owner
+// changes. A request that cannot have reached an owner is refused.
+func onOwner[T any](ctx context.Context, n *Node, mayRefuse bool, f func(context.Context, view) (T, error)) (T, error) {
+	begun := time.Now()
+	open := false // an owner may have got the request
+	var zero T
+	for {
+		v, changed := n.current()
+		var err error
+		if v.address == "" && v.cell == nil {
+			err = exchange.ErrNotReached
+		} else {
+			var result T
+			call, cancel := context.WithTimeout(ctx, tryTimeout)
+			result, err = f(call, v)
+			cancel()
+			if final(err) {
+				return result, err
+			}
+		}
+		if !errors.Is(err, exchange.ErrNotReached) && !errors.Is(err, exchange.ErrNotOwner) {
+			open = true
+		}
+		if ctx.Err() != nil || time.Since(begun) > searchMost {
+			if open || !mayRefuse {
+				return zero, fmt.Errorf("%w: %w", cell.ErrUndecided, err)
+			}
+			return zero, &cell.Refused{Reason: "no owner of the docket can be reached", RetryAfter: ownerRetry}
+		}
+		select {
+		case <-changed:
+		case <-time.After(searchRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// final reports whether asking again cannot change the outcome.
+func final(err error) bool {
+	var refused *cell.Refused
+	return err == nil || errors.Is(err, cell.ErrNoJob) || errors.As(err, &refused)
+}
+
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// SubmitHere implements exchange.Service.
+func (n *Node) SubmitHere(ctx context.Context, job *wire.DocketAccepted) error {
+	v, _ := n.current()
+	if v.cell == nil {
+		return exchange.ErrNotOwner
+	}
+	return v.cell.Submit(ctx, job)
+}
+
+// StateHere implements exchange.Service.
+func (n *Node) StateHere(ctx context.Context, job string) (docket.State, error) {
+	v, _ := n.current()
+	if v.cell == nil {
+		return "", exchange.ErrNotOwner
+	}
+	return v.cell.State(ctx, job)
+}
+
+// CancelHere implements exchange.Service.
+func (n *Node) CancelHere(ctx context.Context, job string) error {
+	v, _ := n.current()
+	if v.cell == nil {
+		return exchange.ErrNotOwner
+	}
+	return v.cell.Cancel(ctx, job)
+}
+
+// WaitingHere implements exchange.Service.
+func (n *Node) WaitingHere(ctx context.Context, queue string) (uint32, error) {
+	v, _ := n.current()
+	if v.cell == nil {
+		return 0, exchange.ErrNotOwner
+	}
+	return v.cell.Waiting(ctx, queue)
+}
+
+// HelloHere implements exchange.Service.
+func (n *Node) HelloHere(ctx context.Context, h exchange.Hello) (uint64, error) {
+	v, _ := n.current()
+	if v.cell == nil {
+		return 0, exchange.ErrNotOwner
+	}
+	advisor := func() cell.Advisor { return n.client.Advisor(h.Address) }
+	return v.epoch, v.cell.Hear(ctx, h.Name, advisor)
+}
+
+// Advise implements cell.Advisor for other processes.
+func (n *Node) Advise(ctx context.Context, step docket.StepID, workers []string) ([]cell.Permit, error) {
+	return n.Advisor.Advise(ctx, step, workers)
+}
--- /dev/null
+++ b/process/settings.go
@@ -0,0 +1,104 @@
+package process
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/finding"
+)
+
+// Settings is what a process learns from its settings file, an INI file.
+type Settings struct {
+	Name       string
+	DataCentre string
+	Front      string // ip:port for callers
+	Ready      string // ip:port for the balancer's checks and for metrics
+	Exchange   string // ip:port for other processes
+	Store      string // ip:port of the platform's store
+	Advisor    string // ip:port of the advisory service, empty if there is none
+	MemoryMB   int64  // limit of the process
+	Grace      time.Duration
+	Limits     cell.Limits
+}
+
+const (
+	leaseUsual = 5 * time.Second // a takeover reaches the workers in less
+	retention  = 2               // times the time for which states must be known
+)
+
+// LoadSettings reads the file and reports all faults together.
+func LoadSettings(path string) (*Settings, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	r := reader{path: path, file: file}
+	s := &Settings{
+		Name: r.text("process", "name"), DataCentre: r.text("process", "data-centre"),
+		Front: r.address("listen", "front"), Ready: r.address("listen", "ready"),
+		Store: r.address("platform", "store"), Advisor: r.optional("platform", "advisor"),
+		MemoryMB: int64(r.number("process", "memory-mb")), Grace: r.duration("bounds", "grace-s", time.Second),
+	}
+	ip, ports := r.text("process", "ip"), strings.Split(r.text("listen", "ports"), ",")
+	s.Exchange = net.JoinHostPort(ip, strings.TrimSpace(ports[0]))
+	if _, err := strconv.Atoi(strings.TrimSpace(ports[0])); err != nil {
+		r.fault("listen", "ports", "want first,last")
+	}
+	most := r.duration("bounds", "lease-most-ms", time.Millisecond)
+	s.Limits = cell.Limits{
+		Lease: min(leaseUsual, most), LeaseMost: most, StoreSilence: most,
+		GangWait:  r.duration("bounds", "gang-wait-ms", time.Millisecond),
+		StopTime:  r.duration("bounds", "stop-ms", time.Millisecond),
+		Retention: retention * r.duration("bounds", "status-s", time.Second),
+	}
+	return s, r.faults.Err()
+}
+
+// reader collects the faults of a file.
+type reader struct {
+	path   string
+	file   *ini.File
+	faults finding.List
+}
+
+func (r *reader) fault(section, key, format string, args ...any) {
+	r.faults.Add(finding.Finding{File: r.path, Section: section, Key: key, Problem: fmt.Sprintf(format, args...)})
+}
+
+func (r *reader) optional(section, key string) string {
+	return strings.TrimSpace(r.file.Section(section).Key(key).String())
+}
+
+func (r *reader) text(section, key string) string {
+	v := r.optional(section, key)
+	if v == "" {
+		r.fault(section, key, "is missing")
+	}
+	return v
+}
+
+func (r *reader) address(section, key string) string {
+	v := r.text(section, key)
+	if _, _, err := net.SplitHostPort(v); v != "" && err != nil {
+		r.fault(section, key, "%v", err)
+	}
+	return v
+}
+
+func (r *reader) number(section, key string) float64 {
+	v, err := strconv.ParseFloat(r.text(section, key), 64)
+	if err != nil || v < 0 {
+		r.fault(section, key, "want a number of at least 0")
+	}
+	return v
+}
+
+func (r *reader) duration(section, key string, unit time.Duration) time.Duration {
+	return time.Duration(r.number(section, key) * float64(unit))
+}
