cell, node: earmarks for gangs, one question for all workers, takeover on request

Cause: (1) mould gangs waited 10 to 16 s: freed room went to smaller tasks and each of 5 to 6 questions a gang cost 0.4 s of the advisory service; (2) an owner that the store did not serve kept the docket for 1.6 s and answered 504. Ruled out: processor time (0.04 of a core on average, 0.11 at most). Change: workers that will hold a waiting gang soonest are kept for it; a gang's first question names all workers; an owner whose commit takes over 350 ms refuses new jobs and asks peers to take over; processes tell each other the newest owner.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/event"
-	"persimmonworks.example/persimmonworks/packing"
 )
 
 const (
@@ -15,41 +14,49 @@
 	adviceTimeout  = 4 * time.Second
 	adviceRetry    = 150 * time.Millisecond
 	adviceSpare    = 1.4 // asked for, over what is likely needed
+	gangSpare      = 4.0 // the same for gangs, whose members need much room at one moment
 	allowedFirst   = 0.4 // share of workers allowed until it is learned
 	allowedGain    = 0.05
 	allowedLeast   = 0.1
 	reserveTimeout = 1500 * time.Millisecond
 )
 
-// seekAdvice asks which workers may run the step: those with room whose
-// permission is known and has expired, else unknown ones with room.
+// seekAdvice asks which workers may run the step: of a gang all unknown ones at
+// once, since each question costs more than the workers that it names; of other
+// steps those with room.
 func (c *Cell) seekAdvice(s *step, indices []uint32, fit []*worker, now time.Time) {
 	if s.asking || now.Before(s.askAgain) {
 		return
 	}
 	amount := demand(s.shape)
-	var known, unknown []*worker
+	var known, unknown, roomy []*worker
 	holdsKnown := 0
 	for _, w := range fit {
 		r := c.room(s, w)
 		n := r.Holds(amount, len(indices))
-		if n == 0 {
-			continue
-		}
-		if t, ok := s.tickets[w.host.ID]; ok && t.life == w.life {
+		t, told := s.tickets[w.host.ID]
+		switch {
+		case !told || t.life != w.life:
+			unknown = append(unknown, w)
+			if n > 0 {
+				roomy = append(roomy, w)
+			}
+		case n > 0:
 			known = append(known, w)
 			holdsKnown += n
-		} else {
-			unknown = append(unknown, w)
 		}
 	}
+	gang := s.shape.GetGang()
 	switch {
-	case s.shape.GetGang() && holdsKnown >= len(indices):
+	case gang && holdsKnown >= len(indices):
 		c.renewGang(s, indices, known, now)
-	case !s.shape.GetGang() && len(known) > 0:
-		c.ask(s, c.most(s, known, indices), now)
-	case len(unknown) > 0:
-		c.ask(s, c.most(s, unknown, indices), now)
+	case gang && len(unknown) > 0 && (len(s.tickets) == 0 || len(roomy) > 0):
+		c.ask(s, c.most(s, unknown, indices, gangSpare), now)
+	case gang:
+	case len(known) > 0:
+		c.ask(s, c.most(s, known, indices, adviceSpare), now)
+	case len(roomy) > 0:
+		c.ask(s, c.most(s, roomy, indices, adviceSpare), now)
 	}
 }
 
@@ -86,28 +93,29 @@
 	s.reserved = nil
 }
 
-// most returns the workers to name: as many as are likely needed for the tasks,
-// those with most room first.
-func (c *Cell) most(s *step, workers []*worker, indices []uint32) []*worker {
+// most returns the workers to name: as many as are likely needed for the tasks
+// times spare, those with most room first.
+func (c *Cell) most(s *step, workers []*worker, indices []uint32, spare float64) []*worker {
 	amount := demand(s.shape)
-	slices.SortStableFunc(workers, func(v, w *worker) int {
-		rv, rw := c.room(s, v), c.room(s, w)
-		return rw.Holds(amount, len(indices)) - rv.Holds(amount, len(indices))
-	})
-	share := c.allowedShare(s.queue.GetName())
-	want := float64(len(indices)) / share * adviceSpare
-	count, holds := 0, 0.0
+	holds := make(map[*worker]int, len(workers))
 	for _, w := range workers {
 		r := c.room(s, w)
-		if _, known := s.tickets[w.host.ID]; known {
-			holds += float64(r.Holds(amount, len(indices))) / share
-		} else {
-			holds += float64(r.Holds(amount, len(indices)))
+		holds[w] = r.Holds(amount, len(indices))
+	}
+	slices.SortStableFunc(workers, func(v, w *worker) int { return holds[w] - holds[v] })
+	share := c.allowedShare(s.queue.GetName())
+	want := float64(len(indices)) * spare
+	count := 0
+	for _, w := range workers {
+		if want <= 0 {
+			break
 		}
 		count++
-		if holds >= want {
-			break
+		n := float64(max(1, holds[w]))
+		if _, known := s.tickets[w.host.ID]; !known {
+			n *= share
 		}
+		want -= n
 	}
 	least := int(math.Ceil(2 / share))
 	return workers[:min(len(workers), max(count, least), adviceMost)]
@@ -192,5 +200,3 @@
 	}
 	return open
 }
-
-var _ = packing.One
--- a/cell/answer.go
+++ b/cell/answer.go
@@ -130,7 +130,13 @@
 
 // overload returns why a job is refused now, empty if it is accepted.
 func (c *Cell) overload(*wire.DocketAccepted) (reason string, retryAfter time.Duration) {
-	const mostSteps = 4000 // bounds memory
+	const (
+		mostSteps  = 4000 // bounds memory
+		storeRetry = time.Second
+	)
+	if c.stalled(time.Now()) > stalledAfter {
+		return "the store does not answer", storeRetry
+	}
 	if len(c.steps) > mostSteps {
 		return "too many steps wait", time.Second
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -64,6 +64,9 @@
 	Log    event.Emitter
 	Meter  Meter
 	Limits Limits
+	// Stalled, if set, is called now and then while the store does not answer. It
+	// must not block.
+	Stalled func()
 
 	loop    *control.Loop
 	group   *errgroup.Group
@@ -166,6 +169,10 @@
 		c.checkLease(w, now)
 	}
 	c.checkGangs(now)
+	if c.Stalled != nil && c.stalled(now) > stalledAfter && now.Sub(c.sample.stallAt) > stallInterval {
+		c.sample.stallAt = now
+		c.Stalled()
+	}
 	c.openDue(now)
 	c.forgetOld(now)
 	if len(c.steps) > 0 {
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -12,6 +12,8 @@
 const (
 	heartbeatInterval = 400 * time.Millisecond // a commit at least this often shows that the owner lives
 	snapshotRows      = 4000                   // rows of changes before a snapshot replaces them
+	stalledAfter      = 350 * time.Millisecond // a commit that takes longer tells that the store is away
+	stallInterval     = 300 * time.Millisecond // between two reports of that
 	finishTimeout     = 500 * time.Millisecond // for the last commit of a cell that ends
 )
 
@@ -30,6 +32,7 @@
 	waiters   []waiter
 	kick      chan struct{}
 	durableAt time.Time // when the newest commit that succeeded was sent
+	sentAt    time.Time // when the commit that is not answered yet was first sent, zero if there is none
 }
 
 // append applies an entry and stores it; then runs on the loop once it is
@@ -97,6 +100,7 @@
 		n := changelog.Fits(c.log.pending)
 		batch = c.log.pending[:n:n]
 		c.log.pending = c.log.pending[n:]
+		c.log.sentAt = time.Now()
 	}); err != nil {
 		return false, nil
 	}
@@ -123,10 +127,18 @@
 	return left > 0, nil
 }
 
+// stalled returns for how long the store has not answered a commit.
+func (c *Cell) stalled(now time.Time) time.Duration {
+	if c.log.sentAt.IsZero() {
+		return 0
+	}
+	return now.Sub(c.log.sentAt)
+}
+
 // stored notes that a batch is durable and returns how many entries are left.
 func (c *Cell) stored(entries int, sent time.Time) int {
 	c.log.durable += uint64(entries)
-	c.log.durableAt = sent
+	c.log.durableAt, c.log.sentAt = sent, time.Time{}
 	waiters := c.log.waiters
 	c.log.waiters = nil
 	for _, w := range waiters {
--- a/cell/desk.go
+++ b/cell/desk.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	longQuestion   = 200 * time.Millisecond // questions above it use only half of the helpers
-	helperSilence  = 3 * time.Second        // a helper that was not heard for so long is not asked
-	helperDistrust = 2 * time.Second        // after a failed question
+	longQuestion   = 200 * time.Millisecond // questions above it use only a share of the helpers
+	longShare      = 0.65
+	helperSilence  = 3 * time.Second // a helper that was not heard for so long is not asked
+	helperDistrust = 2 * time.Second // after a failed question
 )
 
 // Helper is a process through which questions are put. The advisory service
@@ -49,8 +50,9 @@
 	slices.SortFunc(d.helpers, func(a, b *Helper) int { return compareText(a.Name, b.Name) })
 }
 
-// choose returns the helper that can put a question soonest. Long questions go
-// to one half of the helpers, so that short ones find the other half free.
+// choose returns the helper that can put a question soonest. Long questions use
+// only the first helpers, and short ones prefer the last, so that a short
+// question seldom waits behind a long one.
 func (d *Desk) choose(takes time.Duration, now time.Time) *Helper {
 	var live []*Helper
 	for _, h := range d.helpers {
@@ -61,23 +63,30 @@
 	if len(live) == 0 {
 		live = d.helpers
 	}
-	if takes >= longQuestion {
-		live = live[:(len(live)+1)/2]
+	long := takes >= longQuestion
+	if long {
+		live = live[:max(1, int(longShare*float64(len(live))))]
 	}
-	best := live[len(live)-1]
-	for _, h := range live {
-		if h.busy.Before(best.busy) && (best.busy.After(now) || h.open < best.open) || h.open == 0 && best.open > 0 {
+	best := live[0]
+	for _, h := range live[1:] {
+		b, c := h.free(now), best.free(now)
+		if b.Before(c) || b.Equal(c) && !long {
 			best = h
 		}
 	}
-	if best.busy.Before(now) || best.open == 0 {
-		best.busy = now
-	}
-	best.busy = best.busy.Add(takes)
+	best.busy = best.free(now).Add(takes)
 	best.open++
 	return best
 }
 
+// free returns when the helper has put all its questions, as estimated.
+func (h *Helper) free(now time.Time) time.Time {
+	if h.busy.Before(now) {
+		return now
+	}
+	return h.busy
+}
+
 // done notes that a question was answered or failed.
 func (d *Desk) done(h *Helper, err error, now time.Time) {
 	h.open--
--- a/cell/place.go
+++ b/cell/place.go
@@ -7,7 +7,6 @@
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/packing"
-	"persimmonworks.example/persimmonworks/wire"
 )
 
 // ticketMargin is the time that a start needs to reach its worker.
@@ -15,9 +14,10 @@
 
 // samples holds small notes of the loop.
 type samples struct {
-	timed  []string // jobs with occurrences that are not due yet
-	closed string   // the job that was logged as ended last
-	speeds speeds
+	timed   []string // jobs with occurrences that are not due yet
+	closed  string   // the job that was logged as ended last
+	speeds  speeds
+	stallAt time.Time // when Stalled was called last
 }
 
 // pass places what can start now.
@@ -41,8 +41,10 @@
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, func(a, b *step) int { return compareSteps(a, b, now) })
+	kept := earmarks{}
 	for _, s := range steps {
-		c.tryStep(s, open, now)
+		c.tryStep(s, kept.allowed(s, open, now), now)
+		c.earmark(s, kept, open, now)
 	}
 	c.Meter.Observe("pass", time.Since(now))
 }
@@ -238,5 +240,3 @@
 	}
 	c.sample.speeds.note(x.worker.host.ID, x.queue, x.shape.GetEstimateMs(), now.Sub(x.began))
 }
-
-var _ = wire.DocketOutcome_DOCKET_OUTCOME_DONE
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -49,3 +49,12 @@
 	}
 	return 1
 }
+
+// usual returns how long a task of a queue usually takes, given its estimate.
+func (s *speeds) usual(queue string, estimateMS uint32) time.Duration {
+	ratio := 1.0
+	if known, ok := s.queues[queue]; ok {
+		ratio = known
+	}
+	return time.Duration(ratio * float64(estimateMS) * float64(time.Millisecond))
+}
--- a/cell/step.go
+++ b/cell/step.go
@@ -43,6 +43,7 @@
 const (
 	lateFactor  = 3 // up to so many times the objective an answer still has some worth
 	estimateTop = 1.25
+	gangLead    = 2 * time.Second // a gang has to wait for room to come together
 )
 
 // objective returns how long the job may take to be worth its whole credit.
@@ -110,6 +111,9 @@
 	goal := objective(j)
 	rest := chain(j, func(i uint32) bool { return !j.Step(id.Occurrence, i).Done() })
 	s.latest = from.Add(goal - rest)
+	if s.shape.GetGang() {
+		s.latest = s.latest.Add(-gangLead)
+	}
 	s.useless = from.Add(lateFactor*goal - rest)
 	return s
 }
@@ -218,19 +222,29 @@
 	)
 }
 
+// lateFrom returns from when on the job cannot end in time.
+func (s *step) lateFrom() time.Time {
+	if s.shape.GetGang() {
+		return s.latest.Add(gangLead)
+	}
+	return s.latest
+}
+
+// Ranks of steps, the first to be placed first.
+const (
+	urgent = iota
+	inTime
+	late
+	useless
+)
+
 func rank(s *step, now time.Time) int {
-	const (
-		urgent = iota
-		inTime
-		late
-		useless
-	)
 	switch {
 	case now.After(s.useless):
 		return useless
 	case s.queue.GetPriority() == 0:
 		return urgent
-	case now.After(s.latest):
+	case now.After(s.lateFrom()):
 		return late
 	}
 	return inTime
--- a/event/queue.go
+++ b/event/queue.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -10,6 +11,7 @@
 
 const (
 	queueBytes    = 256 << 10 // lines beyond it are dropped and counted
+	writeBytes    = 4 << 10   // what a pipe takes in one piece
 	flushInterval = 100 * time.Millisecond
 )
 
@@ -55,16 +57,29 @@
 	}
 }
 
+// chunk returns the length of the whole lines that one write takes.
+func chunk(lines []byte) int {
+	if len(lines) <= writeBytes {
+		return len(lines)
+	}
+	if n := bytes.LastIndexByte(lines[:writeBytes], '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(lines)
+}
+
 // Flush writes the lines kept so far.
 func (q *Queue) Flush() {
 	q.mu.Lock()
 	lines := q.lines
 	q.lines, q.spare = q.spare[:0], nil
 	q.mu.Unlock()
-	if len(lines) > 0 {
-		if _, err := q.Writer.Write(lines); err != nil {
+	for rest := lines; len(rest) > 0; {
+		n := chunk(rest)
+		if _, err := q.Writer.Write(rest[:n]); err != nil {
 			q.dropped.Add(1)
 		}
+		rest = rest[n:]
 	}
 	q.mu.Lock()
 	q.spare = lines[:0]
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -117,12 +117,21 @@
 	return a.GetWaiting(), err
 }
 
-// Hello makes the calling process known to the owner and returns the epoch.
-func (c *Client) Hello(ctx context.Context, address string, h Hello) (uint64, error) {
-	a, err := c.ask(ctx, address, pathHello, &wire.ExchangeHello{
+// Hello makes the calling process, and the owner that it knows of, known to
+// another process.
+func (c *Client) Hello(ctx context.Context, address string, h Hello, known Owner) (Welcome, error) {
+	out := &wire.ExchangeWelcome{}
+	err := c.call(ctx, address, pathHello, &wire.ExchangeHello{
 		Process: h.Name, Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre,
-	})
-	return a.GetEpoch(), err
+		Owner: &wire.ExchangeOwner{Epoch: known.Epoch, Address: known.Address},
+	}, out)
+	return Welcome{Owner{out.GetOwner().GetEpoch(), out.GetOwner().GetAddress()}, out.GetPeers()}, err
+}
+
+// Yield asks a process to take over from the owner of an epoch.
+func (c *Client) Yield(ctx context.Context, address string, epoch uint64) error {
+	_, err := c.ask(ctx, address, pathYield, &wire.ExchangeYield{Epoch: epoch})
+	return err
 }
 
 // Advisor returns the advisor that asks through the process at an address.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -40,14 +40,29 @@
 	DataCentre  string
 }
 
+// Owner names the owner of the docket as a process knows it.
+type Owner struct {
+	Epoch   uint64
+	Address string // ip:port
+}
+
+// Welcome answers a Hello.
+type Welcome struct {
+	Owner Owner
+	Peers []string // addresses of other processes
+}
+
 // Service is what a process does for others.
 type Service interface {
 	SubmitHere(ctx context.Context, job *wire.DocketAccepted) error
 	StateHere(ctx context.Context, job string) (docket.State, error)
 	CancelHere(ctx context.Context, job string) error
 	WaitingHere(ctx context.Context, queue string) (uint32, error)
-	// HelloHere notes a process and returns the epoch, or ErrNotOwner.
-	HelloHere(ctx context.Context, h Hello) (uint64, error)
+	// HelloHere notes a process and the owner that it knows of.
+	HelloHere(ctx context.Context, h Hello, known Owner) (Welcome, error)
+	// YieldHere asks to take over from the owner of that epoch; it reports
+	// whether the process tries to.
+	YieldHere(epoch uint64) bool
 	cell.Advisor
 }
 
@@ -58,6 +73,7 @@
 	pathWaiting = "/waiting"
 	pathHello   = "/hello"
 	pathAdvise  = "/advise"
+	pathYield   = "/yield"
 
 	maxMessageBytes = 1 << 20
 	contentType     = "application/protobuf"
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -37,10 +37,18 @@
 		return answer("", waiting, err)
 	})
 	handle(r, pathHello, func(ctx context.Context, m *wire.ExchangeHello) proto.Message {
-		epoch, err := s.Service.HelloHere(ctx, Hello{m.GetProcess(), m.GetIncarnation(), m.GetAddress(), m.GetDataCentre()})
-		a := answer("", 0, err)
-		a.Epoch = epoch
-		return a
+		h := Hello{m.GetProcess(), m.GetIncarnation(), m.GetAddress(), m.GetDataCentre()}
+		w, err := s.Service.HelloHere(ctx, h, Owner{m.GetOwner().GetEpoch(), m.GetOwner().GetAddress()})
+		if err != nil {
+			return &wire.ExchangeWelcome{}
+		}
+		return &wire.ExchangeWelcome{Owner: &wire.ExchangeOwner{Epoch: w.Owner.Epoch, Address: w.Owner.Address}, Peers: w.Peers}
+	})
+	handle(r, pathYield, func(_ context.Context, m *wire.ExchangeYield) proto.Message {
+		if s.Service.YieldHere(m.GetEpoch()) {
+			return answer("", 0, nil)
+		}
+		return answer("", 0, &cell.Refused{Reason: "the store does not answer here either"})
 	})
 	handle(r, pathAdvise, s.advise)
 	return r
--- a/node/node.go
+++ b/node/node.go
@@ -3,21 +3,23 @@
 //
 // Any process may own the docket. The owner shows that it lives by changing the
 // head of the changelog; a process that has read the store and seen no change
-// for a while takes the docket over. Safety does not depend on that timing: the
-// store refuses a deposed writer, and workers refuse a lower epoch.
+// for a while takes the docket over. An owner that the store does not serve asks
+// the others to take over. Safety does not depend on that timing: the store
+// refuses a deposed writer, and workers refuse a lower epoch.
+//
+// Processes also tell each other the newest owner that they know of, so that
+// one that is cut from the store still finds it.
 //
 // Usage:
 //
 //	n := &node.Node{Identity: i, Table: t, Orders: o, Advisor: a, Fleet: f, Log: l, Limits: x}
+//	n.Prepare()
 //	group.Go(func() error { return n.Run(ctx) })
 //	err := n.Submit(ctx, job)
 package node
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,24 +29,9 @@
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/exchange"
-	"persimmonworks.example/persimmonworks/wire"
-)
-
-const (
-	followWait    = 500 * time.Millisecond // a feed waits so long for a change
-	followPause   = 250 * time.Millisecond // between two feeds, so that changes come in batches
-	followRetry   = 200 * time.Millisecond
-	feedSlack     = 1500 * time.Millisecond
-	silenceMost   = 1500 * time.Millisecond // an owner that changes nothing for so long is taken for dead
-	silenceGone   = 400 * time.Millisecond  // the same when it does not listen any more
-	jitterMost    = 200 * time.Millisecond
-	vacantJitter  = 40 * time.Millisecond
-	helloInterval = 700 * time.Millisecond
-	helloTimeout  = 600 * time.Millisecond
-	leaveTimeout  = 800 * time.Millisecond
 )
 
-// Node is one process. Set the exported fields, then call Run.
+// Node is one process. Set the exported fields, then call Prepare and Run.
 type Node struct {
 	Identity exchange.Hello
 	Table    changelog.Table
@@ -59,14 +46,20 @@
 	replica *changelog.Replica
 	leaving chan struct{}
 	left    chan struct{}
-
-	mu       sync.Mutex
-	view     view
-	changed  chan struct{} // closed when the view changes
-	gone     uint64        // epoch whose owner does not listen any more
-	storeOK  time.Time     // newest answer of the store
-	storeBad bool
-	seenAt   time.Time // when the head was last seen to change
+	stalled chan uint64 // epochs of this process that the store does not serve
+
+	mu        sync.Mutex
+	view      view
+	changed   chan struct{} // closed when the view changes
+	depose    func()        // ends the cell, nil while this process is not the owner
+	interrupt func()        // ends the feed that is waiting
+	peers     map[string]time.Time
+	gone      uint64    // epoch whose owner does not listen any more
+	yielded   uint64    // epoch whose owner has asked to take over
+	storeOK   time.Time // newest answer of the store
+	storeBad  bool
+	ownerOK   time.Time // newest answer of the owner
+	ownerBad  bool
 }
 
 // view is what a process knows of the owner.
@@ -81,7 +74,10 @@
 	n.replica = &changelog.Replica{Table: n.Table, Refused: func(err error) { n.Log.Emit(event.DocketRefused, "error", err) }}
 	n.leaving = make(chan struct{})
 	n.left = make(chan struct{})
+	n.stalled = make(chan uint64, 1)
 	n.changed = make(chan struct{})
+	n.peers = map[string]time.Time{}
+	n.interrupt = func() {}
 }
 
 // Run works until ctx ends.
@@ -89,6 +85,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.follow(ctx) })
 	group.Go(func() error { return n.greet(ctx) })
+	group.Go(func() error { return n.yieldWhenStalled(ctx) })
 	return group.Wait()
 }
 
@@ -112,12 +109,11 @@
 }
 
 // Connected reports whether the process can serve callers: it owns the docket,
-// or has heard of the store or an owner lately.
+// or the owner has answered lately.
 func (n *Node) Connected() bool {
-	const fresh = 3 * time.Second
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view.cell != nil || n.view.address != "" && time.Since(n.storeOK) < fresh
+	return n.view.cell != nil || n.view.address != "" && !n.ownerBad
 }
 
 func (n *Node) current() (view, <-chan struct{}) {
@@ -126,184 +122,29 @@
 	return n.view, n.changed
 }
 
-func (n *Node) setView(v view) {
+// learn takes in an owner. A lower epoch than the one known is ignored; a higher
+// one ends the cell of this process.
+func (n *Node) learn(v view) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if v == n.view {
+	if v.epoch < n.view.epoch || v == n.view || v.address == "" && v.cell == nil {
 		return
 	}
-	n.view = v
-	close(n.changed)
-	n.changed = make(chan struct{})
-}
-
-// follow keeps the replica up to date and takes the docket over when its owner
-// is silent.
-func (n *Node) follow(ctx context.Context) error {
-	version := uint64(0)
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, followWait+feedSlack)
-		err := n.replica.Follow(call, n.wait())
-		cancel()
-		now := time.Now()
-		if err != nil {
-			n.storeFailed(err)
-			sleep(ctx, followRetry)
-			continue
-		}
-		n.storeAnswered(now)
-		head := n.replica.Head()
-		if v := n.replica.Version(); v != version || n.seenAt.IsZero() {
-			version, n.seenAt = v, now
-		}
-		n.setView(view{address: head.GetAddress(), epoch: head.GetEpoch()})
-		if n.isLeaving() {
-			n.markLeft()
-			sleep(ctx, followPause)
-			continue
-		}
-		if !n.due(head, now) {
-			sleep(ctx, followPause)
-			continue
-		}
-		if err := n.own(ctx); err != nil {
-			n.Log.Emit(event.DocketLost, "error", err)
-			sleep(ctx, followRetry)
-		}
-		n.seenAt = time.Time{}
-	}
-	return nil
-}
-
-func (n *Node) markLeft() {
-	select {
-	case <-n.left:
-	default:
-		close(n.left)
-	}
-}
-
-// wait returns how long the next feed may wait for a change.
-func (n *Node) wait() time.Duration {
-	if n.replica.Head() != nil && n.replica.Head().GetVacant() {
-		return 0
-	}
-	return followWait
-}
-
-// due reports whether to try to take over now. Processes wait a random time, so
-// that mostly one tries; if several do, the store lets one succeed.
-func (n *Node) due(head *wire.DocketHead, now time.Time) bool {
-	silent := now.Sub(n.seenAt)
-	switch {
-	case head.GetEpoch() == 0 || head.GetVacant():
-		time.Sleep(rand.N(vacantJitter))
-		return true
-	case head.GetOwner() == n.Identity.Name && head.GetIncarnation() < n.Identity.Incarnation:
-		return true
-	case n.ownerGone(head.GetEpoch()) && silent > silenceGone+rand.N(jitterMost):
-	case silent > silenceMost+rand.N(jitterMost):
-	default:
-		return false
-	}
-	n.Log.Emit(event.DocketSuspect, "owner", head.GetOwner(), "epoch", head.GetEpoch(), "silent-ms", silent.Milliseconds())
-	return true
-}
-
-func (n *Node) ownerGone(epoch uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.gone == epoch
-}
-
-func (n *Node) storeFailed(err error) {
-	n.mu.Lock()
-	was := n.storeBad
-	n.storeBad = true
-	n.mu.Unlock()
-	n.seenAt = time.Time{} // silence counts from the store's return
-	if !was {
-		n.Log.Emit(event.StoreLost, "error", err)
-	}
-}
-
-func (n *Node) storeAnswered(now time.Time) {
-	n.mu.Lock()
-	was := n.storeBad
-	n.storeBad, n.storeOK = false, now
-	n.mu.Unlock()
-	if was {
-		n.Log.Emit(event.StoreRegained)
-	}
-}
-
-// own takes the docket over and schedules its jobs until another process takes
-// it, or this one leaves.
-func (n *Node) own(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, followWait+feedSlack)
-	w, err := n.replica.TakeOver(call, changelog.Owner{
-		Name: n.Identity.Name, Incarnation: n.Identity.Incarnation, Address: n.Identity.Address,
-	})
-	cancel()
-	if err != nil {
-		return fmt.Errorf("take over: %w", err)
-	}
-	n.Log.Emit(event.DocketTaken, "epoch", w.Epoch(), "sequence", w.Sequence(), "jobs", n.replica.Docket().Len())
-	c := &cell.Cell{
-		Docket: n.replica.Docket(), Writer: w, Orders: n.Orders, Advice: cell.NewDesk(n.Identity.Name, n.Advisor),
-		Fleet: n.Fleet, Log: n.Log, Meter: n.Meter, Limits: n.Limits,
-	}
-	c.Prepare()
-	run, stop := context.WithCancel(ctx)
-	defer stop()
-	group, run := errgroup.WithContext(run)
-	group.Go(func() error {
-		defer stop()
-		return c.Run(run)
-	})
-	group.Go(func() error {
-		select {
-		case <-n.leaving:
-			stop()
-		case <-run.Done():
-		}
-		return nil
-	})
-	n.setView(view{address: n.Identity.Address, epoch: w.Epoch(), cell: c})
-	err = group.Wait()
-	n.setView(view{epoch: w.Epoch()})
-	n.replica = &changelog.Replica{Table: n.Table, Refused: n.replica.Refused}
-	if n.isLeaving() && err == nil {
-		leave, cancel := context.WithTimeout(ctx, leaveTimeout)
-		err = w.Leave(leave)
-		cancel()
-		n.markLeft()
+	if n.view.cell != nil && v.cell == nil && v.epoch == n.view.epoch {
+		return
 	}
-	n.Log.Emit(event.DocketLost, "epoch", w.Epoch(), "leaving", n.isLeaving())
-	if errors.Is(err, context.Canceled) {
-		return nil
+	if n.depose != nil && v.epoch > n.view.epoch && v.cell == nil {
+		n.depose()
 	}
-	return err
+	n.setView(v)
 }
 
-// greet makes the process known to the owner, and notices when that does not
-// listen any more.
-func (n *Node) greet(ctx context.Context) error {
-	for ctx.Err() == nil {
-		v, _ := n.current()
-		if v.address != "" && v.cell == nil {
-			call, cancel := context.WithTimeout(ctx, helloTimeout)
-			_, err := n.client.Hello(call, v.address, n.Identity)
-			cancel()
-			if errors.Is(err, exchange.ErrNotOwner) || refusedConnection(err) {
-				n.mu.Lock()
-				n.gone = v.epoch
-				n.mu.Unlock()
-			}
-		}
-		sleep(ctx, helloInterval)
-	}
-	return nil
+// setView needs the lock.
+func (n *Node) setView(v view) {
+	n.view = v
+	n.ownerBad, n.ownerOK = false, time.Now()
+	close(n.changed)
+	n.changed = make(chan struct{})
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/requests.go
+++ b/node/requests.go
@@ -15,7 +15,7 @@
 
 const (
 	tryTimeout  = 900 * time.Millisecond // of one request to the owner; then another connection is tried
-	searchMost  = 700 * time.Millisecond // how long a caller waits for a new owner
+	searchMost  = 500 * time.Millisecond // how long a caller waits for a new owner
 	searchRetry = 60 * time.Millisecond
 	ownerRetry  = time.Second // told to callers while there is no owner
 )
@@ -64,30 +64,30 @@
 }
 
 // onOwner does a request at the owner, again at the next one when the owner
-// changes. A request that cannot have reached an owner is refused.
-func onOwner[T any](ctx context.Context, n *Node, mayRefuse bool, f func(context.Context, view) (T, error)) (T, error) {
+// changes. A request that cannot have reached an owner is refused; so is one
+// that changes nothing.
+func onOwner[T any](ctx context.Context, n *Node, changes bool, f func(context.Context, view) (T, error)) (T, error) {
 	begun := time.Now()
 	open := false // an owner may have got the request
 	var zero T
 	for {
 		v, changed := n.current()
-		var err error
-		if v.address == "" && v.cell == nil {
-			err = exchange.ErrNotReached
-		} else {
-			var result T
+		result, err := zero, error(exchange.ErrNotReached)
+		if n.reachable(v) {
 			call, cancel := context.WithTimeout(ctx, tryTimeout)
 			result, err = f(call, v)
 			cancel()
 			if final(err) {
+				n.ownerAnswered(v.epoch)
 				return result, err
 			}
-		}
-		if !errors.Is(err, exchange.ErrNotReached) && !errors.Is(err, exchange.ErrNotOwner) {
-			open = true
+			if !errors.Is(err, exchange.ErrNotOwner) {
+				n.ownerFailed(v.epoch, err)
+			}
+			open = open || !errors.Is(err, exchange.ErrNotReached) && !errors.Is(err, exchange.ErrNotOwner)
 		}
 		if ctx.Err() != nil || time.Since(begun) > searchMost {
-			if open || !mayRefuse {
+			if open && changes {
 				return zero, fmt.Errorf("%w: %w", cell.ErrUndecided, err)
 			}
 			return zero, &cell.Refused{Reason: "no owner of the docket can be reached", RetryAfter: ownerRetry}
@@ -100,6 +100,13 @@
 	}
 }
 
+// reachable reports whether it is worth asking the owner.
+func (n *Node) reachable(v view) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return v.cell != nil || v.address != "" && !(n.ownerBad && v.epoch == n.view.epoch)
+}
+
 // final reports whether asking again cannot change the outcome.
 func final(err error) bool {
 	var refused *cell.Refused
@@ -144,16 +151,6 @@
 	return v.cell.Waiting(ctx, queue)
 }
 
-// HelloHere implements exchange.Service.
-func (n *Node) HelloHere(ctx context.Context, h exchange.Hello) (uint64, error) {
-	v, _ := n.current()
-	if v.cell == nil {
-		return 0, exchange.ErrNotOwner
-	}
-	advisor := func() cell.Advisor { return n.client.Advisor(h.Address) }
-	return v.epoch, v.cell.Hear(ctx, h.Name, advisor)
-}
-
 // Advise implements cell.Advisor for other processes.
 func (n *Node) Advise(ctx context.Context, step docket.StepID, workers []string) ([]cell.Permit, error) {
 	return n.Advisor.Advise(ctx, step, workers)
--- a/process/settings.go
+++ b/process/settings.go
@@ -28,7 +28,7 @@
 }
 
 const (
-	leaseUsual = 5 * time.Second // a takeover reaches the workers in less
+	leaseUsual = 9 * time.Second // longer than the usual cuts, so that work outlives them
 	retention  = 2               // times the time for which states must be known
 )
 
