cell: leases of silent workers end; lost copies of a start cannot run in a worker's next life; tests on stand-ins

Change: a worker that does not answer is asked without extending its lease, and a hold that was not sent extends nothing; each unanswered copy of a start is barred in the worker's next life. Before: TestWorkerGoneForGood and TestWorkerSilentForGood red with the old code, TestLateOrderMeetsNextLife red as first written. After: green. fleettest holds the stand-ins and the ledger.

--- /dev/null
+++ b/cell/bed_test.go
@@ -0,0 +1,134 @@
+package cell_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/changelog"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/fleettest"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// bed is a cell with stand-ins, in a bubble of package synctest.
+type bed struct {
+	*testing.T
+	fleet *fleettest.Fleet
+	table *fleettest.Table
+	cell  *cell.Cell
+	stop  func() // ends the cell
+	jobs  int
+}
+
+type silent struct{}
+
+func (silent) Count(string, string)          {}
+func (silent) Observe(string, time.Duration) {}
+
+// run runs a test in a bubble, and fails it for every broken rule.
+func run(t *testing.T, workers int, f func(b *bed)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bed{T: t, fleet: fleettest.New(workers, 16000, 32768), table: fleettest.NewTable()}
+		b.takeOver()
+		f(b)
+		b.stop()
+		for _, fault := range b.fleet.Broken() {
+			t.Error(fault)
+		}
+	})
+}
+
+func limits() cell.Limits {
+	return cell.Limits{
+		Lease: 9 * time.Second, LeaseMost: 10 * time.Second, StoreSilence: 10 * time.Second,
+		GangWait: 3 * time.Second, StopTime: 400 * time.Millisecond, Retention: 240 * time.Second,
+	}
+}
+
+// takeOver starts a cell that owns the docket. An earlier one is not told.
+func (b *bed) takeOver() {
+	b.Helper()
+	r := &changelog.Replica{Table: b.table, Refused: func(err error) { b.Errorf("replica: %v", err) }}
+	var w *changelog.Writer
+	err := changelog.ErrDeposed
+	for try := 0; errors.Is(err, changelog.ErrDeposed) && try < 50; try++ {
+		if err = r.Load(b.Context()); err == nil {
+			w, err = r.TakeOver(b.Context(), changelog.Owner{Name: "e1", Address: "10.0.0.1:1"})
+		}
+	}
+	if err != nil {
+		b.Fatalf("take over: %v", err)
+	}
+	log := &event.Log{Writer: io.Discard}
+	if testing.Verbose() {
+		log = &event.Log{Writer: b.Output()}
+	}
+	c := &cell.Cell{
+		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: cell.NewDesk("e1", b.fleet), Fleet: b.fleet,
+		Log: log, Meter: silent{}, Limits: limits(),
+	}
+	c.Prepare()
+	ctx, cancel := context.WithCancel(b.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	stopped := false
+	b.cell = c
+	b.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-ended; err != nil && !errors.Is(err, changelog.ErrDeposed) {
+			b.Errorf("cell: %v", err)
+		}
+	}
+	b.Cleanup(b.stop)
+	time.Sleep(500 * time.Millisecond)
+}
+
+// submit hands a job in and returns its name.
+func (b *bed) submit(steps ...*wire.DocketStep) string {
+	b.Helper()
+	b.jobs++
+	job := &wire.DocketAccepted{
+		Job: fmt.Sprintf("%016x", b.jobs), Spec: "spec", Steps: steps,
+		Queue: &wire.DocketQueue{Name: "q", Service: "jobs", Priority: 1, MaxAttempts: 3, Dilation: 2, TargetMs: 1000},
+	}
+	b.fleet.Accept(job)
+	if err := b.cell.Submit(b.Context(), job); err != nil {
+		b.Fatalf("submit: %v", err)
+	}
+	return job.GetJob()
+}
+
+// want fails unless the job reaches the state within a time.
+func (b *bed) want(job string, s docket.State, within time.Duration) {
+	b.Helper()
+	var last docket.State
+	for begun := time.Now(); time.Since(begun) < within; time.Sleep(50 * time.Millisecond) {
+		state, err := b.cell.State(b.Context(), job)
+		if err == nil && state == s {
+			return
+		}
+		last = state
+	}
+	b.Errorf("job %s is %q after %v, want %q", job, last, within, s)
+}
+
+func tasks(count uint32, milliCPU int64, after ...uint32) *wire.DocketStep {
+	return &wire.DocketStep{Count: count, MilliCpu: milliCPU, MemoryMb: 100, EstimateMs: 1000, After: after}
+}
+
+func gang(count uint32, milliCPU int64, after ...uint32) *wire.DocketStep {
+	s := tasks(count, milliCPU, after...)
+	s.Gang = true
+	return s
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -145,7 +145,7 @@
 				}
 				id := docket.TaskID{Job: j.ID(), Occurrence: occurrence, Step: uint32(s), Index: uint32(i)}
 				workerID, born := t.Worker()
-				r := &run{task: id, number: t.Run(), shape: j.Shape(uint32(s)), phase: adopted, life: born, began: time.Now(), gang: j.Shape(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName()}
+				r := &run{task: id, number: t.Run(), shape: j.Shape(uint32(s)), phase: adopted, mayArrive: true, life: born, began: time.Now(), gang: j.Shape(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName()}
 				c.place(r, c.worker(workerID))
 			}
 		}
--- /dev/null
+++ b/cell/faults_test.go
@@ -0,0 +1,190 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"persimmonworks.example/persimmonworks/docket"
+)
+
+func TestStepsRunInOrder(t *testing.T) {
+	run(t, 4, func(b *bed) {
+		job := b.submit(tasks(5, 1000), gang(4, 4000, 0), tasks(2, 500, 0, 1))
+		b.want(job, docket.Completed, 6*time.Second)
+	})
+}
+
+func TestWorkerGoneForGood(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 3 * time.Second }
+		single, together := b.submit(tasks(6, 4000)), b.submit(gang(2, 2000))
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.Worker(0).Crash()
+		// The lease runs out after at most 10 s and 2 %, then everything runs again.
+		b.want(single, docket.Completed, 30*time.Second)
+		b.want(together, docket.Completed, 10*time.Second)
+	})
+}
+
+func TestWorkerSilentForGood(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 3 * time.Second }
+		job := b.submit(tasks(6, 4000))
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.Worker(0).SetCut(true)
+		b.want(job, docket.Completed, 30*time.Second)
+	})
+}
+
+func TestWorkerRestarts(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 3 * time.Second }
+		job := b.submit(tasks(6, 4000))
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.Worker(0).Restart()
+		b.want(job, docket.Completed, 8*time.Second)
+	})
+}
+
+func TestWorkerCutOffRunsOn(t *testing.T) {
+	for _, cut := range []time.Duration{2 * time.Second, 6 * time.Second, 14 * time.Second} {
+		t.Run(cut.String(), func(t *testing.T) {
+			run(t, 2, func(b *bed) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 4 * time.Second }
+				job := b.submit(tasks(6, 4000))
+				time.Sleep(500 * time.Millisecond)
+				b.fleet.Worker(0).SetCut(true)
+				time.Sleep(cut)
+				b.fleet.Worker(0).SetCut(false)
+				b.want(job, docket.Completed, 16*time.Second)
+			})
+		})
+	}
+}
+
+func TestOrdersCarriedOutLate(t *testing.T) {
+	for _, late := range []time.Duration{2 * time.Second, 7 * time.Second, 12 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			run(t, 3, func(b *bed) {
+				for i := range 3 {
+					b.fleet.Worker(i).DelayOrders(3, late)
+				}
+				single, together := b.submit(tasks(9, 4000)), b.submit(gang(2, 3000))
+				b.want(single, docket.Completed, 30*time.Second)
+				b.want(together, docket.Completed, 30*time.Second)
+				time.Sleep(15 * time.Second) // orders that are still on their way
+			})
+		})
+	}
+}
+
+func TestLateOrderMeetsNextLife(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Worker(0).DelayOrders(8, 4*time.Second)
+		b.fleet.Worker(1).DelayOrders(8, 4*time.Second)
+		job := b.submit(tasks(4, 4000))
+		time.Sleep(time.Second)
+		b.fleet.Worker(0).Restart()
+		b.want(job, docket.Completed, 30*time.Second)
+		time.Sleep(15 * time.Second)
+	})
+}
+
+func TestAnswersLost(t *testing.T) {
+	run(t, 3, func(b *bed) {
+		for i := range 3 {
+			b.fleet.Worker(i).LoseAnswers(4)
+		}
+		single, together := b.submit(tasks(9, 4000)), b.submit(gang(2, 3000))
+		b.want(single, docket.Completed, 10*time.Second)
+		b.want(together, docket.Completed, 10*time.Second)
+	})
+}
+
+func TestCancelStopsEverything(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 20 * time.Second }
+		job := b.submit(tasks(3, 4000), gang(2, 4000))
+		time.Sleep(300 * time.Millisecond)
+		if err := b.cell.Cancel(b.Context(), job); err != nil {
+			t.Fatal(err)
+		}
+		b.fleet.Cancelled(job)
+		b.want(job, docket.Cancelled, time.Second)
+		next := b.submit(gang(6, 5000)) // needs the room of what was cancelled
+		b.want(next, docket.Running, 3*time.Second)
+	})
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	run(t, 3, func(b *bed) {
+		b.fleet.Fails = func(t docket.TaskID, _ string, _ uint32) bool { return t.Index == 1 || t.Job == "0000000000000002" }
+		single, together := b.submit(tasks(3, 1000)), b.submit(gang(3, 1000))
+		b.want(single, docket.Failed, 10*time.Second)
+		b.want(together, docket.Failed, 10*time.Second)
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	for _, pause := range []time.Duration{0, 30 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			run(t, 4, func(b *bed) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 1500 * time.Millisecond }
+				jobs := []string{b.submit(tasks(6, 3000)), b.submit(gang(6, 4000)), b.submit(tasks(4, 1000), gang(3, 2000, 0))}
+				time.Sleep(pause)
+				first := b.stop
+				b.takeOver() // the first owner still works and is not told
+				b.fleet.Worker(1).SetCut(true)
+				time.Sleep(3 * time.Second)
+				b.fleet.Worker(1).SetCut(false)
+				for _, j := range jobs {
+					b.want(j, docket.Completed, 25*time.Second)
+				}
+				first()
+			})
+		})
+	}
+}
+
+func TestTakeoverWhileOrdersAreLate(t *testing.T) {
+	run(t, 3, func(b *bed) {
+		for i := range 3 {
+			b.fleet.Worker(i).DelayOrders(4, 5*time.Second)
+		}
+		jobs := []string{b.submit(tasks(8, 4000)), b.submit(gang(3, 5000))}
+		time.Sleep(200 * time.Millisecond)
+		first := b.stop
+		b.takeOver()
+		for _, j := range jobs {
+			b.want(j, docket.Completed, 40*time.Second)
+		}
+		time.Sleep(10 * time.Second)
+		first()
+	})
+}
+
+func TestStoreAway(t *testing.T) {
+	run(t, 3, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 2 * time.Second }
+		running := b.submit(tasks(6, 4000), tasks(2, 1000, 0))
+		time.Sleep(300 * time.Millisecond)
+		b.table.SetAway(true)
+		time.Sleep(5 * time.Second)
+		b.table.SetAway(false)
+		b.want(running, docket.Completed, 8*time.Second)
+	})
+}
+
+func TestStoreLosesAnswers(t *testing.T) {
+	for _, late := range []time.Duration{0, 3 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			run(t, 3, func(b *bed) {
+				b.table.LoseAnswers(20, late)
+				jobs := []string{b.submit(tasks(6, 2000)), b.submit(gang(3, 2000))}
+				for _, j := range jobs {
+					b.want(j, docket.Completed, 15*time.Second)
+				}
+			})
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -39,7 +39,8 @@
 	worker       *worker
 	life         int64 // of the worker when it was started
 	phase        phase
-	unanswered   bool // a start may still arrive
+	unanswered   bool // it is not known whether it has begun
+	mayArrive    bool // a copy of its start may still arrive, even if another copy was answered
 	stopAnswered time.Time
 	stopSent     bool
 	began        time.Time
@@ -176,7 +177,11 @@
 		}
 		lost = true
 		again := false
-		if c.loop.Do(ctx, func() { again = c.runs[x.task] == x && x.phase == starting && try+1 < startTries }) != nil {
+		if c.loop.Do(ctx, func() {
+			x.mayArrive = true
+			x.worker.noteLost(x, time.Now())
+			again = c.runs[x.task] == x && x.phase == starting && try+1 < startTries
+		}) != nil {
 			return nil
 		}
 		if !again {
@@ -282,6 +287,37 @@
 	return nil
 }
 
+// lostCopy is a start that was not answered; it may be carried out much later,
+// even by another life of its worker.
+type lostCopy struct {
+	order StopOrder
+	until time.Time
+}
+
+// lateMost is how long after it was sent an order may be carried out.
+const lateMost = 13 * time.Second
+
+func (w *worker) noteLost(x *run, now time.Time) {
+	kept := w.lost[:0]
+	for _, l := range w.lost {
+		if now.Before(l.until) {
+			kept = append(kept, l)
+		}
+	}
+	w.lost = append(kept, lostCopy{StopOrder{Task: x.task, Run: x.number}, now.Add(lateMost)})
+}
+
+// barLost makes a new life of the worker refuse the lost copies of starts.
+func (c *Cell) barLost(w *worker) {
+	lost := w.lost
+	w.lost = nil
+	for _, l := range lost {
+		if _, running := w.runs[l.order.Task]; !running && time.Now().Before(l.until) {
+			c.stopStray(w, RunningTask{Task: l.order.Task, Run: l.order.Run})
+		}
+	}
+}
+
 // stopStray stops what a worker runs and the docket does not know of.
 func (c *Cell) stopStray(w *worker, t RunningTask) {
 	c.Log.Emit(event.TaskStopping, "job", t.Task.Job, "task", t.Task.String(), "run", t.Run, "worker", w.host.ID, "reason", "not known here")
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -37,9 +37,11 @@
 	heard    time.Time // when the newest answer arrived
 	clock    int64     // the worker's clock then
 	deadline int64     // latest deadline sent, on the worker's clock
+	silent   bool      // the newest hold was not answered
 	seen     uint64    // ends up to this number are in the docket
 	stored   uint64    // ends up to this number are stored
 	wake     chan struct{}
+	lost     []lostCopy
 	distrust time.Time // no starts before
 	absent   time.Time // since when it is not in the list
 }
@@ -134,11 +136,9 @@
 	if !w.listed {
 		o.Wait = 0
 	}
-	if w.heard.IsZero() {
-		return o, w.host, false
+	if !w.heard.IsZero() && !w.silent {
+		o.DeadlineMS = c.leaseEnd(w)
 	}
-	o.DeadlineMS = c.leaseEnd(w)
-	w.deadline = max(w.deadline, o.DeadlineMS)
 	return o, w.host, false
 }
 
@@ -157,6 +157,12 @@
 // next one.
 func (c *Cell) held(w *worker, h *Host, o HoldOrder, r Report, sent time.Time, err error) time.Duration {
 	now := time.Now()
+	if !errors.Is(err, ErrNotSent) {
+		w.deadline = max(w.deadline, o.DeadlineMS)
+	}
+	// A worker that does not answer is only asked: were its lease extended by
+	// holds that it may or may not get, the end of the lease would never come.
+	w.silent = err != nil
 	if err != nil {
 		if errors.Is(err, ErrOtherLife) {
 			c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "other life")
@@ -246,7 +252,7 @@
 func (c *Cell) endLife(w *worker, born int64) {
 	c.Log.Emit(event.WorkerReborn, "worker", w.host.ID, "life", w.life, "next", born, "runs", len(w.runs))
 	for _, x := range w.runs {
-		if x.unanswered {
+		if x.unanswered || x.mayArrive {
 			// The order may still arrive and would be carried out by the new life.
 			x.phase = stopping
 			x.stopAnswered = time.Time{}
@@ -260,6 +266,7 @@
 	w.seen, w.stored = 0, 0
 	w.deadline, w.clock = 0, 0
 	w.heard = time.Time{}
+	c.barLost(w)
 	w.rouse()
 }
 
--- /dev/null
+++ b/fleettest/fleet.go
@@ -0,0 +1,299 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/resource"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+// Fleet is a group of workers with a ledger of what they were told to do. It
+// implements cell.Orders, cell.Fleet and cell.Advisor.
+type Fleet struct {
+	mu       sync.Mutex
+	workers  []*Worker
+	watchers []chan struct{}
+	jobs     map[string]*wire.DocketAccepted
+	done     map[docket.TaskID]bool // ended successfully
+	noted    map[docket.TaskID]bool // and that was confirmed to the worker
+	failures map[docket.TaskID]uint32
+	cancels  map[string]time.Time
+	broken   []string
+	starts   int
+
+	// Takes says how long a task runs, and Fails whether a run fails. Set them
+	// before the first start; both may be nil.
+	Takes func(docket.TaskID) time.Duration
+	Fails func(t docket.TaskID, worker string, run uint32) bool
+}
+
+// New returns workers of one service, "jobs", four to a rack.
+func New(count int, milliCPU, memoryMB int64) *Fleet {
+	f := &Fleet{
+		jobs: map[string]*wire.DocketAccepted{}, done: map[docket.TaskID]bool{}, noted: map[docket.TaskID]bool{},
+		failures: map[docket.TaskID]uint32{}, cancels: map[string]time.Time{},
+	}
+	for i := range count {
+		w := &Worker{fleet: f, host: cell.Host{
+			ID: fmt.Sprintf("w-%02d", i), Service: "jobs", Address: fmt.Sprintf("10.0.0.%d:1", i),
+			DataCentre: fmt.Sprintf("dc-%d", i%3), Rack: fmt.Sprintf("r-%d", i/4), Capacity: resource.Vector{MilliCPU: milliCPU, MemoryMB: memoryMB},
+		}}
+		w.begin()
+		f.workers = append(f.workers, w)
+	}
+	return f
+}
+
+// Worker returns a worker by its number.
+func (f *Fleet) Worker(i int) *Worker { return f.workers[i] }
+
+// Accept tells the ledger of a job, before it is handed in.
+func (f *Fleet) Accept(job *wire.DocketAccepted) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs[job.GetJob()] = job
+}
+
+// Cancelled tells the ledger that a cancellation was confirmed to the caller.
+func (f *Fleet) Cancelled(job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels[job] = time.Now()
+}
+
+// Broken returns every rule that was broken, with the case.
+func (f *Fleet) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.broken...)
+}
+
+// Starts returns how many runs began.
+func (f *Fleet) Starts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+func (f *Fleet) fault(format string, args ...any) {
+	f.broken = append(f.broken, fmt.Sprintf("%s: ", time.Now().Format("05.000"))+fmt.Sprintf(format, args...))
+}
+
+// begun judges a start and begins the run.
+func (f *Fleet) begun(w *Worker, o cell.StartOrder) {
+	f.starts++
+	job, ok := f.jobs[o.Task.Job]
+	if !ok || int(o.Task.Step) >= len(job.GetSteps()) || o.Spec != job.GetSpec() {
+		f.fault("%v on %s: nobody asked for it", o.Task, w.host.ID)
+		return
+	}
+	shape := job.GetSteps()[o.Task.Step]
+	x := &work{run: o.Run, gang: shape.GetGang(), demand: resource.Vector{MilliCPU: shape.GetMilliCpu(), MemoryMB: shape.GetMemoryMb()}}
+	for _, other := range f.workers {
+		if y := other.running[o.Task]; y != nil && other.up {
+			f.fault("%v: run %d on %s while run %d is on %s", o.Task, o.Run, w.host.ID, y.run, other.host.ID)
+		}
+	}
+	if f.noted[o.Task] {
+		f.fault("%v: run %d on %s after an end that was confirmed", o.Task, o.Run, w.host.ID)
+	}
+	for _, before := range shape.GetAfter() {
+		for i := range job.GetSteps()[before].GetCount() {
+			if !f.done[docket.TaskID{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: before, Index: i}] {
+				f.fault("%v: before step %d was done", o.Task, before)
+			}
+		}
+	}
+	if !w.free().Covers(x.demand) {
+		f.fault("%v: no room on %s", o.Task, w.host.ID)
+	}
+	if f.failures[o.Task] >= job.GetQueue().GetMaxAttempts() {
+		f.fault("%v: after %d failures", o.Task, f.failures[o.Task])
+	}
+	if at, ok := f.cancels[o.Task.Job]; ok && time.Since(at) > 3*time.Second {
+		f.fault("%v: %v after its job was cancelled", o.Task, time.Since(at))
+	}
+	w.running[o.Task] = x
+	x.timer = time.AfterFunc(f.takes(o.Task), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.finish(w, o.Task, x)
+	})
+	if x.gang {
+		f.gather(w, o.Task, x, shape.GetCount())
+	}
+}
+
+func (f *Fleet) takes(t docket.TaskID) time.Duration {
+	if f.Takes == nil {
+		return time.Second
+	}
+	return f.Takes(t)
+}
+
+// gather lets a gang work when all members are there, and ends members that
+// wait too long.
+func (f *Fleet) gather(w *Worker, t docket.TaskID, x *work, count uint32) {
+	x.timer.Stop()
+	members := f.members(t, x.run)
+	if len(members) == int(count) {
+		for _, m := range members {
+			m.x.together = true
+			m.x.timer.Reset(f.takes(t))
+		}
+		return
+	}
+	x.timer = time.AfterFunc(gangWait, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if x.together {
+			f.finish(w, t, x)
+			return
+		}
+		w.end(t, x, wire.DocketOutcome_DOCKET_OUTCOME_STOPPED, true)
+	})
+}
+
+type member struct {
+	w *Worker
+	t docket.TaskID
+	x *work
+}
+
+func (f *Fleet) members(t docket.TaskID, run uint32) []member {
+	var all []member
+	for _, w := range f.workers {
+		for id, x := range w.running {
+			if id.StepID() == t.StepID() && x.run == run && w.up {
+				all = append(all, member{w, id, x})
+			}
+		}
+	}
+	return all
+}
+
+func (f *Fleet) finish(w *Worker, t docket.TaskID, x *work) {
+	how := wire.DocketOutcome_DOCKET_OUTCOME_DONE
+	if f.Fails != nil && f.Fails(t, w.host.ID, x.run) {
+		how = wire.DocketOutcome_DOCKET_OUTCOME_FAILED
+	}
+	w.end(t, x, how, false)
+}
+
+// ended notes an end and, of a gang, ends the others.
+func (f *Fleet) ended(w *Worker, t docket.TaskID, x *work, how wire.DocketOutcome, alone bool) {
+	switch how {
+	case wire.DocketOutcome_DOCKET_OUTCOME_DONE:
+		f.done[t] = true
+	case wire.DocketOutcome_DOCKET_OUTCOME_FAILED:
+		f.failures[t]++
+	}
+	if alone {
+		f.fault("%v: run %d waited alone on %s", t, x.run, w.host.ID)
+	}
+	if !x.gang {
+		return
+	}
+	for _, m := range f.members(t, x.run) {
+		other := how
+		if how != wire.DocketOutcome_DOCKET_OUTCOME_DONE {
+			other = wire.DocketOutcome_DOCKET_OUTCOME_STOPPED
+		}
+		m.x.gang = false
+		m.w.end(m.t, m.x, other, false)
+	}
+}
+
+func (f *Fleet) confirmed(_ *Worker, e cell.EndedTask) {
+	if e.Outcome == wire.DocketOutcome_DOCKET_OUTCOME_DONE {
+		f.noted[e.Task] = true
+	}
+}
+
+func (f *Fleet) announce() {
+	for _, c := range f.watchers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Watch implements cell.Fleet.
+func (f *Fleet) Watch(ctx context.Context, changed func([]cell.Host)) error {
+	c := make(chan struct{}, 1)
+	f.mu.Lock()
+	f.watchers = append(f.watchers, c)
+	f.mu.Unlock()
+	for {
+		f.mu.Lock()
+		hosts := make([]cell.Host, len(f.workers))
+		for i, w := range f.workers {
+			hosts[i] = w.host
+		}
+		f.mu.Unlock()
+		changed(hosts)
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (f *Fleet) at(address string) *Worker {
+	for _, w := range f.workers {
+		if w.host.Address == address {
+			return w
+		}
+	}
+	return nil
+}
+
+// Start implements cell.Orders.
+func (f *Fleet) Start(ctx context.Context, h *cell.Host, o cell.StartOrder) (cell.Receipt, error) {
+	w := f.at(h.Address)
+	return deliver(ctx, w, func() (cell.Receipt, error) { return w.start(o), nil })
+}
+
+// Stop implements cell.Orders.
+func (f *Fleet) Stop(ctx context.Context, h *cell.Host, o cell.StopOrder) error {
+	w := f.at(h.Address)
+	_, err := deliver(ctx, w, func() (struct{}, error) { w.stop(o); return struct{}{}, nil })
+	return err
+}
+
+// Hold implements cell.Orders.
+func (f *Fleet) Hold(ctx context.Context, h *cell.Host, o cell.HoldOrder) (cell.Report, error) {
+	w := f.at(h.Address)
+	f.mu.Lock()
+	wait, news := w.wake, len(w.ended) > 0 && w.ended[len(w.ended)-1].Number > o.Confirmed
+	reach := w.up && !w.cut
+	f.mu.Unlock()
+	r, err := deliver(ctx, w, func() (cell.Report, error) { return w.hold(o) })
+	if err != nil || o.Wait == 0 || news || !reach || len(r.Ended) > 0 {
+		return r, err
+	}
+	select {
+	case <-wait:
+	case <-time.After(o.Wait):
+	case <-ctx.Done():
+	}
+	o.DeadlineMS = 0
+	return deliver(ctx, w, func() (cell.Report, error) { return w.hold(o) })
+}
+
+// Advise implements cell.Advisor: every worker is allowed.
+func (f *Fleet) Advise(ctx context.Context, _ docket.StepID, workers []string) ([]cell.Permit, error) {
+	sleep(ctx, 10*time.Millisecond)
+	permits := make([]cell.Permit, len(workers))
+	for i, w := range workers {
+		permits[i] = cell.Permit{Worker: w, Ticket: "t-" + w}
+	}
+	return permits, nil
+}
--- /dev/null
+++ b/fleettest/worker.go
@@ -0,0 +1,268 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/resource"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	callTime  = 2 * time.Millisecond // of an order
+	leaseMost = 10 * time.Second
+	stopTime  = 400 * time.Millisecond
+	gangWait  = 3 * time.Second
+)
+
+// Worker is a stand-in worker. All its state is guarded by the fleet's lock.
+type Worker struct {
+	fleet    *Fleet
+	host     cell.Host
+	born     int64
+	started  time.Time
+	up       bool
+	cut      bool // nothing reaches it
+	lateFor  time.Duration
+	lateLeft int
+	mute     int // answers to lose after the order was carried out
+	fence    uint64
+	deadline time.Time
+	running  map[docket.TaskID]*work
+	ended    []cell.EndedTask
+	number   uint64
+	barred   map[docket.TaskID]uint32 // runs up to it are refused
+	wake     chan struct{}
+	lapse    *time.Timer
+}
+
+// work is a run on a worker.
+type work struct {
+	run        uint32
+	demand     resource.Vector
+	gang       bool
+	together   bool // all members are there
+	timer      *time.Timer
+	stopping   bool
+	checkpoint string
+}
+
+// SetCut cuts the worker off, or connects it again; it runs on.
+func (w *Worker) SetCut(cut bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.cut = cut
+}
+
+// DelayOrders leaves the next orders unanswered and carries them out later.
+func (w *Worker) DelayOrders(orders int, late time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.lateLeft, w.lateFor = orders, late
+}
+
+// LoseAnswers loses the answers of the next orders, which are carried out.
+func (w *Worker) LoseAnswers(orders int) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.mute = orders
+}
+
+// Crash ends the worker and all that runs there.
+func (w *Worker) Crash() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.crash()
+}
+
+func (w *Worker) crash() {
+	w.up = false
+	for _, x := range w.running {
+		x.timer.Stop()
+	}
+	w.running = map[docket.TaskID]*work{}
+}
+
+// Restart gives the worker a new life under its name.
+func (w *Worker) Restart() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.crash()
+	w.begin()
+	w.fleet.announce()
+}
+
+func (w *Worker) begin() {
+	w.up, w.started = true, time.Now()
+	w.born = time.Now().UnixMilli()
+	w.host.Born = w.born
+	w.fence, w.number, w.deadline = 0, 0, time.Time{}
+	w.running, w.ended, w.barred = map[docket.TaskID]*work{}, nil, map[docket.TaskID]uint32{}
+	w.wake = make(chan struct{})
+}
+
+func (w *Worker) clock() int64 { return time.Since(w.started).Milliseconds() }
+
+func (w *Worker) free() resource.Vector {
+	left := w.host.Capacity
+	for _, x := range w.running {
+		left = left.Sub(x.demand)
+	}
+	return left
+}
+
+// extend takes a deadline on the worker's clock.
+func (w *Worker) extend(deadlineMS int64) {
+	if deadlineMS == 0 {
+		return
+	}
+	at := w.started.Add(time.Duration(deadlineMS) * time.Millisecond)
+	if most := time.Now().Add(leaseMost); at.After(most) {
+		at = most
+	}
+	if at.After(w.deadline) {
+		w.deadline = at
+	}
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	life := w.born
+	w.lapse = time.AfterFunc(time.Until(w.deadline), func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		if w.born != life || !w.up || time.Now().Before(w.deadline) {
+			return
+		}
+		for t, x := range w.running {
+			w.end(t, x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, false)
+		}
+	})
+}
+
+// end needs the lock.
+func (w *Worker) end(t docket.TaskID, x *work, how wire.DocketOutcome, alone bool) {
+	if w.running[t] != x {
+		return
+	}
+	x.timer.Stop()
+	delete(w.running, t)
+	w.number++
+	w.ended = append(w.ended, cell.EndedTask{Number: w.number, Task: t, Run: x.run, Outcome: how, Checkpoint: x.checkpoint, Alone: alone})
+	w.barred[t] = max(w.barred[t], x.run)
+	w.fleet.ended(w, t, x, how, alone)
+	close(w.wake)
+	w.wake = make(chan struct{})
+}
+
+// start needs the lock.
+func (w *Worker) start(o cell.StartOrder) cell.Receipt {
+	r := cell.Receipt{ClockMS: w.clock()}
+	switch x := w.running[o.Task]; {
+	case o.Epoch < w.fence:
+		r.Refusal = cell.Fenced
+		return r
+	case x != nil && x.run == o.Run:
+		return r
+	case o.Run <= w.barred[o.Task] || x != nil:
+		r.Refusal = cell.Outdated
+		w.extend(o.DeadlineMS)
+		return r
+	case w.clock() >= o.DeadlineMS:
+		r.Refusal = cell.Late
+		return r
+	}
+	w.fence = o.Epoch
+	w.extend(o.DeadlineMS)
+	w.fleet.begun(w, o)
+	return r
+}
+
+// stop needs the lock.
+func (w *Worker) stop(o cell.StopOrder) {
+	if o.Epoch < w.fence {
+		return
+	}
+	w.fence = o.Epoch
+	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
+	x := w.running[o.Task]
+	if x == nil || x.run != o.Run || x.stopping {
+		return
+	}
+	x.stopping = true
+	time.AfterFunc(stopTime, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		x.checkpoint = fmt.Sprintf("stopped-%d", x.run)
+		w.end(o.Task, x, wire.DocketOutcome_DOCKET_OUTCOME_STOPPED, false)
+	})
+}
+
+// hold needs the lock.
+func (w *Worker) hold(o cell.HoldOrder) (cell.Report, error) {
+	if o.Epoch < w.fence {
+		return cell.Report{}, fmt.Errorf("worker %s: epoch %d is below %d", w.host.ID, o.Epoch, w.fence)
+	}
+	w.fence = o.Epoch
+	w.extend(o.DeadlineMS)
+	for len(w.ended) > 0 && w.ended[0].Number <= o.Confirmed {
+		w.fleet.confirmed(w, w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	r := cell.Report{ClockMS: w.clock(), Born: w.born, Whole: true}
+	for t, x := range w.running {
+		r.Running = append(r.Running, cell.RunningTask{Task: t, Run: x.run})
+	}
+	r.Ended = append(r.Ended, w.ended...)
+	return r, nil
+}
+
+// deliver carries an order to the worker and its answer back. do needs the lock.
+func deliver[T any](ctx context.Context, w *Worker, do func() (T, error)) (T, error) {
+	var zero T
+	f := w.fleet
+	sleep(ctx, callTime)
+	f.mu.Lock()
+	switch {
+	case w.cut:
+		f.mu.Unlock()
+		<-ctx.Done()
+		return zero, fmt.Errorf("%w: %w", cell.ErrUnanswered, ctx.Err())
+	case !w.up:
+		f.mu.Unlock()
+		return zero, fmt.Errorf("%w: connection refused", cell.ErrNotSent)
+	case w.lateLeft > 0:
+		w.lateLeft--
+		time.AfterFunc(w.lateFor, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if w.up {
+				_, _ = do() // nobody hears the answer
+			}
+		})
+		f.mu.Unlock()
+		<-ctx.Done()
+		return zero, fmt.Errorf("%w: %w", cell.ErrUnanswered, ctx.Err())
+	}
+	v, err := do()
+	lost := w.mute > 0
+	if lost {
+		w.mute--
+	}
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return zero, fmt.Errorf("%w: %w", cell.ErrUnanswered, ctx.Err())
+	}
+	sleep(ctx, callTime)
+	return v, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
