--- /dev/null
+++ b/docket/docket_test.go
@@ -0,0 +1,112 @@
+package docket_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+func job(name string, attempts uint32, steps ...*wire.DocketStep) *wire.DocketAccepted {
+	return &wire.DocketAccepted{Job: name, Queue: &wire.DocketQueue{Name: "q", MaxAttempts: attempts}, Steps: steps}
+}
+
+// drawEntry returns an entry about one of a few jobs, fitting or not.
+func drawEntry(t *rapid.T) *wire.DocketEntry {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
+	task := docket.TaskID{Job: name, Step: rapid.Uint32Range(0, 1).Draw(t, "step"), Index: rapid.Uint32Range(0, 2).Draw(t, "index")}
+	run := rapid.Uint32Range(1, 4).Draw(t, "run")
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return docket.Accept(job(name, 2, &wire.DocketStep{Count: 3, Gang: name == "b"}, &wire.DocketStep{Count: 2, After: []uint32{0}}))
+	case 1:
+		return docket.Cancel(name, 10)
+	case 2, 3, 4:
+		return docket.Start(task, run, "w", 1)
+	}
+	how := wire.DocketOutcome(rapid.IntRange(1, 5).Draw(t, "outcome"))
+	return docket.End(task, run, how, rapid.SampledFrom([]string{"", "saved"}).Draw(t, "checkpoint"), 10)
+}
+
+func describe(d *docket.Docket) string {
+	text := ""
+	for _, name := range []string{"a", "b", "c"} {
+		j, ok := d.Job(name)
+		if !ok {
+			continue
+		}
+		text += fmt.Sprintf("%s %s", name, j.State())
+		for step, shape := range j.Accepted().GetSteps() {
+			s := j.Step(0, uint32(step))
+			for i := range shape.GetCount() {
+				t := &s.Tasks()[i]
+				text += fmt.Sprintf(" [%d %d %v %v %q]", t.Run(), t.Failures(), t.Done(), t.Active(), t.Checkpoint())
+			}
+			text += fmt.Sprintf(" active %d done %v;", s.Active(), s.Done())
+		}
+	}
+	return text
+}
+
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := docket.New()
+		ended := map[string]docket.State{}
+		runs := map[docket.TaskID]uint32{}
+		for i := range rapid.IntRange(0, 60).Draw(t, "entries") {
+			e := drawEntry(t)
+			err := d.Apply(e, uint64(i+1))
+			if s := e.GetStarted(); s != nil && err == nil {
+				id := docket.TaskID{Job: s.GetTask().GetJob(), Step: s.GetTask().GetStep(), Index: s.GetTask().GetIndex()}
+				if s.GetRun() <= runs[id] {
+					t.Fatalf("%v: run %d after %d", id, s.GetRun(), runs[id])
+				}
+				runs[id] = s.GetRun()
+			}
+			d.All(func(j *docket.Job) {
+				if was, ok := ended[j.ID()]; ok && was != j.State() {
+					t.Fatalf("job %s went from %s to %s", j.ID(), was, j.State())
+				}
+				if j.Terminal() {
+					ended[j.ID()] = j.State()
+				}
+				if j.State() == docket.Completed && (!j.Step(0, 0).Done() || !j.Step(0, 1).Done()) {
+					t.Fatalf("job %s is completed and a step is not done", j.ID())
+				}
+			})
+		}
+	})
+}
+
+func TestSnapshotGivesTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := docket.New()
+		for i := range rapid.IntRange(0, 60).Draw(t, "entries") {
+			_ = d.Apply(drawEntry(t), uint64(i+1)) // entries that do not fit change nothing
+		}
+		copied := docket.New()
+		for _, e := range d.Snapshot() {
+			if err := copied.Apply(e, 1); err != nil {
+				t.Fatalf("snapshot: %v", err)
+			}
+		}
+		if got, want := describe(copied), describe(d); got != want {
+			t.Fatalf("got  %s\nwant %s", got, want)
+		}
+	})
+}
+
+func TestParseTaskID(t *testing.T) {
+	id := docket.TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 3, Step: 1, Index: 17}
+	if got, err := docket.ParseTaskID(id.String()); err != nil || got != id {
+		t.Errorf("got %v, %v", got, err)
+	}
+	for _, bad := range []string{"", "a.1.2", "a.1.2.3.4", "a.x.0.0", "a.0.0.-1"} {
+		if _, err := docket.ParseTaskID(bad); err == nil {
+			t.Errorf("%q: no error", bad)
+		}
+	}
+}
