node, cell: a slow store is not a lost one; undecided submissions are repeated at the next owner

Change: stalled after 0.7 s, or at once when the store turns commits away; a peer takes over on request only if the store answers it in 100 ms; a submission that may have been accepted is repeated until its caller's deadline; nothing is placed while commits stall; a leaving owner asks a peer to take over.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -134,7 +134,7 @@
 		mostSteps  = 4000 // bounds memory
 		storeRetry = time.Second
 	)
-	if c.stalled(time.Now()) > stalledAfter {
+	if c.stalled(time.Now()) {
 		return "the store does not answer", storeRetry
 	}
 	if len(c.steps) > mostSteps {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -169,7 +169,7 @@
 		c.checkLease(w, now)
 	}
 	c.checkGangs(now)
-	if c.Stalled != nil && c.stalled(now) > stalledAfter && now.Sub(c.sample.stallAt) > stallInterval {
+	if c.Stalled != nil && c.stalled(now) && now.Sub(c.sample.stallAt) > stallInterval {
 		c.sample.stallAt = now
 		c.Stalled()
 	}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -12,7 +12,7 @@
 const (
 	heartbeatInterval = 400 * time.Millisecond // a commit at least this often shows that the owner lives
 	snapshotRows      = 4000                   // rows of changes before a snapshot replaces them
-	stalledAfter      = 350 * time.Millisecond // a commit that takes longer tells that the store is away
+	stalledAfter      = 700 * time.Millisecond // a commit that takes longer tells that the store is away
 	stallInterval     = 300 * time.Millisecond // between two reports of that
 	finishTimeout     = 500 * time.Millisecond // for the last commit of a cell that ends
 )
@@ -127,12 +127,11 @@
 	return left > 0, nil
 }
 
-// stalled returns for how long the store has not answered a commit.
-func (c *Cell) stalled(now time.Time) time.Duration {
-	if c.log.sentAt.IsZero() {
-		return 0
-	}
-	return now.Sub(c.log.sentAt)
+// stalled reports whether the store does not serve this owner: it turns commits
+// away, or one has been open for longer than a slow store takes.
+func (c *Cell) stalled(now time.Time) bool {
+	open := !c.log.sentAt.IsZero()
+	return open && (c.Writer.Refused() || now.Sub(c.log.sentAt) > stalledAfter)
 }
 
 // stored notes that a batch is durable and returns how many entries are left.
@@ -148,6 +147,7 @@
 		}
 		c.log.waiters = append(c.log.waiters, w)
 	}
+	c.touch()
 	return len(c.log.pending)
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -28,6 +28,9 @@
 	if !c.dirty {
 		return
 	}
+	if c.stalled(now) {
+		return // a start that cannot be stored would outlive its ticket
+	}
 	c.dirty = false
 	open := make([]*worker, 0, len(c.workers))
 	for _, w := range c.workers {
--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,8 +28,13 @@
 	head    *wire.DocketHead
 	version uint64
 	drop    []string // rows that a snapshot covers
+	refused atomic.Bool
 }
 
+// Refused reports whether the store has turned the newest transaction away; it
+// is being repeated. It may be called from any goroutine.
+func (w *Writer) Refused() bool { return w.refused.Load() }
+
 // Epoch returns the fencing token of this writer.
 func (w *Writer) Epoch() uint64 { return w.head.GetEpoch() }
 
@@ -121,6 +127,7 @@
 		if errors.Is(err, provider.ErrConflict) {
 			version, err = w.resolve(ctx, next, &t)
 		}
+		w.refused.Store(errors.Is(err, provider.ErrUnavailable))
 		if err == nil {
 			w.head, w.version = next, version
 			w.drop = w.drop[len(drops):]
--- a/node/follow.go
+++ b/node/follow.go
@@ -19,8 +19,9 @@
 	followWait   = 500 * time.Millisecond // a feed waits so long for a change
 	followPause  = 250 * time.Millisecond // between two feeds, so that changes come in batches
 	followRetry  = 200 * time.Millisecond
+	watchfulWait = 150 * time.Millisecond // the same while the owner does not answer
 	feedSlack    = 1200 * time.Millisecond
-	probeTimeout = 250 * time.Millisecond  // the store has to answer so fast for a takeover on request
+	probeTimeout = 100 * time.Millisecond  // the store has to answer so fast for a takeover on request
 	silenceMost  = 1500 * time.Millisecond // an owner that changes nothing for so long is taken for dead
 	silenceLost  = 800 * time.Millisecond  // the same when it does not answer this process either
 	silenceGone  = 300 * time.Millisecond  // the same when it does not listen any more
@@ -50,11 +51,13 @@
 		n.learn(view{address: head.GetAddress(), epoch: head.GetEpoch()})
 		if n.isLeaving() {
 			n.markLeft()
-			sleep(ctx, followPause)
+			n.pause(ctx, followPause)
 			continue
 		}
 		if !n.due(head, now.Sub(seenAt), asked) {
-			sleep(ctx, followPause)
+			if !n.lostOwner() {
+				n.pause(ctx, followPause)
+			}
 			continue
 		}
 		if err := n.own(ctx); err != nil {
@@ -70,6 +73,9 @@
 // that the owner of an epoch wants to be succeeded.
 func (n *Node) followOnce(ctx context.Context, asked uint64) error {
 	wait, limit := followWait, followWait+feedSlack
+	if n.lostOwner() {
+		wait = watchfulWait
+	}
 	if head := n.replica.Head(); head != nil && (head.GetVacant() || asked != 0 && asked == head.GetEpoch()) {
 		wait, limit = 0, probeTimeout
 	}
@@ -80,7 +86,9 @@
 	n.mu.Unlock()
 	err := n.replica.Follow(call, wait)
 	if err != nil && ctx.Err() == nil && errors.Is(call.Err(), context.Canceled) {
-		return n.replica.Follow(ctx, 0) // interrupted to look at once
+		again, cancel := context.WithTimeout(ctx, feedSlack)
+		defer cancel()
+		return n.replica.Follow(again, 0) // interrupted to look at once
 	}
 	return err
 }
@@ -88,7 +96,9 @@
 func (n *Node) askedToTakeOver() uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.yielded
+	asked := n.yielded
+	n.yielded = 0 // one try for each request
+	return asked
 }
 
 func (n *Node) markLeft() {
@@ -169,6 +179,7 @@
 	if n.isLeaving() && err == nil {
 		leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 		err = w.Leave(leave)
+		n.yield(leave, w.Epoch())
 		cancel()
 	}
 	n.Log.Emit(event.DocketLost, "epoch", w.Epoch(), "leaving", n.isLeaving())
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -58,7 +58,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.gone = epoch
-	n.interrupt()
+	n.poke()
 }
 
 // welcomed takes in what another process has told.
@@ -181,6 +181,9 @@
 	}
 	n.ownerBad = time.Since(n.ownerOK) > ownerSilence || refusedConnection(err)
 	lost := n.ownerBad
+	if lost {
+		n.poke()
+	}
 	n.mu.Unlock()
 	if lost {
 		n.Log.Emit(event.OwnerLost, "epoch", epoch, "error", err)
@@ -216,6 +219,6 @@
 		return false
 	}
 	n.yielded = epoch
-	n.interrupt()
+	n.poke()
 	return true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 	changed   chan struct{} // closed when the view changes
 	depose    func()        // ends the cell, nil while this process is not the owner
 	interrupt func()        // ends the feed that is waiting
+	poked     chan struct{} // ends the pause between two feeds
 	peers     map[string]time.Time
 	gone      uint64    // epoch whose owner does not listen any more
 	yielded   uint64    // epoch whose owner has asked to take over
@@ -78,6 +79,27 @@
 	n.changed = make(chan struct{})
 	n.peers = map[string]time.Time{}
 	n.interrupt = func() {}
+	n.poked = make(chan struct{}, 1)
+}
+
+// poke makes the process look at the docket at once. It needs the lock.
+func (n *Node) poke() {
+	n.interrupt()
+	select {
+	case n.poked <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits, unless the process is poked.
+func (n *Node) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.poked:
+	case <-ctx.Done():
+	}
 }
 
 // Run works until ctx ends.
--- a/node/requests.go
+++ b/node/requests.go
@@ -65,7 +65,8 @@
 
 // onOwner does a request at the owner, again at the next one when the owner
 // changes. A request that cannot have reached an owner is refused; so is one
-// that changes nothing.
+// that changes nothing. One that may have reached an owner is repeated as long as
+// its caller waits, since the next owner knows whether it was accepted.
 func onOwner[T any](ctx context.Context, n *Node, changes bool, f func(context.Context, view) (T, error)) (T, error) {
 	begun := time.Now()
 	open := false // an owner may have got the request
@@ -86,7 +87,7 @@
 			}
 			open = open || !errors.Is(err, exchange.ErrNotReached) && !errors.Is(err, exchange.ErrNotOwner)
 		}
-		if ctx.Err() != nil || time.Since(begun) > searchMost {
+		if ctx.Err() != nil || time.Since(begun) > searchMost && !(open && changes) {
 			if open && changes {
 				return zero, fmt.Errorf("%w: %w", cell.ErrUndecided, err)
 			}
