cell: three classes of questions for advice; speeds of workers learned more calmly

Cause: the first advice of pigment checks took 44 ms at the median and 106 ms at the ninth decile behind questions of 100 ms.

--- a/cell/desk.go
+++ b/cell/desk.go
@@ -1,13 +1,16 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const (
 	longQuestion   = 200 * time.Millisecond // questions above it use only a share of the helpers
-	longShare      = 0.65
+	longShare      = 0.5
+	middleQuestion = 30 * time.Millisecond // the same for questions above this
+	middleShare    = 0.75
 	helperSilence  = 3 * time.Second // a helper that was not heard for so long is not asked
 	helperDistrust = 2 * time.Second // after a failed question
 )
@@ -63,14 +66,18 @@
 	if len(live) == 0 {
 		live = d.helpers
 	}
-	long := takes >= longQuestion
-	if long {
-		live = live[:max(1, int(longShare*float64(len(live))))]
+	share := 1.0
+	switch {
+	case takes >= longQuestion:
+		share = longShare
+	case takes >= middleQuestion:
+		share = middleShare
 	}
+	live = live[:max(1, int(math.Ceil(share*float64(len(live)))))]
 	best := live[0]
 	for _, h := range live[1:] {
 		b, c := h.free(now), best.free(now)
-		if b.Before(c) || b.Equal(c) && !long {
+		if b.Before(c) || b.Equal(c) && share > longShare {
 			best = h
 		}
 	}
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -3,11 +3,12 @@
 import "time"
 
 const (
-	speedGain   = 0.08 // weight of a new sample
-	speedLeast  = 0.5
+	usualGain   = 0.08 // weight of a new sample of a queue
+	speedGain   = 0.03 // weight of a new sample of a worker
+	speedLeast  = 0.6
 	speedMost   = 4.0
-	sampleMost  = 6.0 // longer tasks than this many times usual are outliers
-	sampleLeast = 0.1
+	sampleMost  = 2.5 // longer tasks than this many times usual are outliers
+	sampleLeast = 0.3
 )
 
 // speeds learns how much longer than usual tasks take on each worker. Estimates
@@ -30,7 +31,7 @@
 	if !ok {
 		usual = ratio
 	}
-	s.queues[queue] = usual + speedGain*(min(ratio, sampleMost*usual)-usual)
+	s.queues[queue] = usual + usualGain*(min(ratio, sampleMost*usual)-usual)
 	if usual <= 0 {
 		return
 	}
