--- a/cell/advice.go
+++ b/cell/advice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
@@ -25,9 +26,6 @@
 // once, since each question costs more than the workers that it names; of other
 // steps those with room.
 func (c *Cell) seekAdvice(s *step, indices []uint32, fit []*worker, now time.Time) {
-	if s.asking || now.Before(s.askAgain) {
-		return
-	}
 	amount := demand(s.shape)
 	var known, unknown, roomy []*worker
 	holdsKnown := 0
@@ -128,6 +126,11 @@
 	return allowedFirst
 }
 
+// questionTime returns how long the service takes for a question.
+func questionTime(a *wire.DocketAdvice, workers int) time.Duration {
+	return time.Duration((a.GetDecisionMs() + float64(workers)*a.GetPerWorkerMs()) * float64(time.Millisecond))
+}
+
 // ask puts the question; the answer is taken in on the loop.
 func (c *Cell) ask(s *step, workers []*worker, now time.Time) {
 	a := s.queue.GetAdvice()
@@ -137,8 +140,12 @@
 		names[i] = w.host.ID
 		lives[w.host.ID] = w.life
 	}
-	takes := time.Duration((a.GetDecisionMs() + float64(len(names))*a.GetPerWorkerMs()) * float64(time.Millisecond))
+	takes := questionTime(a, len(names))
 	helper := c.Advice.choose(takes, now)
+	if helper == nil {
+		c.unreserve(s)
+		return
+	}
 	s.asking = true
 	c.group.Go(func() error {
 		call, cancel := context.WithTimeout(c.ctx, adviceTimeout)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -40,6 +40,7 @@
 
 const (
 	passInterval = 4 * time.Millisecond // at least this between two passes of placement
+	passShare    = 4                    // a pass is followed by a pause of at least three times its length
 	tickInterval = 50 * time.Millisecond
 )
 
--- a/cell/desk.go
+++ b/cell/desk.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
@@ -11,8 +13,11 @@
 	longShare      = 0.6
 	middleQuestion = 30 * time.Millisecond // the same for questions above this
 	middleShare    = 0.75
-	helperSilence  = 3 * time.Second // a helper that was not heard for so long is not asked
-	helperDistrust = 2 * time.Second // after a failed question
+	waitShort      = 200 * time.Millisecond // a question that would wait longer is put later
+	waitLong       = 600 * time.Millisecond // the same for long questions
+	openMost       = 24                     // the service turns more than 32 waiting ones away
+	helperSilence  = 3 * time.Second        // a helper that was not heard for so long is not asked
+	helperDistrust = 2 * time.Second        // after a failed question
 )
 
 // Helper is a process through which questions are put. The advisory service
@@ -30,6 +35,7 @@
 // Desk spreads questions over helpers. It belongs to the cell's loop.
 type Desk struct {
 	helpers []*Helper
+	live    []*Helper          // room for soonest
 	shares  map[string]float64 // of the workers asked about, by queue
 }
 
@@ -53,23 +59,40 @@
 	slices.SortFunc(d.helpers, func(a, b *Helper) int { return compareText(a.Name, b.Name) })
 }
 
-// choose returns the helper that can put a question soonest. Long questions use
-// only the first helpers, and short ones prefer the last, so that a short
-// question seldom waits behind a long one.
+// choose returns the helper that can put a question soonest, nil if that is not
+// soon: questions wait in the order of their steps and not at the service. Long
+// questions use only the first helpers, and short ones prefer the last, so that
+// a short question seldom waits behind a long one.
 func (d *Desk) choose(takes time.Duration, now time.Time) *Helper {
-	var live []*Helper
+	best := d.soonest(takes, now)
+	if best == nil {
+		return nil
+	}
+	best.busy = best.free(now).Add(takes)
+	best.open++
+	return best
+}
+
+// can reports whether a question of a queue could be put now.
+func (d *Desk) can(a *wire.DocketAdvice, now time.Time) bool {
+	return d.soonest(questionTime(a, 1), now) != nil
+}
+
+func (d *Desk) soonest(takes time.Duration, now time.Time) *Helper {
+	live := d.live[:0]
 	for _, h := range d.helpers {
 		if now.Sub(h.heard) < helperSilence && now.After(h.shy) {
 			live = append(live, h)
 		}
 	}
+	d.live = live
 	if len(live) == 0 {
 		live = d.helpers
 	}
-	share := 1.0
+	share, most := 1.0, waitShort
 	switch {
 	case takes >= longQuestion:
-		share = longShare
+		share, most = longShare, waitLong
 	case takes >= middleQuestion:
 		share = middleShare
 	}
@@ -81,8 +104,9 @@
 			best = h
 		}
 	}
-	best.busy = best.free(now).Add(takes)
-	best.open++
+	if best.free(now).Sub(now) > most || best.open >= openMost {
+		return nil
+	}
 	return best
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -24,7 +24,6 @@
 func (c *Cell) pass() {
 	c.waiting = false
 	now := time.Now()
-	c.passAt = now.Add(passInterval)
 	if !c.dirty {
 		return
 	}
@@ -47,9 +46,13 @@
 	kept := earmarks{}
 	for _, s := range steps {
 		c.tryStep(s, kept.allowed(s, open, now), now)
-		c.earmark(s, kept, open, now)
+		if float64(len(kept)) < earmarkShare*float64(len(open)) {
+			c.earmark(s, kept, open, now)
+		}
 	}
-	c.Meter.Observe("pass", time.Since(now))
+	took := time.Since(now)
+	c.Meter.Observe("pass", took)
+	c.passAt = now.Add(max(passInterval, passShare*took))
 }
 
 func compareText(a, b string) int {
@@ -72,6 +75,10 @@
 	if len(indices) == 0 {
 		return
 	}
+	asks := s.queue.GetAdvice() != nil && !s.asking && now.After(s.askAgain) && c.Advice.can(s.queue.GetAdvice(), now)
+	if s.queue.GetAdvice() != nil && len(s.tickets) == 0 && !asks {
+		return
+	}
 	fit := c.eligible(s, open)
 	ready := fit
 	if s.queue.GetAdvice() != nil {
@@ -87,7 +94,7 @@
 			return
 		}
 	}
-	if s.queue.GetAdvice() != nil {
+	if asks {
 		c.seekAdvice(s, indices, fit, now)
 	}
 }
--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -18,8 +18,14 @@
 	maxRowBytes = 48 << 10
 	// dropsPerAppend bounds the covered rows that one transaction drops.
 	dropsPerAppend = 40
-	retryFirst     = 20 * time.Millisecond
+	retryFirst     = 10 * time.Millisecond
 	retryMost      = 200 * time.Millisecond
+	// A transaction may be repeated at no risk, so a lost answer is not waited for
+	// much longer than answers usually take.
+	patienceLeast  = 150 * time.Millisecond
+	patienceMost   = 1500 * time.Millisecond
+	patienceFactor = 4    // times the usual answer
+	answerGain     = 0.25 // weight of a new answer
 )
 
 // Writer appends changes. It belongs to one goroutine.
@@ -29,6 +35,19 @@
 	version uint64
 	drop    []string // rows that a snapshot covers
 	refused atomic.Bool
+	usual   time.Duration // until an answer
+}
+
+// attempt sends a transaction once and learns how long answers take.
+func (w *Writer) attempt(ctx context.Context, t Transaction, patience time.Duration) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	sent := time.Now()
+	version, err := w.table.Commit(call, t)
+	if err == nil || errors.Is(err, provider.ErrConflict) {
+		w.usual += time.Duration(answerGain * float64(time.Since(sent)-w.usual))
+	}
+	return version, err
 }
 
 // Refused reports whether the store has turned the newest transaction away; it
@@ -121,9 +140,12 @@
 		Put:     append(put, provider.Row{Key: headKey, Value: value}),
 		Drop:    drops,
 	}
-	wait := retryFirst
+	wait, patience := retryFirst, min(max(patienceLeast, patienceFactor*w.usual), patienceMost)
 	for {
-		version, err := w.table.Commit(ctx, t)
+		version, err := w.attempt(ctx, t, patience)
+		if errors.Is(err, provider.ErrUnknown) {
+			patience = min(2*patience, patienceMost)
+		}
 		if errors.Is(err, provider.ErrConflict) {
 			version, err = w.resolve(ctx, next, &t)
 		}
--- a/node/follow.go
+++ b/node/follow.go
@@ -24,8 +24,8 @@
 	probeTimeout = 100 * time.Millisecond  // the store has to answer so fast for a takeover on request
 	silenceMost  = 1500 * time.Millisecond // an owner that changes nothing for so long is taken for dead
 	silenceLost  = 800 * time.Millisecond  // the same when it does not answer this process either
-	silenceGone  = 300 * time.Millisecond  // the same when it does not listen any more
-	jitterMost   = 200 * time.Millisecond
+	silenceGone  = 100 * time.Millisecond  // the same when it does not listen any more
+	jitterMost   = 120 * time.Millisecond
 	vacantJitter = 40 * time.Millisecond
 	leaveTimeout = 800 * time.Millisecond
 )
