--- a/cell/commit.go
+++ b/cell/commit.go
@@ -12,7 +12,7 @@
 const (
 	heartbeatInterval = 400 * time.Millisecond // a commit at least this often shows that the owner lives
 	snapshotRows      = 4000                   // rows of changes before a snapshot replaces them
-	stalledAfter      = 700 * time.Millisecond // a commit that takes longer tells that the store is away
+	stalledAfter      = 700 * time.Millisecond // a commit that takes longer, and twice the usual time, tells that the store is away
 	stallInterval     = 300 * time.Millisecond // between two reports of that
 	finishTimeout     = 500 * time.Millisecond // for the last commit of a cell that ends
 )
@@ -131,7 +131,7 @@
 // away, or one has been open for longer than a slow store takes.
 func (c *Cell) stalled(now time.Time) bool {
 	open := !c.log.sentAt.IsZero()
-	return open && (c.Writer.Refused() || now.Sub(c.log.sentAt) > stalledAfter)
+	return open && (c.Writer.Refused() || now.Sub(c.log.sentAt) > stalledAfter+2*c.Writer.Usual())
 }
 
 // stored notes that a batch is durable and returns how many entries are left.
--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -24,8 +24,8 @@
 	// much longer than answers usually take.
 	patienceLeast  = 150 * time.Millisecond
 	patienceMost   = 1500 * time.Millisecond
-	patienceFactor = 4    // times the usual answer
-	answerGain     = 0.25 // weight of a new answer
+	patienceFactor = 4   // times the usual answer
+	answerGain     = 0.5 // weight of a new answer
 )
 
 // Writer appends changes. It belongs to one goroutine.
@@ -35,9 +35,13 @@
 	version uint64
 	drop    []string // rows that a snapshot covers
 	refused atomic.Bool
-	usual   time.Duration // until an answer
+	usual   atomic.Int64 // nanoseconds until an answer
 }
 
+// Usual returns how long the store usually takes to answer. It may be called
+// from any goroutine.
+func (w *Writer) Usual() time.Duration { return time.Duration(w.usual.Load()) }
+
 // attempt sends a transaction once and learns how long answers take.
 func (w *Writer) attempt(ctx context.Context, t Transaction, patience time.Duration) (uint64, error) {
 	call, cancel := context.WithTimeout(ctx, patience)
@@ -45,7 +49,7 @@
 	sent := time.Now()
 	version, err := w.table.Commit(call, t)
 	if err == nil || errors.Is(err, provider.ErrConflict) {
-		w.usual += time.Duration(answerGain * float64(time.Since(sent)-w.usual))
+		w.usual.Add(int64(answerGain * float64(time.Since(sent)-w.Usual())))
 	}
 	return version, err
 }
@@ -140,7 +144,7 @@
 		Put:     append(put, provider.Row{Key: headKey, Value: value}),
 		Drop:    drops,
 	}
-	wait, patience := retryFirst, min(max(patienceLeast, patienceFactor*w.usual), patienceMost)
+	wait, patience := retryFirst, min(max(patienceLeast, patienceFactor*w.Usual()), patienceMost)
 	for {
 		version, err := w.attempt(ctx, t, patience)
 		if errors.Is(err, provider.ErrUnknown) {
