cell: tasks that fill stay away from tasks that serve; process: a hangup reads the settings

Cause: neither was done; the log line of a hangup claimed a reading that did not happen. Change: the two kinds are placed on different workers; the file is read and checked, and the log says whether it has changed and that it is in force at the next start. Test: TestFillingKeepsAwayFromServing.

--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -204,3 +204,21 @@
 		})
 	}
 }
+
+func TestFillingKeepsAwayFromServing(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 30 * time.Second }
+		serve, fill := tasks(2, 2000), tasks(4, 1000)
+		serve.LongRunning, serve.TargetMs, fill.Fills = true, 50, true
+		serve.AntiAffinity = 1
+		b.submit(serve) // one on each worker
+		time.Sleep(time.Second)
+		starts := b.fleet.Starts()
+		job := b.submit(fill)
+		time.Sleep(2 * time.Second)
+		if n := b.fleet.Starts(); n != starts {
+			t.Errorf("%d tasks fill up beside tasks that serve", n-starts)
+		}
+		b.want(job, docket.Pending, time.Second)
+	})
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -7,6 +7,7 @@
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/packing"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 // ticketMargin is the time that a start needs to reach its worker.
@@ -103,13 +104,28 @@
 func (c *Cell) eligible(s *step, open []*worker) []*worker {
 	var fit []*worker
 	for _, w := range open {
-		if w.host.Service == s.queue.GetService() && w.host.Has(s.shape.GetRequires()) && !s.denied[w.host.ID] {
+		if w.host.Service == s.queue.GetService() && w.host.Has(s.shape.GetRequires()) && !s.denied[w.host.ID] && !w.disturbs(s.shape) {
 			fit = append(fit, w)
 		}
 	}
 	return fit
 }
 
+// disturbs reports whether the step would fill up beside a task that serves, or
+// serve beside one that fills. Such tasks are kept on different workers, since
+// nothing slows down the one that fills.
+func (w *worker) disturbs(shape *wire.DocketStep) bool {
+	if !shape.GetFills() && shape.GetTargetMs() == 0 {
+		return false
+	}
+	for _, x := range w.runs {
+		if shape.GetFills() && x.shape.GetTargetMs() > 0 || shape.GetTargetMs() > 0 && x.shape.GetFills() {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *step) valid(w *worker, now time.Time) bool {
 	t, ok := s.tickets[w.host.ID]
 	return ok && t.life == w.life && now.Add(ticketMargin).Before(t.until)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -128,7 +128,7 @@
 	OwnerRegained      = define(2254, Info, "owner-reachable", "The owner of the docket answers again.", "none")
 	CallAnswered       = define(2261, Info, "call-answered", "A caller got an answer.", "none")
 	CallFailed         = define(2262, Warn, "call-failed", "A call could not be decided; the caller was told so.", "Follow `job` in the logs of the owner.")
-	SettingsRead       = define(2271, Info, "settings-read", "The settings file was read again.", "none")
+	SettingsRead       = define(2271, Info, "settings-read", "The settings file was read after a hangup signal; what has changed is in force from the next start.", "Stop the process if `changed` is true and the change is urgent.")
 	EntryUnreadable    = define(2272, Error, "entry-unreadable", "A configuration or an entry of the store cannot be read; the one before stays in force.", "Check who wrote it.")
 	RoutesInForce      = define(2273, Info, "routes-in-force", "A newer configuration is in force in this process.", "none")
 )
--- a/process/process.go
+++ b/process/process.go
@@ -142,13 +142,24 @@
 			if s != syscall.SIGHUP {
 				return
 			}
-			p.Log.Emit(event.SettingsRead, "signal", s.String())
+			p.reread()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// reread checks the settings file. What has changed there is in force from the
+// next start, since addresses and leases cannot change under running work.
+func (p *Process) reread() {
+	s, err := LoadSettings(p.Settings.Path)
+	if err != nil {
+		p.Log.Emit(event.EntryUnreadable, "entry", p.Settings.Path, "error", err)
+		return
+	}
+	p.Log.Emit(event.SettingsRead, "changed", *s != *p.Settings, "in-force", "at the next start")
+}
+
 func (p *Process) shutdown(ctx context.Context, callers *http.Server) {
 	begun := time.Now()
 	p.stopping.Store(true)
--- a/process/settings.go
+++ b/process/settings.go
@@ -15,6 +15,7 @@
 
 // Settings is what a process learns from its settings file, an INI file.
 type Settings struct {
+	Path       string // of the file
 	Name       string
 	DataCentre string
 	Front      string // ip:port for callers
@@ -40,7 +41,7 @@
 	}
 	r := reader{path: path, file: file}
 	s := &Settings{
-		Name: r.text("process", "name"), DataCentre: r.text("process", "data-centre"),
+		Path: path, Name: r.text("process", "name"), DataCentre: r.text("process", "data-centre"),
 		Front: r.address("listen", "front"), Ready: r.address("listen", "ready"),
 		Store: r.address("platform", "store"), Advisor: r.optional("platform", "advisor"),
 		MemoryMB: int64(r.number("process", "memory-mb")), Grace: r.duration("bounds", "grace-s", time.Second),
