--- a/cell/answer.go
+++ b/cell/answer.go
@@ -120,7 +120,25 @@
 
 // Waiting returns how many jobs of a queue have not begun.
 func (c *Cell) Waiting(ctx context.Context, queue string) (uint32, error) {
-	return await(ctx, c, func(done func(uint32)) { done(c.Docket.Waiting(queue)) })
+	return await(ctx, c, func(done func(uint32)) { done(c.waitingJobs(queue)) })
+}
+
+// waitingJobs counts the jobs of a queue of which no task is known to have begun,
+// without those that wait for a time.
+func (c *Cell) waitingJobs(queue string) uint32 {
+	working := map[string]bool{}
+	for _, x := range c.runs {
+		if x.confirmed {
+			working[x.task.Job] = true
+		}
+	}
+	count := uint32(0)
+	c.Docket.Open(func(j *docket.Job) {
+		if !j.Timed() && j.Accepted().GetQueue().GetName() == queue && !j.Begun() && !working[j.ID()] {
+			count++
+		}
+	})
+	return count
 }
 
 // Hear notes that another process lives and puts questions for advice.
--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -222,3 +222,16 @@
 		b.want(job, docket.Pending, time.Second)
 	})
 }
+
+// A job whose starts went to a worker that is silent has not begun.
+func TestWaitingCountsWhatHasNotBegun(t *testing.T) {
+	run(t, 1, func(b *bed) {
+		b.fleet.Worker(0).SetCut(true)
+		b.submit(tasks(2, 1000))
+		b.submit(gang(2, 1000))
+		time.Sleep(5 * time.Second)
+		if n, err := b.cell.Waiting(b.Context(), "q"); err != nil || n != 2 {
+			t.Errorf("%d jobs wait, %v, want 2", n, err)
+		}
+	})
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -40,6 +40,7 @@
 	life         int64 // of the worker when it was started
 	phase        phase
 	unanswered   bool // it is not known whether it has begun
+	confirmed    bool // its worker has said that it runs
 	mayArrive    bool // a copy of its start may still arrive, even if another copy was answered
 	stopAnswered time.Time
 	stopSent     bool
@@ -117,7 +118,7 @@
 // seenRunning notes that the worker lists the run.
 func (c *Cell) seenRunning(x *run, t RunningTask) {
 	x.percent = t.Percent
-	x.unanswered = false
+	x.unanswered, x.confirmed = false, true
 	if x.phase == adopted {
 		x.phase = working
 		j, ok := c.Docket.Job(x.task.Job)
@@ -199,7 +200,7 @@
 	}
 	w := x.worker
 	if err == nil && r.Refusal == Accepted {
-		x.unanswered = false
+		x.unanswered, x.confirmed = false, true
 		if x.phase == starting {
 			x.phase = working
 		}
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -58,18 +58,6 @@
 	}
 }
 
-// Waiting returns how many jobs of a queue have not begun. Jobs that wait for
-// a time are not counted.
-func (d *Docket) Waiting(queue string) uint32 {
-	count := uint32(0)
-	for _, j := range d.jobs {
-		if j.state == Pending && !j.Timed() && j.accepted.GetQueue().GetName() == queue {
-			count++
-		}
-	}
-	return count
-}
-
 // EndedBefore returns up to limit jobs that ended before a time in Unix
 // milliseconds.
 func (d *Docket) EndedBefore(ms int64, limit int) []string {
@@ -160,6 +148,11 @@
 		step.save(shape.GetGang(), t, e.GetCheckpoint())
 	}
 	switch e.GetOutcome() {
+	case wire.DocketOutcome_DOCKET_OUTCOME_LOST, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED:
+	default:
+		j.begun = true
+	}
+	switch e.GetOutcome() {
 	case wire.DocketOutcome_DOCKET_OUTCOME_DONE:
 		d.finish(j, step, t, shape, e.GetAtMs())
 	case wire.DocketOutcome_DOCKET_OUTCOME_FAILED:
--- a/docket/job.go
+++ b/docket/job.go
@@ -148,6 +148,7 @@
 	state       State
 	changed     uint64
 	endedAt     int64
+	begun       bool
 }
 
 // ID returns the caller's name of the job.
@@ -222,5 +223,6 @@
 	return true
 }
 
-// Begun reports whether a task has started.
-func (j *Job) Begun() bool { return j.state != Pending }
+// Begun reports whether an end shows that a task has run. A start that is stored
+// shows nothing: its worker may never have got it.
+func (j *Job) Begun() bool { return j.begun }
--- a/docket/snapshot.go
+++ b/docket/snapshot.go
@@ -68,6 +68,7 @@
 	if j.state == Pending {
 		j.state = Running
 	}
+	j.begun = j.begun || r.GetDone() || r.GetFailures() > 0
 	if r.GetActive() {
 		t.active = true
 		step.active++
