--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/docket"
@@ -76,8 +78,8 @@
 	}
 	c.Prepare()
 	ctx, cancel := context.WithCancel(b.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx) }()
+	var group errgroup.Group
+	group.Go(func() error { return c.Run(ctx) })
 	stopped := false
 	b.cell = c
 	b.stop = func() {
@@ -86,7 +88,7 @@
 		}
 		stopped = true
 		cancel()
-		if err := <-ended; err != nil && !errors.Is(err, changelog.ErrDeposed) {
+		if err := group.Wait(); err != nil && !errors.Is(err, changelog.ErrDeposed) {
 			b.Errorf("cell: %v", err)
 		}
 	}
