--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -31,6 +31,7 @@
 // Writer appends changes. It belongs to one goroutine.
 type Writer struct {
 	table   Table
+	epoch   uint64
 	head    *wire.DocketHead
 	version uint64
 	drop    []string // rows that a snapshot covers
@@ -58,8 +59,9 @@
 // is being repeated. It may be called from any goroutine.
 func (w *Writer) Refused() bool { return w.refused.Load() }
 
-// Epoch returns the fencing token of this writer.
-func (w *Writer) Epoch() uint64 { return w.head.GetEpoch() }
+// Epoch returns the fencing token of this writer. It may be called from any
+// goroutine.
+func (w *Writer) Epoch() uint64 { return w.epoch }
 
 // Sequence returns the number of the newest row.
 func (w *Writer) Sequence() uint64 { return w.head.GetSequence() }
--- a/docket/snapshot.go
+++ b/docket/snapshot.go
@@ -37,7 +37,7 @@
 		for step, s := range steps {
 			for index := range s.tasks {
 				t := &s.tasks[index]
-				if t.run == 0 && !t.done {
+				if t.run == 0 && !t.done && t.checkpoint == "" {
 					continue
 				}
 				id := TaskID{j.ID(), occurrence, uint32(step), uint32(index)}
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -35,10 +35,7 @@
 	group.SetLimit(16)
 	for i, p := range processes {
 		group.Go(func() error {
-			c := &capture{header: http.Header{}, status: http.StatusOK}
-			if rt.Pass(c, r.Clone(r.Context()), p) {
-				answers[i] = c
-			}
+			answers[i] = passWhole(rt, r, p)
 			return nil
 		})
 	}
@@ -51,6 +48,24 @@
 	return missing
 }
 
+// passWhole returns the answer of one process, nil if there is none or if it broke
+// off: a Router aborts its handler then, which must not end this process.
+func passWhole(rt Router, r *http.Request, process string) (answer *capture) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			if fault != http.ErrAbortHandler {
+				panic(fault)
+			}
+			answer = nil
+		}
+	}()
+	c := &capture{header: http.Header{}, status: http.StatusOK}
+	if !rt.Pass(c, r.Clone(r.Context()), process) {
+		return nil
+	}
+	return c
+}
+
 func (s *Server) gather(w http.ResponseWriter, r *http.Request, views []dispatch.JobView) []dispatch.JobView {
 	missing := Gather(s.Router, r, func(_ string, body []byte) error {
 		var more []dispatch.JobView
