--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -69,7 +69,7 @@
 const (
 	tickInterval     = 50 * time.Millisecond
 	pollInterval     = 250 * time.Millisecond // between quiet syncs with the owner of a rack
-	livelyInterval   = 100 * time.Millisecond // the same while attempts start or end there
+	livelyInterval   = 50 * time.Millisecond // the same while attempts start or end there
 	livelyTime       = 2 * time.Second        // after the last start or end
 	commitInterval   = 100 * time.Millisecond // between commits of a job shard
 	retryPause       = time.Second            // after a failed commit or sync
@@ -271,6 +271,20 @@
 	}
 }
 
+// refill gives out the room of attempts that ended without waiting for the
+// next tick.
+func (d *Desk) refill(now time.Time) {
+	if !d.Valid(now) || d.closed {
+		return
+	}
+	d.place(now)
+	for _, s := range d.shards {
+		if s.book != nil {
+			d.syncDue(s, now)
+		}
+	}
+}
+
 func (d *Desk) requeue(now time.Time) {
 	kept := d.delays[:0]
 	for _, x := range d.delays {
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -111,6 +111,9 @@
 		d.uncertain(s, l, m)
 	default:
 		d.report(s, process, m, report, now)
+		if len(report.GetAttempts()) > 0 {
+			d.refill(now)
+		}
 		return
 	}
 	l.next, l.inventory = now.Add(retryPause), true
