--- a/measure/experiment/tasks.go
+++ b/measure/experiment/tasks.go
@@ -90,7 +90,8 @@
 	learned   estimate.Estimator
 	waiting   map[string]*workload.Arrival
 	attempted map[string]bool
-	kept      *keeping // nil for none
+	kept      []keeping
+	now       time.Time // of the decision
 	result    *outcome.Result
 	samples   int
 	held      map[string]float64 // dominant share seconds of the minute, by organisation
@@ -225,7 +226,7 @@
 }
 
 func taskOf(i queue.Item) placement.Task {
-	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long}
+	return placement.Task{ID: i.ID, Demand: i.Demand, Class: i.Class, Long: i.Long, Owner: i.Organisation}
 }
 
 // place starts what fits.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -230,7 +231,7 @@
 		}
 	}
 	large := Task{ID: "large", Demand: cores(8), Long: true}
-	kept, err := s.Earmark(large)
+	kept, err := s.Earmark(large, nobody)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -244,7 +245,33 @@
 	if s.Unmark("large") {
 		t.Error("the earmark outlives the placement")
 	}
-	if again, err := s.Earmark(Task{ID: "next", Demand: cores(8), Long: true}); err != nil || again == kept {
+	if again, err := s.Earmark(Task{ID: "next", Demand: cores(8), Long: true}, nobody); err != nil || again == kept {
 		t.Errorf("the worker of a task as large is kept (%q, %v), which would come free for it anyway", again, err)
 	}
 }
+
+// nobody is an organisation's claim on the workers that it holds.
+func nobody(string) bool { return false }
+
+// Of two workers that lack as much, the one is kept that holds tasks of an
+// organisation which has its share.
+func TestEarmarkSparesTheOwed(t *testing.T) {
+	for _, owed := range []string{"a", "b"} {
+		var s Shard
+		rng := rand.New(rand.NewPCG(1, 1))
+		rack(t, &s, 2, cores(8))
+		on := make(map[string]string)
+		for n := range 16 {
+			owner := string(rune('a' + n/8))
+			w, err := s.Place(Task{ID: fmt.Sprint(n), Demand: cores(1), Long: true, Owner: owner}, rng)
+			if err != nil {
+				t.Fatal(err)
+			}
+			on[w] += owner
+		}
+		kept, err := s.Earmark(Task{ID: "large", Demand: cores(8), Long: true, Owner: "c"}, func(o string) bool { return o == owed })
+		if err != nil || on[kept] == strings.Repeat(owed, 8) {
+			t.Errorf("%q is owed and worker %q is kept, with tasks of %q (%v)", owed, kept, on[kept], err)
+		}
+	}
+}
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -32,6 +32,7 @@
 	Demand resource.Vector
 	Class  class.Class
 	Spread string // tasks of one key keep apart; empty for no wish
+	Owner  string // the organisation; only for Earmark
 	Long   bool   // long work may not take what Reserve keeps
 }
 
--- a/queue/next.go
+++ b/queue/next.go
@@ -43,15 +43,17 @@
 	return oldest.item, true
 }
 
-// Preferred returns the task that Next would take if every task did fit, so that
-// the caller can keep room for it: else smaller tasks of others take each
-// room that comes free before it is large enough.
-func (q *Queue) Preferred(now time.Time) (Item, bool) {
+// Preferred returns the task that Next would take if every task that eligible
+// reports true for did fit, so that the caller can keep room for it: else
+// smaller tasks of others take each room that comes free before it is large
+// enough. As in Next, eligible decides for all tasks of one shape alike, and a
+// task that needs more than one that is not eligible is not eligible either.
+func (q *Queue) Preferred(now time.Time, eligible func(Item) bool) (Item, bool) {
 	q.expire(now)
 	q.refresh(now)
 	q.round++
 	q.unfit = q.unfit[:0]
-	e, _ := q.choose(now, func(Item) bool { return true })
+	e, _ := q.choose(now, eligible)
 	if e == nil {
 		return Item{}, false
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -24,7 +24,7 @@
 func drain(q *Queue, now time.Time) []string {
 	var order []string
 	for {
-		preferred, _ := q.Preferred(now)
+		preferred, _ := q.Preferred(now, anyFits)
 		i, ok := q.Next(now, anyFits)
 		if !ok {
 			return order
@@ -134,7 +134,7 @@
 			},
 			"next": func(t *rapid.T) {
 				room := cores(rapid.Int64Range(0, 90).Draw(t, "room"))
-				if p, ok := q.Preferred(now); ok && waiting[p.ID] != p {
+				if p, ok := q.Preferred(now, anyFits); ok && waiting[p.ID] != p {
 					t.Fatalf("%v is preferred and does not wait", p)
 				}
 				i, ok := q.Next(now, func(i Item) bool { return room.Covers(i.Demand) })
