node: strong hosts own the docket

Cause: hosts of one site may differ fourfold in strength; the owner was whoever came first, and a host of 0.192 cores cannot carry the work of 350 workers. Change: processes tell each other how many cores they have, the head keeps the strongest, weak hosts wait longer before they take over and give the docket to a much stronger host that they have heard of for 2 s. Test: TestStrongHostOwns.

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -70,6 +70,7 @@
 	Name        string
 	Incarnation uint64 // Unix milliseconds of its start
 	Address     string // for other processes, ip:port
+	Cores       float64
 }
 
 const (
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -167,6 +167,7 @@
 	}
 	w := &Writer{table: r.Table, version: r.version, head: proto.CloneOf(r.head)}
 	w.head.Owner, w.head.Incarnation, w.head.Address, w.head.Vacant = o.Name, o.Incarnation, o.Address, false
+	w.head.Strongest = max(o.Cores, w.head.GetStrongest())
 	w.head.Epoch++
 	w.epoch = w.head.GetEpoch()
 	if err := w.Append(ctx, nil); err != nil {
--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -36,7 +37,22 @@
 	version uint64
 	drop    []string // rows that a snapshot covers
 	refused atomic.Bool
-	usual   atomic.Int64 // nanoseconds until an answer
+	usual   atomic.Int64  // nanoseconds until an answer
+	cores   atomic.Uint64 // bits of the strongest host known, 0 if none was told
+}
+
+// NoteStrongest tells how many cores the strongest host has that could own the
+// docket; the head says so from the next change on. It may be called from any
+// goroutine.
+func (w *Writer) NoteStrongest(cores float64) { w.cores.Store(math.Float64bits(cores)) }
+
+// next returns a copy of the head to be changed.
+func (w *Writer) next() *wire.DocketHead {
+	head := proto.CloneOf(w.head)
+	if cores := math.Float64frombits(w.cores.Load()); cores > 0 {
+		head.Strongest = cores
+	}
+	return head
 }
 
 // Usual returns how long the store usually takes to answer. It may be called
@@ -85,7 +101,7 @@
 // repeats the transaction until its outcome is certain; when ctx ends before
 // that the error is ctx's and the outcome is open.
 func (w *Writer) Append(ctx context.Context, entries []*wire.DocketEntry) error {
-	next := proto.CloneOf(w.head)
+	next := w.next()
 	next.Sequence++
 	batch, err := proto.Marshal(&wire.DocketBatch{Epoch: next.GetEpoch(), Entries: entries})
 	if err != nil {
@@ -97,7 +113,7 @@
 
 // Leave gives the docket up, so that another process takes over at once.
 func (w *Writer) Leave(ctx context.Context) error {
-	next := proto.CloneOf(w.head)
+	next := w.next()
 	next.Vacant = true
 	return w.commit(ctx, next, nil)
 }
--- a/command/node.go
+++ b/command/node.go
@@ -84,7 +84,7 @@
 	routes := &platform.Routes{Store: store, Log: log}
 	n := &node.Node{
 		Identity: exchange.Hello{
-			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre,
+			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre, Cores: s.Cores,
 		},
 		Table: store.Table(docketTable), Orders: &platform.Orders{}, Advisor: &platform.Advisor{Address: s.Advisor},
 		Fleet: &platform.Fleet{Store: store, Log: log}, Log: log, Meter: flow, Limits: s.Limits,
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -122,10 +122,14 @@
 func (c *Client) Hello(ctx context.Context, address string, h Hello, known Owner) (Welcome, error) {
 	out := &wire.ExchangeWelcome{}
 	err := c.call(ctx, address, pathHello, &wire.ExchangeHello{
-		Process: h.Name, Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre,
+		Process: h.Name, Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre, Cores: h.Cores,
 		Owner: &wire.ExchangeOwner{Epoch: known.Epoch, Address: known.Address},
 	}, out)
-	return Welcome{Owner{out.GetOwner().GetEpoch(), out.GetOwner().GetAddress()}, out.GetPeers()}, err
+	w := Welcome{Owner: Owner{out.GetOwner().GetEpoch(), out.GetOwner().GetAddress()}}
+	for _, p := range out.GetPeers() {
+		w.Peers = append(w.Peers, Peer{p.GetAddress(), p.GetCores()})
+	}
+	return w, err
 }
 
 // Yield asks a process to take over from the owner of an epoch.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,13 @@
 	Incarnation uint64 // Unix milliseconds of its start
 	Address     string // ip:port of its own server
 	DataCentre  string
+	Cores       float64 // processor cores that it may use
+}
+
+// Peer is a process that another one knows of.
+type Peer struct {
+	Address string // ip:port
+	Cores   float64
 }
 
 // Owner names the owner of the docket as a process knows it.
@@ -49,7 +56,7 @@
 // Welcome answers a Hello.
 type Welcome struct {
 	Owner Owner
-	Peers []string // addresses of other processes
+	Peers []Peer
 }
 
 // Service is what a process does for others.
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -37,12 +37,16 @@
 		return answer("", waiting, err)
 	})
 	handle(r, pathHello, func(ctx context.Context, m *wire.ExchangeHello) proto.Message {
-		h := Hello{m.GetProcess(), m.GetIncarnation(), m.GetAddress(), m.GetDataCentre()}
+		h := Hello{m.GetProcess(), m.GetIncarnation(), m.GetAddress(), m.GetDataCentre(), m.GetCores()}
 		w, err := s.Service.HelloHere(ctx, h, Owner{m.GetOwner().GetEpoch(), m.GetOwner().GetAddress()})
 		if err != nil {
 			return &wire.ExchangeWelcome{}
 		}
-		return &wire.ExchangeWelcome{Owner: &wire.ExchangeOwner{Epoch: w.Owner.Epoch, Address: w.Owner.Address}, Peers: w.Peers}
+		out := &wire.ExchangeWelcome{Owner: &wire.ExchangeOwner{Epoch: w.Owner.Epoch, Address: w.Owner.Address}}
+		for _, p := range w.Peers {
+			out.Peers = append(out.Peers, &wire.ExchangePeer{Address: p.Address, Cores: p.Cores})
+		}
+		return out
 	})
 	handle(r, pathYield, func(_ context.Context, m *wire.ExchangeYield) proto.Message {
 		if s.Service.YieldHere(m.GetEpoch()) {
--- a/node/follow.go
+++ b/node/follow.go
@@ -54,7 +54,7 @@
 			n.pause(ctx, followPause)
 			continue
 		}
-		if !n.due(head, now.Sub(seenAt), asked) {
+		if !n.due(ctx, head, now.Sub(seenAt), asked) {
 			if !n.lostOwner() {
 				n.pause(ctx, followPause)
 			}
@@ -109,12 +109,15 @@
 	}
 }
 
-// due reports whether to try to take over now. Processes wait a random time, so
-// that mostly one tries; if several do, the store lets one succeed.
-func (n *Node) due(head *wire.DocketHead, silent time.Duration, asked uint64) bool {
+// due reports whether to try to take over now. Processes wait a random time, and
+// weak hosts longer, so that mostly one tries; if several do, the store lets one
+// succeed.
+func (n *Node) due(ctx context.Context, head *wire.DocketHead, silent time.Duration, asked uint64) bool {
+	late := n.handicap(head)
+	silent -= late
 	switch {
 	case head.GetEpoch() == 0 || head.GetVacant():
-		time.Sleep(rand.N(vacantJitter))
+		sleep(ctx, late+rand.N(vacantJitter))
 		return true
 	case head.GetOwner() == n.Identity.Name && head.GetIncarnation() < n.Identity.Incarnation:
 		return true
@@ -167,27 +170,29 @@
 func (n *Node) own(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, followWait+feedSlack)
 	w, err := n.replica.TakeOver(call, changelog.Owner{
-		Name: n.Identity.Name, Incarnation: n.Identity.Incarnation, Address: n.Identity.Address,
+		Name: n.Identity.Name, Incarnation: n.Identity.Incarnation, Address: n.Identity.Address, Cores: n.Identity.Cores,
 	})
 	cancel()
 	if err != nil {
 		return fmt.Errorf("take over: %w", err)
 	}
 	n.Log.Emit(event.DocketTaken, "epoch", w.Epoch(), "sequence", w.Sequence(), "jobs", n.replica.Docket().Len())
-	err = n.schedule(ctx, w)
+	released := false
+	released, err = n.schedule(ctx, w)
 	n.replica = &changelog.Replica{Table: n.Table, Refused: n.replica.Refused}
-	if n.isLeaving() && err == nil {
+	if (released || n.isLeaving()) && err == nil {
 		leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 		err = w.Leave(leave)
 		n.yield(leave, w.Epoch())
 		cancel()
 	}
-	n.Log.Emit(event.DocketLost, "epoch", w.Epoch(), "leaving", n.isLeaving())
+	n.Log.Emit(event.DocketLost, "epoch", w.Epoch(), "leaving", n.isLeaving(), "to-stronger", released)
 	return err
 }
 
-// schedule runs the cell until it ends.
-func (n *Node) schedule(ctx context.Context, w *changelog.Writer) error {
+// schedule runs the cell until it ends. It reports whether the docket is to be
+// given to a stronger host.
+func (n *Node) schedule(ctx context.Context, w *changelog.Writer) (released bool, err error) {
 	c := &cell.Cell{
 		Docket: n.replica.Docket(), Writer: w, Orders: n.Orders, Advice: cell.NewDesk(n.Identity.Name, n.Advisor),
 		Fleet: n.Fleet, Log: n.Log, Meter: n.Meter, Limits: n.Limits,
@@ -214,6 +219,13 @@
 		}
 		return nil
 	})
+	group.Go(func() error {
+		released = n.findStronger(run, w)
+		if released {
+			stop()
+		}
+		return nil
+	})
 	n.mu.Lock()
 	n.depose = stop
 	if n.view.epoch > w.Epoch() {
@@ -223,7 +235,7 @@
 	}
 	n.mu.Unlock()
 	group.Go(func() error { return n.announce(run) })
-	err := group.Wait()
+	err = group.Wait()
 	n.mu.Lock()
 	n.depose = nil
 	if n.view.cell == c {
@@ -231,7 +243,7 @@
 	}
 	n.mu.Unlock()
 	if errors.Is(err, context.Canceled) {
-		return nil
+		err = nil
 	}
-	return err
+	return released, err
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -69,32 +70,35 @@
 		n.note(p, now)
 	}
 	if w.Owner.Address != "" {
-		n.note(w.Owner.Address, now)
+		n.note(exchange.Peer{Address: w.Owner.Address}, now)
 	}
 	n.mu.Unlock()
 	n.learn(view{address: w.Owner.Address, epoch: w.Owner.Epoch})
 }
 
 // note needs the lock.
-func (n *Node) note(address string, now time.Time) {
-	if address != n.Identity.Address {
-		n.peers[address] = now
+func (n *Node) note(p exchange.Peer, now time.Time) {
+	if p.Address != n.Identity.Address {
+		n.peers[p.Address] = peer{max(p.Cores, n.peers[p.Address].cores), now}
 	}
-	for a, heard := range n.peers {
-		if now.Sub(heard) > peerMemory {
+	for a, known := range n.peers {
+		if now.Sub(known.heard) > peerMemory {
 			delete(n.peers, a)
 		}
 	}
 }
 
-func (n *Node) peerList() []string {
+// peerList returns the other processes, the strongest first.
+func (n *Node) peerList() []exchange.Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	list := make([]string, 0, len(n.peers))
-	for a := range n.peers {
-		list = append(list, a)
+	list := make([]exchange.Peer, 0, len(n.peers))
+	for a, known := range n.peers {
+		list = append(list, exchange.Peer{Address: a, Cores: known.cores})
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, func(a, b exchange.Peer) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Address, b.Address))
+	})
 	return list
 }
 
@@ -108,7 +112,7 @@
 // greetPeer asks one of the other processes, in turn, for the owner.
 func (n *Node) greetPeer(ctx context.Context, turn int) {
 	if list := n.peerList(); len(list) > 0 {
-		n.greetOne(ctx, list[turn%len(list)])
+		n.greetOne(ctx, list[turn%len(list)].Address)
 	}
 }
 
@@ -124,7 +128,7 @@
 // announce tells all peers that this process owns the docket.
 func (n *Node) announce(ctx context.Context) error {
 	for _, p := range n.peerList() {
-		n.greetOne(ctx, p)
+		n.greetOne(ctx, p.Address)
 	}
 	return nil
 }
@@ -148,12 +152,12 @@
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, yieldTimeout)
-		err := n.client.Yield(call, p, epoch)
+		err := n.client.Yield(call, p.Address, epoch)
 		cancel()
 		if err == nil {
 			return
 		}
-		n.greetOne(ctx, p) // it may know of a newer owner
+		n.greetOne(ctx, p.Address) // it may know of a newer owner
 	}
 }
 
@@ -193,7 +197,7 @@
 // HelloHere implements exchange.Service.
 func (n *Node) HelloHere(ctx context.Context, h exchange.Hello, known exchange.Owner) (exchange.Welcome, error) {
 	n.mu.Lock()
-	n.note(h.Address, time.Now())
+	n.note(exchange.Peer{Address: h.Address, Cores: h.Cores}, time.Now())
 	n.mu.Unlock()
 	n.learn(view{address: known.Address, epoch: known.Epoch})
 	v, _ := n.current()
--- a/node/node.go
+++ b/node/node.go
@@ -54,7 +54,7 @@
 	depose    func()        // ends the cell, nil while this process is not the owner
 	interrupt func()        // ends the feed that is waiting
 	poked     chan struct{} // ends the pause between two feeds
-	peers     map[string]time.Time
+	peers     map[string]peer
 	gone      uint64    // epoch whose owner does not listen any more
 	yielded   uint64    // epoch whose owner has asked to take over
 	storeOK   time.Time // newest answer of the store
@@ -70,6 +70,12 @@
 	cell    *cell.Cell // set while this process is the owner
 }
 
+// peer is another process, by its address.
+type peer struct {
+	cores float64
+	heard time.Time
+}
+
 // Prepare must be called before any other method.
 func (n *Node) Prepare() {
 	n.replica = &changelog.Replica{Table: n.Table, Refused: func(err error) { n.Log.Emit(event.DocketRefused, "error", err) }}
@@ -77,7 +83,7 @@
 	n.left = make(chan struct{})
 	n.stalled = make(chan uint64, 1)
 	n.changed = make(chan struct{})
-	n.peers = map[string]time.Time{}
+	n.peers = map[string]peer{}
 	n.interrupt = func() {}
 	n.poked = make(chan struct{}, 1)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -39,13 +39,19 @@
 
 // start runs a node on loopback. Its server ends with it, as with a process.
 func start(t *testing.T, name string, table *fleettest.Table, f *fleettest.Fleet) *process {
+	t.Helper()
+	return startOn(t, name, 1, table, f)
+}
+
+// startOn runs a node on a host with so many cores.
+func startOn(t *testing.T, name string, cores float64, table *fleettest.Table, f *fleettest.Fleet) *process {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := &node.Node{
-		Identity: exchange.Hello{Name: name, Incarnation: uint64(time.Now().UnixNano()), Address: l.Addr().String(), DataCentre: "a"},
+		Identity: exchange.Hello{Name: name, Incarnation: uint64(time.Now().UnixNano()), Address: l.Addr().String(), DataCentre: "a", Cores: cores},
 		Table:    table, Orders: f, Advisor: f, Fleet: f, Log: &event.Log{Writer: io.Discard}, Meter: silent{},
 		Limits: cell.Limits{
 			Lease: 9 * time.Second, LeaseMost: 10 * time.Second, StoreSilence: 10 * time.Second,
@@ -184,3 +190,26 @@
 		})
 	}
 }
+
+// A weak owner gives the docket to a stronger host, and the strongest of those
+// left takes it when that one is lost.
+func TestStrongHostOwns(t *testing.T) {
+	f, shared := fleettest.New(3, 16000, 32768), fleettest.NewTable()
+	weak := startOn(t, "weak", 0.2, shared.Path(), f)
+	submit(t, weak, f, 1)
+	strong := startOn(t, "strong", 0.8, shared.Path(), f)
+	eventually(t, "give the docket to the strong host", func(ctx context.Context) error {
+		_, err := strong.WaitingHere(ctx, "q")
+		return err
+	})
+	submit(t, weak, f, 2)
+	strong.kill()
+	submit(t, weak, f, 3)
+	for n := range 3 {
+		eventually(t, "complete", completed(weak, n+1))
+	}
+	weak.kill()
+	for _, fault := range f.Broken() {
+		t.Error(fault)
+	}
+}
--- a/process/settings.go
+++ b/process/settings.go
@@ -18,12 +18,13 @@
 	Path       string // of the file
 	Name       string
 	DataCentre string
-	Front      string // ip:port for callers
-	Ready      string // ip:port for the balancer's checks and for metrics
-	Exchange   string // ip:port for other processes
-	Store      string // ip:port of the platform's store
-	Advisor    string // ip:port of the advisory service, empty if there is none
-	MemoryMB   int64  // limit of the process
+	Front      string  // ip:port for callers
+	Ready      string  // ip:port for the balancer's checks and for metrics
+	Exchange   string  // ip:port for other processes
+	Store      string  // ip:port of the platform's store
+	Advisor    string  // ip:port of the advisory service, empty if there is none
+	MemoryMB   int64   // limit of the process
+	Cores      float64 // processor cores that the process may use
 	Grace      time.Duration
 	Limits     cell.Limits
 }
@@ -46,6 +47,7 @@
 		Store: r.address("platform", "store"), Advisor: r.optional("platform", "advisor"),
 		MemoryMB: int64(r.number("process", "memory-mb")), Grace: r.duration("bounds", "grace-s", time.Second),
 	}
+	s.Cores = r.numberOr("process", "core-share", 1) * r.numberOr("process", "core-speed", 1)
 	ip, ports := r.text("process", "ip"), strings.Split(r.text("listen", "ports"), ",")
 	s.Exchange = net.JoinHostPort(ip, strings.TrimSpace(ports[0]))
 	if _, err := strconv.Atoi(strings.TrimSpace(ports[0])); err != nil {
@@ -100,6 +102,14 @@
 	return v
 }
 
+// numberOr returns a number that may be left out.
+func (r *reader) numberOr(section, key string, usual float64) float64 {
+	if r.optional(section, key) == "" {
+		return usual
+	}
+	return r.number(section, key)
+}
+
 func (r *reader) duration(section, key string, unit time.Duration) time.Duration {
 	return time.Duration(r.number(section, key) * float64(unit))
 }
--- a/process/settings_test.go
+++ b/process/settings_test.go
@@ -13,6 +13,8 @@
 data-centre = a
 ip = 10.1.0.13
 memory-mb = 284
+core-share = 0.4
+core-speed = 2
 [listen]
 front = 10.1.0.13:8161
 ready = 10.1.0.13:8167
@@ -42,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Exchange != "10.1.0.13:7720" || s.Limits.Lease != 9*time.Second || s.Limits.Retention != 240*time.Second || s.MemoryMB != 284 {
+	if s.Exchange != "10.1.0.13:7720" || s.Limits.Lease != 9*time.Second || s.Limits.Retention != 240*time.Second || s.MemoryMB != 284 || s.Cores != 0.8 {
 		t.Errorf("%+v", s)
 	}
 }
