layout, node, exchange: several dockets, each with an owner of its own

Change: jobs belong to dockets by their names, workers by their racks; the number of dockets is chosen once from the number of workers and stored with the racks (package layout). Each docket has a table and a part of its own, an owner, and three processes that follow it; others only hear of it. Hosts offer cores divided by the dockets that they own, and a docket moves to a host that offers much more.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -51,6 +51,7 @@
 	GangWait     time.Duration // how long members of a gang wait for the others
 	Retention    time.Duration // how long ended jobs are remembered
 	StopTime     time.Duration // how long a stop takes at most
+	CommitGap    time.Duration // between two commits, at least
 	StoreSilence time.Duration // after this without a commit leases are not extended further
 }
 
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -82,10 +82,12 @@
 			return nil
 		}
 		for {
+			begun := time.Now()
 			more, err := c.commitOne(ctx)
 			if err != nil {
 				return err
 			}
+			wait(ctx, c.Limits.CommitGap-time.Since(begun))
 			if !more {
 				break
 			}
@@ -94,6 +96,16 @@
 	}
 }
 
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (c *Cell) commitOne(ctx context.Context) (more bool, err error) {
 	var batch []*wire.DocketEntry
 	if err := c.loop.Do(ctx, func() {
--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -85,6 +85,13 @@
 	return fmt.Sprintf("snapshot-%012d-%04d", base, part)
 }
 
+// ReadHead returns the head of a docket; a docket that never had an owner has an
+// empty one.
+func ReadHead(ctx context.Context, t Table) (*wire.DocketHead, error) {
+	head, _, _, err := readHead(ctx, t)
+	return head, err
+}
+
 func readHead(ctx context.Context, t Table) (*wire.DocketHead, uint64, uint64, error) {
 	page, err := t.Read(ctx, headKey, headKey+"\x00")
 	if err != nil {
--- a/command/node.go
+++ b/command/node.go
@@ -22,7 +22,6 @@
 
 const (
 	settingsVariable = "PERSIMMONWORKS_SETTINGS"
-	docketTable      = "docket"
 	heapShare        = 0.6 // of the memory limit, from where the garbage collector works harder
 	heapGrowth       = 60  // percent between two collections
 )
@@ -86,7 +85,7 @@
 		Identity: exchange.Hello{
 			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre, Cores: s.Cores,
 		},
-		Table: store.Table(docketTable), Orders: &platform.Orders{}, Advisor: &platform.Advisor{Address: s.Advisor},
+		Tables: store.Table, Writes: s.Writes, Orders: &platform.Orders{}, Advisor: &platform.Advisor{Address: s.Advisor},
 		Fleet: &platform.Fleet{Store: store, Log: log}, Log: log, Meter: flow, Limits: s.Limits,
 	}
 	n.Prepare()
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -111,30 +111,50 @@
 	return err
 }
 
-// Waiting asks the owner how many jobs of a queue have not begun.
-func (c *Client) Waiting(ctx context.Context, address, queue string) (uint32, error) {
-	a, err := c.ask(ctx, address, pathWaiting, &wire.ExchangeQueue{Queue: queue})
+// Waiting asks the owner of a docket how many jobs of a queue have not begun.
+func (c *Client) Waiting(ctx context.Context, address string, docket int, queue string) (uint32, error) {
+	a, err := c.ask(ctx, address, pathWaiting, &wire.ExchangeQueue{Queue: queue, Docket: uint32(docket)})
 	return a.GetWaiting(), err
 }
 
-// Hello makes the calling process, and the owner that it knows of, known to
+// Hello makes the calling process, and the owners that it knows of, known to
 // another process.
-func (c *Client) Hello(ctx context.Context, address string, h Hello, known Owner) (Welcome, error) {
-	out := &wire.ExchangeWelcome{}
-	err := c.call(ctx, address, pathHello, &wire.ExchangeHello{
+func (c *Client) Hello(ctx context.Context, address string, h Hello, known []Owner) (Welcome, error) {
+	in := &wire.ExchangeHello{
 		Process: h.Name, Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre, Cores: h.Cores,
-		Owner: &wire.ExchangeOwner{Epoch: known.Epoch, Address: known.Address},
-	}, out)
-	w := Welcome{Owner: Owner{out.GetOwner().GetEpoch(), out.GetOwner().GetAddress()}}
+		Owners: encodeOwners(known),
+	}
+	for _, d := range h.Helps {
+		in.Helps = append(in.Helps, uint32(d))
+	}
+	out := &wire.ExchangeWelcome{}
+	err := c.call(ctx, address, pathHello, in, out)
+	w := Welcome{Owners: decodeOwners(out.GetOwners())}
 	for _, p := range out.GetPeers() {
 		w.Peers = append(w.Peers, Peer{p.GetAddress(), p.GetCores()})
 	}
 	return w, err
 }
 
-// Yield asks a process to take over from the owner of an epoch.
-func (c *Client) Yield(ctx context.Context, address string, epoch uint64) error {
-	_, err := c.ask(ctx, address, pathYield, &wire.ExchangeYield{Epoch: epoch})
+func encodeOwners(owners []Owner) []*wire.ExchangeOwner {
+	out := make([]*wire.ExchangeOwner, len(owners))
+	for i, o := range owners {
+		out[i] = &wire.ExchangeOwner{Docket: uint32(o.Docket), Epoch: o.Epoch, Address: o.Address}
+	}
+	return out
+}
+
+func decodeOwners(owners []*wire.ExchangeOwner) []Owner {
+	out := make([]Owner, len(owners))
+	for i, o := range owners {
+		out[i] = Owner{Docket: int(o.GetDocket()), Epoch: o.GetEpoch(), Address: o.GetAddress()}
+	}
+	return out
+}
+
+// Yield asks a process to take a docket over from the owner of an epoch.
+func (c *Client) Yield(ctx context.Context, address string, docket int, epoch uint64) error {
+	_, err := c.ask(ctx, address, pathYield, &wire.ExchangeYield{Docket: uint32(docket), Epoch: epoch})
 	return err
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,5 +1,5 @@
 // Package exchange carries requests between the processes of the scheduler:
-// callers' requests to the owner of a docket, and the owner's questions for
+// callers' requests to the owners of dockets, and the owner's questions for
 // advice to the others.
 //
 // It speaks HTTP/1.1 with the messages of package wire. Every request may be
@@ -39,6 +39,7 @@
 	Address     string // ip:port of its own server
 	DataCentre  string
 	Cores       float64 // processor cores that it may use
+	Helps       []int   // dockets for whose owners it asks for advice
 }
 
 // Peer is a process that another one knows of.
@@ -47,16 +48,17 @@
 	Cores   float64
 }
 
-// Owner names the owner of the docket as a process knows it.
+// Owner names the owner of a docket as a process knows it.
 type Owner struct {
+	Docket  int
 	Epoch   uint64
 	Address string // ip:port
 }
 
 // Welcome answers a Hello.
 type Welcome struct {
-	Owner Owner
-	Peers []Peer
+	Owners []Owner
+	Peers  []Peer
 }
 
 // Service is what a process does for others.
@@ -64,12 +66,12 @@
 	SubmitHere(ctx context.Context, job *wire.DocketAccepted) error
 	StateHere(ctx context.Context, job string) (docket.State, error)
 	CancelHere(ctx context.Context, job string) error
-	WaitingHere(ctx context.Context, queue string) (uint32, error)
-	// HelloHere notes a process and the owner that it knows of.
-	HelloHere(ctx context.Context, h Hello, known Owner) (Welcome, error)
-	// YieldHere asks to take over from the owner of that epoch; it reports
-	// whether the process tries to.
-	YieldHere(epoch uint64) bool
+	WaitingHere(ctx context.Context, docket int, queue string) (uint32, error)
+	// HelloHere notes a process and the owners that it knows of.
+	HelloHere(ctx context.Context, h Hello, known []Owner) (Welcome, error)
+	// YieldHere asks to take a docket over from the owner of that epoch; it
+	// reports whether the process tries to.
+	YieldHere(docket int, epoch uint64) bool
 	cell.Advisor
 }
 
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -33,23 +33,12 @@
 		return answer("", 0, s.Service.CancelHere(ctx, m.GetJob()))
 	})
 	handle(r, pathWaiting, func(ctx context.Context, m *wire.ExchangeQueue) proto.Message {
-		waiting, err := s.Service.WaitingHere(ctx, m.GetQueue())
+		waiting, err := s.Service.WaitingHere(ctx, int(m.GetDocket()), m.GetQueue())
 		return answer("", waiting, err)
 	})
-	handle(r, pathHello, func(ctx context.Context, m *wire.ExchangeHello) proto.Message {
-		h := Hello{m.GetProcess(), m.GetIncarnation(), m.GetAddress(), m.GetDataCentre(), m.GetCores()}
-		w, err := s.Service.HelloHere(ctx, h, Owner{m.GetOwner().GetEpoch(), m.GetOwner().GetAddress()})
-		if err != nil {
-			return &wire.ExchangeWelcome{}
-		}
-		out := &wire.ExchangeWelcome{Owner: &wire.ExchangeOwner{Epoch: w.Owner.Epoch, Address: w.Owner.Address}}
-		for _, p := range w.Peers {
-			out.Peers = append(out.Peers, &wire.ExchangePeer{Address: p.Address, Cores: p.Cores})
-		}
-		return out
-	})
+	handle(r, pathHello, s.hello)
 	handle(r, pathYield, func(_ context.Context, m *wire.ExchangeYield) proto.Message {
-		if s.Service.YieldHere(m.GetEpoch()) {
+		if s.Service.YieldHere(int(m.GetDocket()), m.GetEpoch()) {
 			return answer("", 0, nil)
 		}
 		return answer("", 0, &cell.Refused{Reason: "the store does not answer here either"})
@@ -58,6 +47,24 @@
 	return r
 }
 
+func (s *Server) hello(ctx context.Context, m *wire.ExchangeHello) proto.Message {
+	h := Hello{
+		Name: m.GetProcess(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Cores: m.GetCores(),
+	}
+	for _, d := range m.GetHelps() {
+		h.Helps = append(h.Helps, int(d))
+	}
+	w, err := s.Service.HelloHere(ctx, h, decodeOwners(m.GetOwners()))
+	if err != nil {
+		return &wire.ExchangeWelcome{}
+	}
+	out := &wire.ExchangeWelcome{Owners: encodeOwners(w.Owners)}
+	for _, p := range w.Peers {
+		out.Peers = append(out.Peers, &wire.ExchangePeer{Address: p.Address, Cores: p.Cores})
+	}
+	return out
+}
+
 func (s *Server) advise(ctx context.Context, m *wire.ExchangeAdvise) proto.Message {
 	id, err := docket.ParseTaskID(m.GetStep() + ".0")
 	if err != nil {
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -25,6 +25,7 @@
 	cancels  map[string]time.Time
 	broken   []string
 	starts   int
+	listed   int // the first workers are in the list
 
 	// Takes says how long a task runs, and Fails whether a run fails. Set them
 	// before the first start; both may be nil.
@@ -46,9 +47,18 @@
 		w.begin()
 		f.workers = append(f.workers, w)
 	}
+	f.listed = count
 	return f
 }
 
+// List puts only the first workers into the list.
+func (f *Fleet) List(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = count
+	f.announce()
+}
+
 // Worker returns a worker by its number.
 func (f *Fleet) Worker(i int) *Worker { return f.workers[i] }
 
@@ -232,8 +242,8 @@
 	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		hosts := make([]cell.Host, len(f.workers))
-		for i, w := range f.workers {
+		hosts := make([]cell.Host, f.listed)
+		for i, w := range f.workers[:f.listed] {
 			hosts[i] = w.host
 		}
 		f.mu.Unlock()
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -104,6 +104,13 @@
 	w.wake = make(chan struct{})
 }
 
+// Epoch returns the highest fencing token that the worker has seen.
+func (w *Worker) Epoch() uint64 {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.fence
+}
+
 func (w *Worker) clock() int64 { return time.Since(w.started).Milliseconds() }
 
 func (w *Worker) free() resource.Vector {
--- a/node/follow.go
+++ b/node/follow.go
@@ -28,40 +28,48 @@
 	jitterMost   = 120 * time.Millisecond
 	vacantJitter = 40 * time.Millisecond
 	leaveTimeout = 800 * time.Millisecond
+	writesShare  = 0.6 // of the store's rate, for changes of dockets
 )
 
 // follow keeps the replica up to date and takes the docket over when its owner
 // is silent, has left, or asks for it.
-func (n *Node) follow(ctx context.Context) error {
+func (s *seat) follow(ctx context.Context) error {
 	version, seenAt := uint64(0), time.Time{}
 	for ctx.Err() == nil {
-		asked := n.askedToTakeOver()
-		if err := n.followOnce(ctx, asked); err != nil {
+		if s.isLeaving() {
+			s.markLeft()
+		}
+		if !s.follows(time.Now()) {
+			seenAt = time.Time{}
+			s.rest(ctx)
+			continue
+		}
+		asked := s.askedToTakeOver()
+		if err := s.followOnce(ctx, asked); err != nil {
 			seenAt = time.Time{} // silence counts from the store's return
-			n.storeFailed(err)
+			s.storeFailed(err)
 			sleep(ctx, followRetry)
 			continue
 		}
 		now := time.Now()
-		n.storeAnswered(now)
-		head := n.replica.Head()
-		if v := n.replica.Version(); v != version || seenAt.IsZero() {
+		s.storeAnswered(now)
+		head := s.replica.Head()
+		if v := s.replica.Version(); v != version || seenAt.IsZero() {
 			version, seenAt = v, now
 		}
-		n.learn(view{address: head.GetAddress(), epoch: head.GetEpoch()})
-		if n.isLeaving() {
-			n.markLeft()
-			n.pause(ctx, followPause)
+		s.learn(view{address: head.GetAddress(), epoch: head.GetEpoch()})
+		if s.isLeaving() {
+			s.pause(ctx, followPause)
 			continue
 		}
-		if !n.due(ctx, head, now.Sub(seenAt), asked) {
-			if !n.lostOwner() {
-				n.pause(ctx, followPause)
+		if !s.due(ctx, head, now.Sub(seenAt), asked) {
+			if !s.lostOwner() {
+				s.pause(ctx, followPause)
 			}
 			continue
 		}
-		if err := n.own(ctx); err != nil {
-			n.Log.Emit(event.DocketLost, "error", err)
+		if err := s.own(ctx); err != nil {
+			s.Log.Emit(event.DocketLost, "docket", s.docket, "error", err)
 			sleep(ctx, followRetry)
 		}
 		seenAt = time.Time{}
@@ -69,136 +77,122 @@
 	return nil
 }
 
+// rest does nothing but look for an owner while none is known. A docket that has
+// none, or that this process owned before it was restarted, is then followed.
+func (s *seat) rest(ctx context.Context) {
+	if s.replica.Docket() != nil {
+		s.forget()
+	}
+	if v, _ := s.current(); v.address != "" {
+		s.pause(ctx, followPause)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, feedSlack)
+	head, err := changelog.ReadHead(call, s.table)
+	cancel()
+	if err != nil {
+		s.storeFailed(err)
+		sleep(ctx, followRetry)
+		return
+	}
+	s.storeAnswered(time.Now())
+	s.learn(view{address: head.GetAddress(), epoch: head.GetEpoch()})
+	if head.GetEpoch() == 0 || head.GetVacant() || head.GetOwner() == s.Identity.Name {
+		s.engage(time.Now())
+	}
+}
+
+// limits returns the limits of one cell of several.
+func (s *seat) limits() cell.Limits {
+	limits := s.Limits
+	if l, _ := s.layout(); s.Writes > 0 {
+		limits.CommitGap = time.Duration(float64(l.Dockets()) / (writesShare * s.Writes) * float64(time.Second))
+	}
+	return limits
+}
+
 // followOnce applies what has changed. It waits for a change unless asked tells
 // that the owner of an epoch wants to be succeeded.
-func (n *Node) followOnce(ctx context.Context, asked uint64) error {
+func (s *seat) followOnce(ctx context.Context, asked uint64) error {
 	wait, limit := followWait, followWait+feedSlack
-	if n.lostOwner() {
+	if s.lostOwner() {
 		wait = watchfulWait
 	}
-	if head := n.replica.Head(); head != nil && (head.GetVacant() || asked != 0 && asked == head.GetEpoch()) {
+	if head := s.replica.Head(); head != nil && (head.GetVacant() || asked != 0 && asked == head.GetEpoch()) {
 		wait, limit = 0, probeTimeout
 	}
 	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	n.mu.Lock()
-	n.interrupt = cancel
-	n.mu.Unlock()
-	err := n.replica.Follow(call, wait)
+	s.mu.Lock()
+	s.interrupt = cancel
+	s.mu.Unlock()
+	err := s.replica.Follow(call, wait)
 	if err != nil && ctx.Err() == nil && errors.Is(call.Err(), context.Canceled) {
 		again, cancel := context.WithTimeout(ctx, feedSlack)
 		defer cancel()
-		return n.replica.Follow(again, 0) // interrupted to look at once
+		return s.replica.Follow(again, 0) // interrupted to look at once
 	}
 	return err
 }
 
-func (n *Node) askedToTakeOver() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	asked := n.yielded
-	n.yielded = 0 // one try for each request
-	return asked
-}
-
-func (n *Node) markLeft() {
-	select {
-	case <-n.left:
-	default:
-		close(n.left)
-	}
-}
-
 // due reports whether to try to take over now. Processes wait a random time, and
 // weak hosts longer, so that mostly one tries; if several do, the store lets one
 // succeed.
-func (n *Node) due(ctx context.Context, head *wire.DocketHead, silent time.Duration, asked uint64) bool {
-	late := n.handicap(head)
+func (s *seat) due(ctx context.Context, head *wire.DocketHead, silent time.Duration, asked uint64) bool {
+	late := s.handicap(head)
 	silent -= late
 	switch {
 	case head.GetEpoch() == 0 || head.GetVacant():
 		sleep(ctx, late+rand.N(vacantJitter))
 		return true
-	case head.GetOwner() == n.Identity.Name && head.GetIncarnation() < n.Identity.Incarnation:
+	case head.GetOwner() == s.Identity.Name && head.GetIncarnation() < s.Identity.Incarnation:
 		return true
 	case asked != 0 && asked == head.GetEpoch():
-	case n.ownerLost(head.GetEpoch()) && silent > silenceLost+rand.N(jitterMost):
-	case n.ownerGone(head.GetEpoch()) && silent > silenceGone+rand.N(jitterMost):
+	case s.ownerLost(head.GetEpoch()) && silent > silenceLost+rand.N(jitterMost):
+	case s.ownerGone(head.GetEpoch()) && silent > silenceGone+rand.N(jitterMost):
 	case silent > silenceMost+rand.N(jitterMost):
 	default:
 		return false
 	}
-	n.Log.Emit(event.DocketSuspect, "owner", head.GetOwner(), "epoch", head.GetEpoch(),
+	s.Log.Emit(event.DocketSuspect, "docket", s.docket, "owner", head.GetOwner(), "epoch", head.GetEpoch(),
 		"silent-ms", silent.Milliseconds(), "asked", asked == head.GetEpoch())
 	return true
 }
 
-func (n *Node) ownerGone(epoch uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.gone == epoch
-}
-
-func (n *Node) ownerLost(epoch uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ownerBad && n.view.epoch == epoch
-}
-
-func (n *Node) storeFailed(err error) {
-	n.mu.Lock()
-	was := n.storeBad
-	n.storeBad = true
-	n.mu.Unlock()
-	if !was {
-		n.Log.Emit(event.StoreLost, "error", err)
-	}
-}
-
-func (n *Node) storeAnswered(now time.Time) {
-	n.mu.Lock()
-	was := n.storeBad
-	n.storeBad, n.storeOK = false, now
-	n.mu.Unlock()
-	if was {
-		n.Log.Emit(event.StoreRegained)
-	}
-}
-
 // own takes the docket over and schedules its jobs until another process takes
 // it, or this one leaves.
-func (n *Node) own(ctx context.Context) error {
+func (s *seat) own(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, followWait+feedSlack)
-	w, err := n.replica.TakeOver(call, changelog.Owner{
-		Name: n.Identity.Name, Incarnation: n.Identity.Incarnation, Address: n.Identity.Address, Cores: n.Identity.Cores,
+	w, err := s.replica.TakeOver(call, changelog.Owner{
+		Name: s.Identity.Name, Incarnation: s.Identity.Incarnation, Address: s.Identity.Address, Cores: s.Identity.Cores,
 	})
 	cancel()
 	if err != nil {
 		return fmt.Errorf("take over: %w", err)
 	}
-	n.Log.Emit(event.DocketTaken, "epoch", w.Epoch(), "sequence", w.Sequence(), "jobs", n.replica.Docket().Len())
+	s.Log.Emit(event.DocketTaken, "docket", s.docket, "epoch", w.Epoch(), "sequence", w.Sequence(), "jobs", s.replica.Docket().Len())
 	released := false
-	released, err = n.schedule(ctx, w)
-	n.replica = &changelog.Replica{Table: n.Table, Refused: n.replica.Refused}
-	if (released || n.isLeaving()) && err == nil {
+	released, err = s.schedule(ctx, w)
+	s.forget()
+	if (released || s.isLeaving()) && err == nil {
 		leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 		err = w.Leave(leave)
-		n.yield(leave, w.Epoch())
+		s.yield(leave, w.Epoch())
 		cancel()
 	}
-	n.Log.Emit(event.DocketLost, "epoch", w.Epoch(), "leaving", n.isLeaving(), "to-stronger", released)
+	s.Log.Emit(event.DocketLost, "docket", s.docket, "epoch", w.Epoch(), "leaving", s.isLeaving(), "to-stronger", released)
 	return err
 }
 
 // schedule runs the cell until it ends. It reports whether the docket is to be
 // given to a stronger host.
-func (n *Node) schedule(ctx context.Context, w *changelog.Writer) (released bool, err error) {
+func (s *seat) schedule(ctx context.Context, w *changelog.Writer) (released bool, err error) {
 	c := &cell.Cell{
-		Docket: n.replica.Docket(), Writer: w, Orders: n.Orders, Advice: cell.NewDesk(n.Identity.Name, n.Advisor),
-		Fleet: n.Fleet, Log: n.Log, Meter: n.Meter, Limits: n.Limits,
+		Docket: s.replica.Docket(), Writer: w, Orders: s.Orders, Advice: cell.NewDesk(s.Identity.Name, s.Advisor),
+		Fleet: &share{s.Node, s.docket}, Log: s.Log, Meter: s.Meter, Limits: s.limits(),
 		Stalled: func() {
 			select {
-			case n.stalled <- w.Epoch():
+			case s.stalled <- w.Epoch():
 			default: // one is being handled
 			}
 		},
@@ -213,35 +207,38 @@
 	})
 	group.Go(func() error {
 		select {
-		case <-n.leaving:
+		case <-s.leaving:
 			stop()
 		case <-run.Done():
 		}
 		return nil
 	})
 	group.Go(func() error {
-		released = n.findStronger(run, w)
+		released = s.findStronger(run, w)
 		if released {
 			stop()
 		}
 		return nil
 	})
-	n.mu.Lock()
-	n.depose = stop
-	if n.view.epoch > w.Epoch() {
+	s.mu.Lock()
+	s.depose = stop
+	if s.view.epoch > w.Epoch() {
 		stop()
 	} else {
-		n.setView(view{address: n.Identity.Address, epoch: w.Epoch(), cell: c})
+		s.setView(view{address: s.Identity.Address, epoch: w.Epoch(), cell: c})
 	}
-	n.mu.Unlock()
-	group.Go(func() error { return n.announce(run) })
+	s.mu.Unlock()
+	group.Go(func() error {
+		s.announce(run)
+		return nil
+	})
 	err = group.Wait()
-	n.mu.Lock()
-	n.depose = nil
-	if n.view.cell == c {
-		n.setView(view{epoch: w.Epoch()})
+	s.mu.Lock()
+	s.depose = nil
+	if s.view.cell == c {
+		s.setView(view{epoch: w.Epoch()})
 	}
-	n.mu.Unlock()
+	s.mu.Unlock()
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -1,18 +1,20 @@
-// Package node makes one process of the scheduler: it follows the docket, owns
-// it when no other process does, and passes callers' requests to the owner.
+// Package node makes one process of the scheduler: it takes part in owning the
+// dockets, and passes callers' requests to their owners.
 //
-// Any process may own the docket. The owner shows that it lives by changing the
-// head of the changelog; a process that has read the store and seen no change
-// for a while takes the docket over. An owner that the store does not serve asks
-// the others to take over. Safety does not depend on that timing: the store
-// refuses a deposed writer, and workers refuse a lower epoch.
+// The jobs and workers of a deployment are divided among dockets (package
+// layout). Any process may own any docket. The owner shows that it lives by
+// changing the head of the changelog; a process that has read the store and seen
+// no change for a while takes the docket over. An owner that the store does not
+// serve asks the others to take over. Safety does not depend on that timing: the
+// store refuses a deposed writer, and workers refuse a lower epoch.
 //
-// Processes also tell each other the newest owner that they know of, so that
-// one that is cut from the store still finds it.
+// A few processes follow each docket, to be ready; the others follow one only
+// when its owner stays away. Processes also tell each other the newest owners
+// that they know of, so that one that is cut from the store still finds them.
 //
 // Usage:
 //
-//	n := &node.Node{Identity: i, Table: t, Orders: o, Advisor: a, Fleet: f, Log: l, Limits: x}
+//	n := &node.Node{Identity: i, Tables: t, Orders: o, Advisor: a, Fleet: f, Log: l, Limits: x}
 //	n.Prepare()
 //	group.Go(func() error { return n.Run(ctx) })
 //	err := n.Submit(ctx, job)
@@ -29,101 +31,70 @@
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/exchange"
+	"persimmonworks.example/persimmonworks/layout"
 )
 
 // Node is one process. Set the exported fields, then call Prepare and Run.
 type Node struct {
 	Identity exchange.Hello
-	Table    changelog.Table
+	Tables   func(name string) changelog.Table
 	Orders   cell.Orders
 	Advisor  cell.Advisor
 	Fleet    cell.Fleet
 	Log      event.Emitter
 	Meter    cell.Meter
 	Limits   cell.Limits
+	Writes   float64 // calls a second that change the store, for all processes; 0 for no limit
 
 	client  exchange.Client
-	replica *changelog.Replica
 	leaving chan struct{}
-	left    chan struct{}
-	stalled chan uint64 // epochs of this process that the store does not serve
-
-	mu        sync.Mutex
-	view      view
-	changed   chan struct{} // closed when the view changes
-	depose    func()        // ends the cell, nil while this process is not the owner
-	interrupt func()        // ends the feed that is waiting
-	poked     chan struct{} // ends the pause between two feeds
-	peers     map[string]peer
-	gone      uint64    // epoch whose owner does not listen any more
-	yielded   uint64    // epoch whose owner has asked to take over
-	storeOK   time.Time // newest answer of the store
-	storeBad  bool
-	ownerOK   time.Time // newest answer of the owner
-	ownerBad  bool
-}
-
-// view is what a process knows of the owner.
-type view struct {
-	address string
-	epoch   uint64
-	cell    *cell.Cell // set while this process is the owner
-}
-
-// peer is another process, by its address.
-type peer struct {
-	cores float64
-	heard time.Time
+	begun   time.Time
+
+	mu       sync.Mutex
+	division *layout.Layout
+	version  uint64        // of the stored layout
+	divided  chan struct{} // closed when the layout changes
+	seats    []*seat       // by docket; empty until the layout is known
+	peers    map[string]peer
+	released time.Time // when a docket was last given to a stronger host
+	storeOK  time.Time // newest answer of the store
+	storeBad bool
 }
 
 // Prepare must be called before any other method.
 func (n *Node) Prepare() {
-	n.replica = &changelog.Replica{Table: n.Table, Refused: func(err error) { n.Log.Emit(event.DocketRefused, "error", err) }}
 	n.leaving = make(chan struct{})
-	n.left = make(chan struct{})
-	n.stalled = make(chan uint64, 1)
-	n.changed = make(chan struct{})
+	n.divided = make(chan struct{})
 	n.peers = map[string]peer{}
-	n.interrupt = func() {}
-	n.poked = make(chan struct{}, 1)
-}
-
-// poke makes the process look at the docket at once. It needs the lock.
-func (n *Node) poke() {
-	n.interrupt()
-	select {
-	case n.poked <- struct{}{}:
-	default:
-	}
-}
-
-// pause waits, unless the process is poked.
-func (n *Node) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-n.poked:
-	case <-ctx.Done():
-	}
+	n.begun = time.Now()
 }
 
 // Run works until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return n.follow(ctx) })
+	group.Go(func() error {
+		if err := n.divide(ctx); err != nil {
+			return err
+		}
+		for _, s := range n.allSeats() {
+			group.Go(func() error { return s.follow(ctx) })
+			group.Go(func() error { return s.yieldWhenStalled(ctx) })
+		}
+		return n.followLayout(ctx)
+	})
 	group.Go(func() error { return n.greet(ctx) })
-	group.Go(func() error { return n.yieldWhenStalled(ctx) })
 	return group.Wait()
 }
 
-// Leave makes the process give the docket up, if it has it, and not take it
-// again. It returns when that is done or ctx ends.
+// Leave makes the process give its dockets up and take none again. It returns
+// when that is done or ctx ends.
 func (n *Node) Leave(ctx context.Context) {
 	close(n.leaving)
-	select {
-	case <-n.left:
-	case <-ctx.Done():
+	for _, s := range n.allSeats() {
+		select {
+		case <-s.left:
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -136,43 +107,78 @@
 	}
 }
 
-// Connected reports whether the process can serve callers: it owns the docket,
-// or the owner has answered lately.
+// Connected reports whether the process can serve callers: it owns at least half
+// of the dockets, or their owners have answered lately.
 func (n *Node) Connected() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.view.cell != nil || n.view.address != "" && !n.ownerBad
+	seats, reached := n.allSeats(), 0
+	for _, s := range seats {
+		if s.connected() {
+			reached++
+		}
+	}
+	return reached > 0 && 2*reached >= len(seats)
 }
 
-func (n *Node) current() (view, <-chan struct{}) {
+func (n *Node) allSeats() []*seat {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view, n.changed
+	return n.seats
 }
 
-// learn takes in an owner. A lower epoch than the one known is ignored; a higher
-// one ends the cell of this process.
-func (n *Node) learn(v view) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if v.epoch < n.view.epoch || v == n.view || v.address == "" && v.cell == nil {
-		return
+// seat returns the process's part in a docket, nil while the layout is not known.
+func (n *Node) seat(docket int) *seat {
+	seats := n.allSeats()
+	if docket < 0 || docket >= len(seats) {
+		return nil
 	}
-	if n.view.cell != nil && v.cell == nil && v.epoch == n.view.epoch {
-		return
+	return seats[docket]
+}
+
+// seatOf returns the process's part in the docket of a job.
+func (n *Node) seatOf(job string) *seat {
+	l, _ := n.layout()
+	if l == nil {
+		return nil
 	}
-	if n.depose != nil && v.epoch > n.view.epoch && v.cell == nil {
-		n.depose()
+	return n.seat(l.OfJob(job))
+}
+
+// owned returns how many dockets each process owns, by address.
+func (n *Node) owned() map[string]int {
+	count := map[string]int{}
+	for _, s := range n.allSeats() {
+		if v, _ := s.current(); v.address != "" {
+			count[v.address]++
+		}
 	}
-	n.setView(v)
+	return count
 }
 
-// setView needs the lock.
-func (n *Node) setView(v view) {
-	n.view = v
-	n.ownerBad, n.ownerOK = false, time.Now()
-	close(n.changed)
-	n.changed = make(chan struct{})
+func (n *Node) storeFailed(err error) {
+	n.mu.Lock()
+	was := n.storeBad
+	n.storeBad = true
+	n.mu.Unlock()
+	if !was {
+		n.Log.Emit(event.StoreLost, "error", err)
+	}
+}
+
+func (n *Node) storeAnswered(now time.Time) {
+	n.mu.Lock()
+	was := n.storeBad
+	n.storeBad, n.storeOK = false, now
+	n.mu.Unlock()
+	if was {
+		n.Log.Emit(event.StoreRegained)
+	}
+}
+
+// storeServes reports whether the store has answered lately, and since when.
+func (n *Node) storeServes() (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeOK, !n.storeBad
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -33,18 +33,18 @@
 // process is a node with its server.
 type process struct {
 	*node.Node
-	table *fleettest.Table // its own way to the store
+	store *fleettest.Store // its own way to the store
 	kill  func()
 }
 
 // start runs a node on loopback. Its server ends with it, as with a process.
-func start(t *testing.T, name string, table *fleettest.Table, f *fleettest.Fleet) *process {
+func start(t *testing.T, name string, store *fleettest.Store, f *fleettest.Fleet) *process {
 	t.Helper()
-	return startOn(t, name, 1, table, f)
+	return startOn(t, name, 1, store, f)
 }
 
 // startOn runs a node on a host with so many cores.
-func startOn(t *testing.T, name string, cores float64, table *fleettest.Table, f *fleettest.Fleet) *process {
+func startOn(t *testing.T, name string, cores float64, store *fleettest.Store, f *fleettest.Fleet) *process {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -52,7 +52,7 @@
 	}
 	n := &node.Node{
 		Identity: exchange.Hello{Name: name, Incarnation: uint64(time.Now().UnixNano()), Address: l.Addr().String(), DataCentre: "a", Cores: cores},
-		Table:    table, Orders: f, Advisor: f, Fleet: f, Log: &event.Log{Writer: io.Discard}, Meter: silent{},
+		Tables:   store.Table, Orders: f, Advisor: f, Fleet: f, Log: &event.Log{Writer: io.Discard}, Meter: silent{},
 		Limits: cell.Limits{
 			Lease: 9 * time.Second, LeaseMost: 10 * time.Second, StoreSilence: 10 * time.Second,
 			GangWait: 3 * time.Second, StopTime: 400 * time.Millisecond, Retention: time.Minute,
@@ -71,7 +71,7 @@
 		return nil
 	})
 	ended := false
-	p := &process{Node: n, table: table}
+	p := &process{Node: n, store: store}
 	p.kill = func() {
 		if ended {
 			return
@@ -132,7 +132,7 @@
 	var found *process
 	eventually(t, "find the owner", func(ctx context.Context) error {
 		for _, p := range all {
-			if _, err := p.WaitingHere(ctx, "q"); err == nil {
+			if _, err := p.WaitingHere(ctx, 0, "q"); err == nil {
 				found = p
 				return nil
 			}
@@ -145,7 +145,7 @@
 func TestOwnerIsReplaced(t *testing.T) {
 	for _, how := range []string{"killed", "leaves", "cut from the store"} {
 		t.Run(how, func(t *testing.T) {
-			f, shared := fleettest.New(3, 16000, 32768), fleettest.NewTable()
+			f, shared := fleettest.New(3, 16000, 32768), fleettest.NewStore()
 			var all []*process
 			for i := range 3 {
 				all = append(all, start(t, fmt.Sprintf("e%d", i), shared.Path(), f))
@@ -162,7 +162,7 @@
 				first.Leave(ctx)
 				cancel()
 			case "cut from the store":
-				first.table.SetAway(true)
+				first.store.SetAway(true)
 			}
 			var rest []*process
 			for _, p := range all {
@@ -194,12 +194,12 @@
 // A weak owner gives the docket to a stronger host, and the strongest of those
 // left takes it when that one is lost.
 func TestStrongHostOwns(t *testing.T) {
-	f, shared := fleettest.New(3, 16000, 32768), fleettest.NewTable()
+	f, shared := fleettest.New(3, 16000, 32768), fleettest.NewStore()
 	weak := startOn(t, "weak", 0.2, shared.Path(), f)
 	submit(t, weak, f, 1)
 	strong := startOn(t, "strong", 0.8, shared.Path(), f)
 	eventually(t, "give the docket to the strong host", func(ctx context.Context) error {
-		_, err := strong.WaitingHere(ctx, "q")
+		_, err := strong.WaitingHere(ctx, 0, "q")
 		return err
 	})
 	submit(t, weak, f, 2)
@@ -213,3 +213,50 @@
 		t.Error(fault)
 	}
 }
+
+// Two dockets share the workers by racks and the jobs by name; the loss of an
+// owner stops neither, and a rack that comes later is used.
+func TestTwoDockets(t *testing.T) {
+	const workers = 272
+	f, shared := fleettest.New(workers, 16000, 32768), fleettest.NewStore()
+	f.List(workers - 4) // the last rack
+	var all []*process
+	for i := range 4 {
+		all = append(all, start(t, fmt.Sprintf("e%d", i), shared.Path(), f))
+	}
+	const jobs = 24
+	for n := range jobs {
+		submit(t, all[n%4], f, n)
+	}
+	first := owner(t, all)
+	first.kill()
+	var rest []*process
+	for _, p := range all {
+		if p != first {
+			rest = append(rest, p)
+		}
+	}
+	f.List(workers)
+	for n := range jobs {
+		submit(t, rest[n%3], f, jobs+n)
+	}
+	for n := range 2 * jobs {
+		eventually(t, "complete", completed(rest[n%3], n))
+	}
+	eventually(t, "count the waiting jobs of both", func(ctx context.Context) error {
+		_, err := rest[0].Waiting(ctx, "q")
+		return err
+	})
+	eventually(t, "hold the rack that came later", func(context.Context) error {
+		if f.Worker(workers-1).Epoch() == 0 {
+			return errors.New("nobody holds its last worker")
+		}
+		return nil
+	})
+	for _, p := range all {
+		p.kill()
+	}
+	for _, fault := range f.Broken() {
+		t.Error(fault)
+	}
+}
--- a/node/requests.go
+++ b/node/requests.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/exchange"
@@ -20,10 +23,10 @@
 	ownerRetry  = time.Second // told to callers while there is no owner
 )
 
-// Submit hands a job in at the owner. The error is a *cell.Refused, or wraps
-// cell.ErrUndecided when the job may have been accepted.
+// Submit hands a job in at the owner of its docket. The error is a *cell.Refused,
+// or wraps cell.ErrUndecided when the job may have been accepted.
 func (n *Node) Submit(ctx context.Context, job *wire.DocketAccepted) error {
-	_, err := onOwner(ctx, n, true, func(ctx context.Context, v view) (struct{}, error) {
+	_, err := onOwner(ctx, n.seatOf(job.GetJob()), true, func(ctx context.Context, v view) (struct{}, error) {
 		if v.cell != nil {
 			return struct{}{}, v.cell.Submit(ctx, job)
 		}
@@ -34,7 +37,7 @@
 
 // State returns the stored state of a job, or cell.ErrNoJob.
 func (n *Node) State(ctx context.Context, job string) (docket.State, error) {
-	return onOwner(ctx, n, false, func(ctx context.Context, v view) (docket.State, error) {
+	return onOwner(ctx, n.seatOf(job), false, func(ctx context.Context, v view) (docket.State, error) {
 		if v.cell != nil {
 			return v.cell.State(ctx, job)
 		}
@@ -44,7 +47,7 @@
 
 // Cancel ends a job, or returns cell.ErrNoJob.
 func (n *Node) Cancel(ctx context.Context, job string) error {
-	_, err := onOwner(ctx, n, false, func(ctx context.Context, v view) (struct{}, error) {
+	_, err := onOwner(ctx, n.seatOf(job), false, func(ctx context.Context, v view) (struct{}, error) {
 		if v.cell != nil {
 			return struct{}{}, v.cell.Cancel(ctx, job)
 		}
@@ -53,13 +56,31 @@
 	return err
 }
 
-// Waiting returns how many jobs of a queue have not begun.
+// Waiting returns how many jobs of a queue have not begun, in all dockets.
 func (n *Node) Waiting(ctx context.Context, queue string) (uint32, error) {
-	return onOwner(ctx, n, false, func(ctx context.Context, v view) (uint32, error) {
+	seats := n.allSeats()
+	if len(seats) == 0 {
+		return onOwner[uint32](ctx, nil, false, nil)
+	}
+	var total atomic.Uint32
+	group, ctx := errgroup.WithContext(ctx)
+	for _, s := range seats {
+		group.Go(func() error {
+			count, err := s.waiting(ctx, queue)
+			total.Add(count)
+			return err
+		})
+	}
+	err := group.Wait()
+	return total.Load(), err
+}
+
+func (s *seat) waiting(ctx context.Context, queue string) (uint32, error) {
+	return onOwner(ctx, s, false, func(ctx context.Context, v view) (uint32, error) {
 		if v.cell != nil {
 			return v.cell.Waiting(ctx, queue)
 		}
-		return n.client.Waiting(ctx, v.address, queue)
+		return s.client.Waiting(ctx, v.address, s.docket, queue)
 	})
 }
 
@@ -67,23 +88,26 @@
 // changes. A request that cannot have reached an owner is refused; so is one
 // that changes nothing. One that may have reached an owner is repeated as long as
 // its caller waits, since the next owner knows whether it was accepted.
-func onOwner[T any](ctx context.Context, n *Node, changes bool, f func(context.Context, view) (T, error)) (T, error) {
+func onOwner[T any](ctx context.Context, s *seat, changes bool, f func(context.Context, view) (T, error)) (T, error) {
+	var zero T
+	if s == nil {
+		return zero, &cell.Refused{Reason: "the dockets are not known yet", RetryAfter: ownerRetry}
+	}
 	begun := time.Now()
 	open := false // an owner may have got the request
-	var zero T
 	for {
-		v, changed := n.current()
+		v, changed := s.current()
 		result, err := zero, error(exchange.ErrNotReached)
-		if n.reachable(v) {
+		if s.reachable(v) {
 			call, cancel := context.WithTimeout(ctx, tryTimeout)
 			result, err = f(call, v)
 			cancel()
 			if final(err) {
-				n.ownerAnswered(v.epoch)
+				s.ownerAnswered(v.epoch)
 				return result, err
 			}
 			if !errors.Is(err, exchange.ErrNotOwner) {
-				n.ownerFailed(v.epoch, err)
+				s.ownerFailed(v.epoch, err)
 			}
 			open = open || !errors.Is(err, exchange.ErrNotReached) && !errors.Is(err, exchange.ErrNotOwner)
 		}
@@ -102,10 +126,10 @@
 }
 
 // reachable reports whether it is worth asking the owner.
-func (n *Node) reachable(v view) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return v.cell != nil || v.address != "" && !(n.ownerBad && v.epoch == n.view.epoch)
+func (s *seat) reachable(v view) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return v.cell != nil || v.address != "" && !(s.ownerBad && v.epoch == s.view.epoch)
 }
 
 // final reports whether asking again cannot change the outcome.
@@ -116,40 +140,52 @@
 
 func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// cellHere returns the cell of the docket if this process owns it.
+func (s *seat) cellHere() (*cell.Cell, error) {
+	if s == nil {
+		return nil, exchange.ErrNotOwner
+	}
+	v, _ := s.current()
+	if v.cell == nil {
+		return nil, exchange.ErrNotOwner
+	}
+	return v.cell, nil
+}
+
 // SubmitHere implements exchange.Service.
 func (n *Node) SubmitHere(ctx context.Context, job *wire.DocketAccepted) error {
-	v, _ := n.current()
-	if v.cell == nil {
-		return exchange.ErrNotOwner
+	c, err := n.seatOf(job.GetJob()).cellHere()
+	if err != nil {
+		return err
 	}
-	return v.cell.Submit(ctx, job)
+	return c.Submit(ctx, job)
 }
 
 // StateHere implements exchange.Service.
 func (n *Node) StateHere(ctx context.Context, job string) (docket.State, error) {
-	v, _ := n.current()
-	if v.cell == nil {
-		return "", exchange.ErrNotOwner
+	c, err := n.seatOf(job).cellHere()
+	if err != nil {
+		return "", err
 	}
-	return v.cell.State(ctx, job)
+	return c.State(ctx, job)
 }
 
 // CancelHere implements exchange.Service.
 func (n *Node) CancelHere(ctx context.Context, job string) error {
-	v, _ := n.current()
-	if v.cell == nil {
-		return exchange.ErrNotOwner
+	c, err := n.seatOf(job).cellHere()
+	if err != nil {
+		return err
 	}
-	return v.cell.Cancel(ctx, job)
+	return c.Cancel(ctx, job)
 }
 
 // WaitingHere implements exchange.Service.
-func (n *Node) WaitingHere(ctx context.Context, queue string) (uint32, error) {
-	v, _ := n.current()
-	if v.cell == nil {
-		return 0, exchange.ErrNotOwner
+func (n *Node) WaitingHere(ctx context.Context, docket int, queue string) (uint32, error) {
+	c, err := n.seat(docket).cellHere()
+	if err != nil {
+		return 0, err
 	}
-	return v.cell.Waiting(ctx, queue)
+	return c.Waiting(ctx, queue)
 }
 
 // Advise implements cell.Advisor for other processes.
--- a/process/settings.go
+++ b/process/settings.go
@@ -22,6 +22,7 @@
 	Ready      string  // ip:port for the balancer's checks and for metrics
 	Exchange   string  // ip:port for other processes
 	Store      string  // ip:port of the platform's store
+	Writes     float64 // calls a second that may change the store, 0 for no limit
 	Advisor    string  // ip:port of the advisory service, empty if there is none
 	MemoryMB   int64   // limit of the process
 	Cores      float64 // processor cores that the process may use
@@ -47,6 +48,7 @@
 		Store: r.address("platform", "store"), Advisor: r.optional("platform", "advisor"),
 		MemoryMB: int64(r.number("process", "memory-mb")), Grace: r.duration("bounds", "grace-s", time.Second),
 	}
+	s.Writes = r.numberOr("platform", "writes-per-s", 0)
 	s.Cores = r.numberOr("process", "core-share", 1) * r.numberOr("process", "core-speed", 1)
 	ip, ports := r.text("process", "ip"), strings.Split(r.text("listen", "ports"), ",")
 	s.Exchange = net.JoinHostPort(ip, strings.TrimSpace(ports[0]))
