cell: a new owner knows that what it found is durable

Cause: changes were numbered by rows while a process followed, and by entries from 1 once it owned the docket, so the state of a job that nothing had changed since was held back until the new owner had stored as many entries as there were rows. Ruled out: a blocked loop or commit (stacks of the owner: both idle). Change: numbering goes on from the number of rows found. Test: TestStateOfEarlierOwnersJobs, red before.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -102,6 +102,8 @@
 	c.begun = time.Now()
 	c.log.kick = make(chan struct{}, 1)
 	c.log.durableAt = time.Now()
+	// What the docket holds is durable, and was numbered by rows.
+	c.log.applied, c.log.durable = c.Writer.Sequence(), c.Writer.Sequence()
 }
 
 // Run works until ctx ends or the docket is lost; the error is then
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -24,7 +24,7 @@
 }
 
 // commitLog is what has been applied and not been stored yet. Numbers count
-// entries of this owner from 1.
+// entries of this owner, from the number of rows that it found.
 type commitLog struct {
 	pending   []*wire.DocketEntry
 	applied   uint64
--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -235,3 +236,27 @@
 		}
 	})
 }
+
+// A new owner answers at once for jobs that nothing has changed since it took
+// over, however many rows earlier owners wrote.
+func TestStateOfEarlierOwnersJobs(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		var jobs []string
+		for range 60 {
+			jobs = append(jobs, b.submit(tasks(1, 100)))
+		}
+		for _, j := range jobs {
+			b.want(j, docket.Completed, 10*time.Second)
+		}
+		b.stop()
+		b.takeOver()
+		for _, j := range jobs {
+			ctx, cancel := context.WithTimeout(b.Context(), time.Second)
+			s, err := b.cell.State(ctx, j)
+			cancel()
+			if err != nil || s != docket.Completed {
+				b.Errorf("job %s is %q: %v", j, s, err)
+			}
+		}
+	})
+}
