soak, platform/counterpart, command: a fault soak with whole processes

Change: the stand-ins of fleettest speak the platform's protocol on loopback, persimmonworks soak runs processes against them and breaks things from outside by a seeded plan; the ledger knows refused jobs and gangs whose one end stands for all.

--- a/command/command.go
+++ b/command/command.go
@@ -42,7 +42,7 @@
 	register("", commander.HelpCommand(), commander.FlagsCommand(), commander.CommandsCommand(), &version{output: o})
 	register("processes", &serve{output: o}, &schedule{output: o}, &check{output: o}, &makeKeys{output: o}, &try{output: o}, &configure{output: o})
 	register("callers", &submit{output: o}, &status{output: o}, &cancel{output: o}, &call{output: o})
-	register("experiments", &measurements{output: o}, &generate{output: o})
+	register("experiments", &measurements{output: o}, &generate{output: o}, &soakCommand{output: o})
 	c := client{notes: stderr}
 	register("operators", &plan{output: o, client: c}, &confirm{output: o, client: c}, &progress{output: o, client: c},
 		&history{output: o, client: c}, &undo{output: o, client: c}, &usageOf{output: o, client: c}, &burnOf{output: o, client: c},
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -59,6 +59,39 @@
 	f.announce()
 }
 
+// Len returns how many workers there are.
+func (f *Fleet) Len() int { return len(f.workers) }
+
+// Hosts returns the list of workers.
+func (f *Fleet) Hosts() []cell.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hosts := make([]cell.Host, f.listed)
+	for i, w := range f.workers[:f.listed] {
+		hosts[i] = w.host
+	}
+	return hosts
+}
+
+// Changes calls changed at first and after each change of the list, until ctx ends
+// or changed fails.
+func (f *Fleet) Changes(ctx context.Context, changed func() error) error {
+	c := make(chan struct{}, 1)
+	f.mu.Lock()
+	f.watchers = append(f.watchers, c)
+	f.mu.Unlock()
+	for {
+		if err := changed(); err != nil {
+			return err
+		}
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // Worker returns a worker by its number.
 func (f *Fleet) Worker(i int) *Worker { return f.workers[i] }
 
@@ -69,6 +102,20 @@
 	f.jobs[job.GetJob()] = job
 }
 
+// Withdraw tells the ledger that a job was refused for good: it must not run.
+func (f *Fleet) Withdraw(job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		for t := range w.running {
+			if t.Job == job {
+				f.fault("%v runs on %s though its job was refused", t, w.host.ID)
+			}
+		}
+	}
+	f.jobs[job] = nil // it has no steps, so that no task of it may begin
+}
+
 // Cancelled tells the ledger that a cancellation was confirmed to the caller.
 func (f *Fleet) Cancelled(job string) {
 	f.mu.Lock()
@@ -209,6 +256,12 @@
 	if !x.gang {
 		return
 	}
+	if how == wire.DocketOutcome_DOCKET_OUTCOME_DONE {
+		// The end of one member stands for all, also for those whose worker has crashed.
+		for i := range f.jobs[t.Job].GetSteps()[t.Step].GetCount() {
+			f.done[t.StepID().Task(i)] = true
+		}
+	}
 	for _, m := range f.members(t, x.run) {
 		other := how
 		if how != wire.DocketOutcome_DOCKET_OUTCOME_DONE {
@@ -236,24 +289,10 @@
 
 // Watch implements cell.Fleet.
 func (f *Fleet) Watch(ctx context.Context, changed func([]cell.Host)) error {
-	c := make(chan struct{}, 1)
-	f.mu.Lock()
-	f.watchers = append(f.watchers, c)
-	f.mu.Unlock()
-	for {
-		f.mu.Lock()
-		hosts := make([]cell.Host, f.listed)
-		for i, w := range f.workers[:f.listed] {
-			hosts[i] = w.host
-		}
-		f.mu.Unlock()
-		changed(hosts)
-		select {
-		case <-c:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	return f.Changes(ctx, func() error {
+		changed(f.Hosts())
+		return nil
+	})
 }
 
 func (f *Fleet) at(address string) *Worker {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -50,6 +50,20 @@
 	checkpoint string
 }
 
+// Host returns the worker's entry in the list.
+func (w *Worker) Host() cell.Host {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.host
+}
+
+// SetAddress says where the worker listens, ip:port.
+func (w *Worker) SetAddress(address string) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.host.Address = address
+}
+
 // SetCut cuts the worker off, or connects it again; it runs on.
 func (w *Worker) SetCut(cut bool) {
 	w.fleet.mu.Lock()
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	betweenFaults = 1200 * time.Millisecond // at most
+	brokenMost    = 5 * time.Second
+	lateMost      = 6 * time.Second
+	ordersMost    = 6
+)
+
+// fault is one thing to break; it returns when that is whole again.
+type fault struct {
+	name string
+	do   func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error
+}
+
+var faults = []fault{
+	{"a process is killed", onHost(func(ctx context.Context, h *host, length time.Duration) error {
+		h.kill()
+		pause(ctx, length)
+		return h.start()
+	})},
+	{"a process is stopped", onHost(func(_ context.Context, h *host, _ time.Duration) error {
+		h.stop()
+		return h.start()
+	})},
+	{"a process is paused", onHost(func(ctx context.Context, h *host, length time.Duration) error {
+		h.signal(syscall.SIGSTOP)
+		pause(ctx, length)
+		h.signal(syscall.SIGCONT)
+		return nil
+	})},
+	{"all processes are killed", killAll},
+	{"the way to the store is broken", onHost(func(ctx context.Context, h *host, length time.Duration) error {
+		h.proxy.set(way(1 + int(length)%(len(wayNames)-1)))
+		pause(ctx, length)
+		h.proxy.set(pass)
+		return nil
+	})},
+	{"the store is away", func(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
+		r.store.SetAway(true)
+		pause(ctx, length)
+		r.store.SetAway(false)
+		return nil
+	}},
+	{"a worker is cut off", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
+		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
+		w.SetCut(true)
+		pause(ctx, length)
+		w.SetCut(false)
+		return nil
+	}},
+	{"a worker restarts", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
+		r.fleet.Worker(rng.IntN(r.fleet.Len())).Restart()
+		return nil
+	}},
+	{"orders are carried out late", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
+		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
+		w.DelayOrders(1+rng.IntN(ordersMost), time.Duration(rng.Int64N(int64(lateMost))))
+		return nil
+	}},
+	{"answers of a worker are lost", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
+		r.fleet.Worker(rng.IntN(r.fleet.Len())).LoseAnswers(1 + rng.IntN(ordersMost))
+		return nil
+	}},
+}
+
+func onHost(f func(ctx context.Context, h *host, length time.Duration) error) func(context.Context, *run, *rand.Rand, time.Duration) error {
+	return func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
+		return f(ctx, r.hosts[rng.IntN(len(r.hosts))], length)
+	}
+}
+
+func killAll(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
+	for _, h := range r.hosts {
+		h.kill()
+	}
+	pause(ctx, length/2)
+	for _, h := range r.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// breakThings draws faults that overlap until ctx ends, and leaves all whole.
+func (r *run) breakThings(ctx context.Context) error {
+	rng := rand.New(rand.NewPCG(r.Seed, 1))
+	begun := time.Now()
+	var group errgroup.Group
+	for ctx.Err() == nil {
+		f := faults[rng.IntN(len(faults))]
+		length := time.Duration(rng.Int64N(int64(brokenMost)))
+		drawn := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+		r.mu.Lock()
+		r.faults = append(r.faults, fmt.Sprintf("%v %s, %v", time.Since(begun).Round(time.Millisecond), f.name, length.Round(time.Millisecond)))
+		r.mu.Unlock()
+		group.Go(func() error { return f.do(ctx, r, drawn, length) })
+		pause(ctx, time.Duration(rng.Int64N(int64(betweenFaults))))
+	}
+	err := group.Wait()
+	r.store.SetAway(false)
+	for _, h := range r.hosts {
+		h.signal(syscall.SIGCONT)
+		h.proxy.set(pass)
+		if failed := h.start(); err == nil {
+			err = failed
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,218 @@
+// Package soak runs whole processes of the scheduler against stand-ins of the
+// platform and breaks things from outside, by a plan drawn from a seed: processes
+// are killed, stopped, paused and restarted, connections to the store delayed,
+// reset, silenced or cut one way, workers cut off, restarted, or made to carry
+// orders out late or to lose answers.
+//
+// What callers and workers see is judged while it runs: an accepted job is never
+// unknown and ends, a refused one never runs, no task runs twice at a time or after
+// its end was confirmed, no worker holds more than it has room for, steps keep
+// their order, gangs are whole.
+//
+// Usage:
+//
+//	r, err := soak.Soak{Binary: path, Seed: 7, Processes: 6, Workers: 24, Length: 20 * time.Second, Directory: dir}.Run(ctx)
+//	for _, b := range r.Broken { fmt.Println(b) }
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/fleettest"
+	"persimmonworks.example/persimmonworks/platform/counterpart"
+)
+
+const (
+	workerMilliCPU = 16000
+	workerMemoryMB = 32768
+	taskLeast      = 100 * time.Millisecond
+	taskMost       = 1500 * time.Millisecond
+	startUp        = 4 * time.Second  // until the processes have divided the workers
+	settle         = 40 * time.Second // for all jobs to end once nothing is broken any more
+	look           = 200 * time.Millisecond
+	failEvery      = 40 // one run in so many fails
+)
+
+// Soak is one run. All fields must be set.
+type Soak struct {
+	Binary    string // the program
+	Seed      uint64
+	Processes int
+	Workers   int
+	Length    time.Duration // while things are broken
+	Directory string        // for settings and logs of the processes
+}
+
+// Report says what a run did.
+type Report struct {
+	Seed                          uint64
+	Accepted, Refused, Unanswered int // jobs
+	Starts                        int // of tasks
+	Faults                        []string
+	Broken                        []string // promises, empty if all were kept
+}
+
+// run is the state of a run.
+type run struct {
+	Soak
+	store    *fleettest.Store
+	fleet    *fleettest.Fleet
+	platform *counterpart.Platform
+	hosts    []*host
+	clients  []*client
+	stuck    bool // an accepted job has not ended
+
+	mu     sync.Mutex
+	faults []string
+	broken []string
+}
+
+// Run runs it. The error is not nil if the run could not be made; broken promises
+// are in the report.
+func (s Soak) Run(ctx context.Context) (Report, error) {
+	r := &run{Soak: s, store: fleettest.NewStore(), fleet: fleettest.New(s.Workers, workerMilliCPU, workerMemoryMB)}
+	r.fleet.Takes = r.takes
+	r.fleet.Fails = r.fails
+	r.platform = &counterpart.Platform{Store: r.store, Fleet: r.fleet}
+	if err := os.MkdirAll(s.Directory, 0o755); err != nil {
+		return Report{}, fmt.Errorf("soak: %w", err)
+	}
+	if err := r.platform.Listen(); err != nil {
+		return Report{}, err
+	}
+	err := r.play(ctx)
+	return r.report(), err
+}
+
+// play runs the platform, the processes, the faults and the callers.
+func (r *run) play(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.platform.Run(ctx) })
+	const each = 3
+	ports, err := freePorts(each * r.Processes)
+	if err != nil {
+		return err
+	}
+	for i := range r.Processes {
+		h, err := newHost(r, i, ports[each*i:])
+		if err != nil {
+			return err
+		}
+		r.hosts = append(r.hosts, h)
+		group.Go(func() error { return h.proxy.Run(ctx) })
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	group.Go(func() error {
+		defer cancel()
+		return r.story(ctx)
+	})
+	err = group.Wait()
+	for _, h := range r.hosts {
+		if r.stuck {
+			h.dump()
+		}
+		h.kill()
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// story lets the processes start, breaks things while callers call, and waits for
+// all that was accepted.
+func (r *run) story(ctx context.Context) error {
+	pause(ctx, startUp)
+	calling, stop := context.WithTimeout(ctx, r.Length)
+	defer stop()
+	var group errgroup.Group
+	for i := range r.Processes {
+		c := newClient(r, i)
+		r.clients = append(r.clients, c)
+		group.Go(func() error { return c.call(calling) })
+	}
+	group.Go(func() error { return r.breakThings(calling) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	r.awaitEnds(ctx)
+	return nil
+}
+
+// awaitEnds waits until every accepted job has ended.
+func (r *run) awaitEnds(ctx context.Context) {
+	end := time.Now().Add(settle)
+	for _, c := range r.clients {
+		for _, j := range c.accepted {
+			for ctx.Err() == nil {
+				state := docket.State(c.ask(ctx, j))
+				if state == docket.Completed || state == docket.Failed || state == docket.Cancelled {
+					break
+				}
+				if time.Now().After(end) {
+					r.stuck = true
+					r.fault("job %s was accepted and is %q %v after the last fault", j.GetJob(), state, settle)
+					break
+				}
+				pause(ctx, look)
+			}
+		}
+	}
+}
+
+// takes and fails depend on the task alone, so that a seed gives the same work.
+func (r *run) takes(t docket.TaskID) time.Duration {
+	return taskLeast + time.Duration(r.draw(t.String()).Int64N(int64(taskMost-taskLeast)))
+}
+
+func (r *run) fails(t docket.TaskID, worker string, number uint32) bool {
+	return r.draw(fmt.Sprint(t, worker, number)).IntN(failEvery) == 0
+}
+
+func (r *run) draw(name string) *rand.Rand {
+	sum := r.Seed
+	for _, b := range []byte(name) {
+		sum = sum*1099511628211 ^ uint64(b)
+	}
+	return rand.New(rand.NewPCG(r.Seed, sum))
+}
+
+func (r *run) fault(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+func (r *run) report() Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := Report{Seed: r.Seed, Starts: r.fleet.Starts(), Faults: r.faults, Broken: append(r.broken, r.fleet.Broken()...)}
+	for _, c := range r.clients {
+		report.Accepted += len(c.accepted)
+		report.Refused += c.refused
+		report.Unanswered += c.unanswered
+	}
+	return report
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
