docket, cell, node: work that waits goes to the docket with room

Change: owners tell each other their load; one above its room gives jobs of which nothing was started to the least loaded docket: stored as moved first, handed over until that docket has stored them, then confirmed. State and cancellation follow. Tests: TestWaitingWorkMoves, moves in the rapid tests of docket.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -24,6 +24,15 @@
 // Error implements error.
 func (r *Refused) Error() string { return fmt.Sprintf("job refused: %s", r.Reason) }
 
+// Moved tells that a job is in another docket.
+type Moved struct {
+	Docket   int
+	OnTheWay bool // that docket may not have it yet
+}
+
+// Error implements error.
+func (m *Moved) Error() string { return fmt.Sprintf("job is in docket %d", m.Docket) }
+
 // ErrNoJob is returned for a job that was never accepted, or ended long ago.
 var ErrNoJob = errors.New("no such job")
 
@@ -68,7 +77,9 @@
 		done(&Refused{Reason: reason, RetryAfter: after})
 		return
 	}
-	job.AcceptedMs = time.Now().UnixMilli()
+	if !job.GetMoved() {
+		job.AcceptedMs = time.Now().UnixMilli()
+	}
 	if !c.append(docket.Accept(job), func() { done(nil) }) {
 		done(&Refused{Reason: "the job cannot be stored", RetryAfter: time.Second})
 		return
@@ -81,41 +92,54 @@
 
 // State returns the stored state of a job.
 func (c *Cell) State(ctx context.Context, id string) (docket.State, error) {
-	s, err := await(ctx, c, func(done func(docket.State)) {
+	type answer struct {
+		state docket.State
+		err   error
+	}
+	a, err := await(ctx, c, func(done func(answer)) {
 		j, ok := c.Docket.Job(id)
 		if !ok {
-			done("")
+			done(answer{"", fmt.Errorf("job %s: %w", id, ErrNoJob)})
 			return
 		}
-		state := j.State()
-		c.afterDurable(j.Changed(), func() { done(state) })
+		state, elsewhere := j.State(), movedError(j)
+		c.afterDurable(j.Changed(), func() { done(answer{state, elsewhere}) })
 	})
-	if err == nil && s == "" {
-		return "", fmt.Errorf("job %s: %w", id, ErrNoJob)
+	if err != nil {
+		return "", err
 	}
-	return s, err
+	return a.state, a.err
+}
+
+// movedError returns a *Moved for a job that is in another docket.
+func movedError(j *docket.Job) error {
+	to, confirmed, moved := j.Moved()
+	if !moved {
+		return nil
+	}
+	return &Moved{Docket: to, OnTheWay: !confirmed}
 }
 
 // Cancel ends a job and returns once that is stored.
 func (c *Cell) Cancel(ctx context.Context, id string) error {
-	found, err := await(ctx, c, func(done func(bool)) {
+	answer, err := await(ctx, c, func(done func(error)) {
 		j, ok := c.Docket.Job(id)
 		if !ok {
-			done(false)
+			done(fmt.Errorf("job %s: %w", id, ErrNoJob))
 			return
 		}
-		if j.Terminal() {
-			c.afterDurable(j.Changed(), func() { done(true) })
+		if elsewhere := movedError(j); elsewhere != nil || j.Terminal() {
+			c.afterDurable(j.Changed(), func() { done(elsewhere) })
 			return
 		}
 		c.Log.Emit(event.DocketJobCancelled, "job", id, "state", string(j.State()))
-		c.append(docket.Cancel(id, time.Now().UnixMilli()), func() { done(true) })
+		c.append(docket.Cancel(id, time.Now().UnixMilli()), func() { done(nil) })
 		c.closeJob(j)
 	})
-	if err == nil && !found {
-		return fmt.Errorf("job %s: %w", id, ErrNoJob)
+	if err != nil {
+		return err
 	}
-	return err
+	return answer
 }
 
 // Waiting returns how many jobs of a queue have not begun.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -26,6 +26,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -66,6 +67,8 @@
 	Log    event.Emitter
 	Meter  Meter
 	Limits Limits
+	// Others, if set, are the other dockets, which take work that waits here.
+	Others Others
 	// Stalled, if set, is called now and then while the store does not answer. It
 	// must not block.
 	Stalled func()
@@ -84,6 +87,8 @@
 	waiting bool // a pass is scheduled
 	counts  map[string]uint32
 	sample  samples
+	load    atomic.Uint64 // bits of the newest load
+	shedAt  time.Time
 }
 
 // Meter counts what a cell does. Methods never block.
@@ -130,7 +135,12 @@
 // resume takes up what earlier owners left.
 func (c *Cell) resume() {
 	c.Docket.Open(func(j *docket.Job) { c.open(j) })
-	c.Docket.All(func(j *docket.Job) { c.adopt(j) })
+	c.Docket.All(func(j *docket.Job) {
+		c.adopt(j)
+		if to, confirmed, moved := j.Moved(); moved && !confirmed {
+			c.hand(j, to)
+		}
+	})
 	c.touch()
 }
 
@@ -178,6 +188,7 @@
 		c.Stalled()
 	}
 	c.openDue(now)
+	c.balance(now)
 	c.forgetOld(now)
 	if len(c.steps) > 0 {
 		c.touch()
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -9,7 +9,9 @@
 //
 //   - a task has at most one active run, and run numbers only rise;
 //   - a started task of a done step, or of a job that has ended, is refused;
-//   - a job that has ended never changes its state again.
+//   - a job that has ended never changes its state again;
+//   - a job moves to another docket only if nothing of it was ever started, and
+//     nothing of it starts here afterwards.
 //
 // Usage:
 //
@@ -45,7 +47,7 @@
 // Open calls f for each job that has not ended, in no order.
 func (d *Docket) Open(f func(*Job)) {
 	for _, j := range d.jobs {
-		if !j.Terminal() {
+		if !j.Terminal() && !j.moved {
 			f(j)
 		}
 	}
@@ -84,6 +86,8 @@
 		return d.end(e.GetEnded(), sequence)
 	case e.GetCancelled() != nil:
 		return d.cancel(e.GetCancelled(), sequence)
+	case e.GetMoved() != nil:
+		return d.move(e.GetMoved(), sequence)
 	case e.GetForgotten() != nil:
 		d.forget(e.GetForgotten().GetJob())
 		return nil
@@ -120,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	if t.active || t.done || s.GetRun() <= t.run || j.Terminal() {
+	if t.active || t.done || s.GetRun() <= t.run || j.Terminal() || j.moved {
 		return fmt.Errorf("task %v: run %d cannot start in state %s after run %d", taskID(s.GetTask()), s.GetRun(), j.state, t.run)
 	}
 	t.run, t.active, t.worker, t.born = s.GetRun(), true, s.GetWorker(), s.GetBornMs()
@@ -223,11 +227,36 @@
 	if j.Terminal() {
 		return nil
 	}
+	if j.moved {
+		return fmt.Errorf("job %s: cancelled where it no longer is", c.GetJob())
+	}
 	j.changed = sequence
 	d.close(j, Cancelled, c.GetAtMs())
 	return nil
 }
 
+// move gives a job that never started to another docket. Once that has confirmed
+// it, the job counts as ended here.
+func (d *Docket) move(m *wire.DocketMoved, sequence uint64) error {
+	j, ok := d.jobs[m.GetJob()]
+	if !ok {
+		return fmt.Errorf("job %s: moved but not known", m.GetJob())
+	}
+	if m.GetConfirmed() {
+		if !j.moved || j.handed {
+			return fmt.Errorf("job %s: confirmed without being on the way", m.GetJob())
+		}
+		j.handed, j.changed, j.endedAt = true, sequence, m.GetAtMs()
+		d.ended = append(d.ended, j.ID())
+		return nil
+	}
+	if j.state != Pending || j.moved || j.accepted.GetMoved() {
+		return fmt.Errorf("job %s: cannot move in state %s", m.GetJob(), j.state)
+	}
+	j.moved, j.movedTo, j.changed = true, int(m.GetDocket()), sequence
+	return nil
+}
+
 func (d *Docket) close(j *Job, s State, at int64) {
 	j.state = s
 	j.endedAt = at
--- a/docket/docket_test.go
+++ b/docket/docket_test.go
@@ -19,7 +19,11 @@
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 	task := docket.TaskID{Job: name, Step: rapid.Uint32Range(0, 1).Draw(t, "step"), Index: rapid.Uint32Range(0, 2).Draw(t, "index")}
 	run := rapid.Uint32Range(1, 4).Draw(t, "run")
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 10:
+		return docket.Move(name, 1)
+	case 11:
+		return docket.Moved(name, 10)
 	case 0:
 		return docket.Accept(job(name, 2, &wire.DocketStep{Count: 3, Gang: name == "b"}, &wire.DocketStep{Count: 2, After: []uint32{0}}))
 	case 1:
@@ -38,7 +42,8 @@
 		if !ok {
 			continue
 		}
-		text += fmt.Sprintf("%s %s", name, j.State())
+		to, confirmed, moved := j.Moved()
+		text += fmt.Sprintf("%s %s %d %v %v", name, j.State(), to, confirmed, moved)
 		for step, shape := range j.Accepted().GetSteps() {
 			s := j.Step(0, uint32(step))
 			for i := range shape.GetCount() {
@@ -64,8 +69,20 @@
 				if s.GetRun() <= runs[id] {
 					t.Fatalf("%v: run %d after %d", id, s.GetRun(), runs[id])
 				}
+				if j, ok := d.Job(id.Job); ok {
+					if _, _, moved := j.Moved(); moved {
+						t.Fatalf("%v starts though its job has moved", id)
+					}
+				}
 				runs[id] = s.GetRun()
 			}
+			if m := e.GetMoved(); m != nil && err == nil {
+				for id := range runs {
+					if id.Job == m.GetJob() {
+						t.Fatalf("job %s moves though %v was started", id.Job, id)
+					}
+				}
+			}
 			d.All(func(j *docket.Job) {
 				if was, ok := ended[j.ID()]; ok && was != j.State() {
 					t.Fatalf("job %s went from %s to %s", j.ID(), was, j.State())
--- a/docket/entry.go
+++ b/docket/entry.go
@@ -26,6 +26,16 @@
 	return &wire.DocketEntry{Kind: &wire.DocketEntry_Cancelled{Cancelled: &wire.DocketCancelled{Job: job, AtMs: atMS}}}
 }
 
+// Move returns the entry that gives a job to another docket.
+func Move(job string, to int) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Moved{Moved: &wire.DocketMoved{Job: job, Docket: uint32(to)}}}
+}
+
+// Moved returns the entry that says that the other docket has the job.
+func Moved(job string, atMS int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Moved{Moved: &wire.DocketMoved{Job: job, Confirmed: true, AtMs: atMS}}}
+}
+
 // Forget returns the entry that drops a job that has ended.
 func Forget(job string) *wire.DocketEntry {
 	return &wire.DocketEntry{Kind: &wire.DocketEntry_Forgotten{Forgotten: &wire.DocketForgotten{Job: job}}}
--- a/docket/job.go
+++ b/docket/job.go
@@ -149,6 +149,9 @@
 	changed     uint64
 	endedAt     int64
 	begun       bool
+	moved       bool // to another docket
+	movedTo     int
+	handed      bool // the other docket has confirmed it
 }
 
 // ID returns the caller's name of the job.
@@ -171,6 +174,10 @@
 // Changed returns the number of the last change that touched the job.
 func (j *Job) Changed() uint64 { return j.changed }
 
+// Moved returns the docket that the job was given to, and whether that has
+// confirmed it; ok is false for a job that is here.
+func (j *Job) Moved() (to int, confirmed, ok bool) { return j.movedTo, j.handed, j.moved }
+
 // Occurrences returns how many times the job runs.
 func (j *Job) Occurrences() uint32 { return max(1, j.accepted.GetRepeat()) }
 
--- a/docket/snapshot.go
+++ b/docket/snapshot.go
@@ -33,6 +33,12 @@
 			Cancelled: &wire.DocketCancelled{Job: j.ID(), AtMs: j.endedAt},
 		}})
 	}
+	if j.moved {
+		entries = append(entries, Move(j.ID(), j.movedTo))
+	}
+	if j.handed {
+		entries = append(entries, Moved(j.ID(), j.endedAt))
+	}
 	for occurrence, steps := range j.occurrences {
 		for step, s := range steps {
 			for index := range s.tasks {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -115,6 +115,7 @@
 	DocketJobRepeated  = define(2212, Info, "docket-job-repeated", "A job that is known was handed in again.", "none")
 	DocketJobRefused   = define(2213, Info, "docket-job-refused", "A job was not accepted; it never runs.", "Read `reason`.")
 	DocketJobCancelled = define(2214, Info, "docket-job-cancelled", "A caller has cancelled the job.", "none")
+	DocketJobMoved     = define(2216, Info, "docket-job-moved", "A job of which nothing was started goes to the docket `to`, which has more room.", "none")
 	DocketJobEnded     = define(2215, Info, "docket-job-ended", "The job has reached its last state.", "none")
 	TaskStarting       = define(2221, Info, "task-starting", "A run of a task got a worker; it is sent once that is stored.", "none")
 	TaskEnded          = define(2222, Info, "task-ended", "A run is over; `outcome` and `reason` say how.", "none")
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -90,24 +90,27 @@
 	case wire.ExchangeResult_EXCHANGE_RESULT_UNKNOWN_JOB:
 		return out, cell.ErrNoJob
 	}
+	if out.GetResult() == wire.ExchangeResult_EXCHANGE_RESULT_MOVED {
+		return out, &cell.Moved{Docket: int(out.GetDocket()), OnTheWay: out.GetOnTheWay()}
+	}
 	return out, fmt.Errorf("%s: %w: %s", address, cell.ErrUndecided, out.GetReason())
 }
 
-// Submit hands a job in at the owner.
-func (c *Client) Submit(ctx context.Context, address string, job *wire.DocketAccepted) error {
-	_, err := c.ask(ctx, address, pathSubmit, &wire.ExchangeSubmit{Job: job})
+// Submit hands a job in at the owner of a docket.
+func (c *Client) Submit(ctx context.Context, address string, docket int, job *wire.DocketAccepted) error {
+	_, err := c.ask(ctx, address, pathSubmit, &wire.ExchangeSubmit{Job: job, Docket: uint32(docket)})
 	return err
 }
 
-// State asks the owner for the state of a job.
-func (c *Client) State(ctx context.Context, address, job string) (docket.State, error) {
-	a, err := c.ask(ctx, address, pathState, &wire.ExchangeJob{Job: job})
+// State asks the owner of a docket for the state of a job.
+func (c *Client) State(ctx context.Context, address string, number int, job string) (docket.State, error) {
+	a, err := c.ask(ctx, address, pathState, &wire.ExchangeJob{Job: job, Docket: uint32(number)})
 	return docket.State(a.GetState()), err
 }
 
-// Cancel cancels a job at the owner.
-func (c *Client) Cancel(ctx context.Context, address, job string) error {
-	_, err := c.ask(ctx, address, pathCancel, &wire.ExchangeJob{Job: job})
+// Cancel cancels a job at the owner of a docket.
+func (c *Client) Cancel(ctx context.Context, address string, docket int, job string) error {
+	_, err := c.ask(ctx, address, pathCancel, &wire.ExchangeJob{Job: job, Docket: uint32(docket)})
 	return err
 }
 
@@ -139,7 +142,7 @@
 func encodeOwners(owners []Owner) []*wire.ExchangeOwner {
 	out := make([]*wire.ExchangeOwner, len(owners))
 	for i, o := range owners {
-		out[i] = &wire.ExchangeOwner{Docket: uint32(o.Docket), Epoch: o.Epoch, Address: o.Address}
+		out[i] = &wire.ExchangeOwner{Docket: uint32(o.Docket), Epoch: o.Epoch, Address: o.Address, Load: o.Load}
 	}
 	return out
 }
@@ -147,7 +150,7 @@
 func decodeOwners(owners []*wire.ExchangeOwner) []Owner {
 	out := make([]Owner, len(owners))
 	for i, o := range owners {
-		out[i] = Owner{Docket: int(o.GetDocket()), Epoch: o.GetEpoch(), Address: o.GetAddress()}
+		out[i] = Owner{Docket: int(o.GetDocket()), Epoch: o.GetEpoch(), Address: o.GetAddress(), Load: o.GetLoad()}
 	}
 	return out
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -52,7 +52,8 @@
 type Owner struct {
 	Docket  int
 	Epoch   uint64
-	Address string // ip:port
+	Address string  // ip:port
+	Load    float64 // work running and waiting over the room of the workers; 0 if not known
 }
 
 // Welcome answers a Hello.
@@ -63,9 +64,9 @@
 
 // Service is what a process does for others.
 type Service interface {
-	SubmitHere(ctx context.Context, job *wire.DocketAccepted) error
-	StateHere(ctx context.Context, job string) (docket.State, error)
-	CancelHere(ctx context.Context, job string) error
+	SubmitHere(ctx context.Context, docket int, job *wire.DocketAccepted) error
+	StateHere(ctx context.Context, docket int, job string) (docket.State, error)
+	CancelHere(ctx context.Context, docket int, job string) error
 	WaitingHere(ctx context.Context, docket int, queue string) (uint32, error)
 	// HelloHere notes a process and the owners that it knows of.
 	HelloHere(ctx context.Context, h Hello, known []Owner) (Welcome, error)
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -23,14 +23,14 @@
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
 	handle(r, pathSubmit, func(ctx context.Context, m *wire.ExchangeSubmit) proto.Message {
-		return answer("", 0, s.Service.SubmitHere(ctx, m.GetJob()))
+		return answer("", 0, s.Service.SubmitHere(ctx, int(m.GetDocket()), m.GetJob()))
 	})
 	handle(r, pathState, func(ctx context.Context, m *wire.ExchangeJob) proto.Message {
-		state, err := s.Service.StateHere(ctx, m.GetJob())
+		state, err := s.Service.StateHere(ctx, int(m.GetDocket()), m.GetJob())
 		return answer(string(state), 0, err)
 	})
 	handle(r, pathCancel, func(ctx context.Context, m *wire.ExchangeJob) proto.Message {
-		return answer("", 0, s.Service.CancelHere(ctx, m.GetJob()))
+		return answer("", 0, s.Service.CancelHere(ctx, int(m.GetDocket()), m.GetJob()))
 	})
 	handle(r, pathWaiting, func(ctx context.Context, m *wire.ExchangeQueue) proto.Message {
 		waiting, err := s.Service.WaitingHere(ctx, int(m.GetDocket()), m.GetQueue())
@@ -113,7 +113,11 @@
 func answer(state string, waiting uint32, err error) *wire.ExchangeAnswer {
 	a := &wire.ExchangeAnswer{State: state, Waiting: waiting}
 	var refused *cell.Refused
+	var moved *cell.Moved
 	switch {
+	case errors.As(err, &moved):
+		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_MOVED
+		a.Docket, a.OnTheWay = uint32(moved.Docket), moved.OnTheWay
 	case err == nil:
 		a.Result = wire.ExchangeResult_EXCHANGE_RESULT_DONE
 	case errors.As(err, &refused):
--- a/node/follow.go
+++ b/node/follow.go
@@ -189,7 +189,7 @@
 func (s *seat) schedule(ctx context.Context, w *changelog.Writer) (released bool, err error) {
 	c := &cell.Cell{
 		Docket: s.replica.Docket(), Writer: w, Orders: s.Orders, Advice: cell.NewDesk(s.Identity.Name, s.Advisor),
-		Fleet: &share{s.Node, s.docket}, Log: s.Log, Meter: s.Meter, Limits: s.limits(),
+		Fleet: &share{s.Node, s.docket}, Others: s.others(), Log: s.Log, Meter: s.Meter, Limits: s.limits(),
 		Stalled: func() {
 			select {
 			case s.stalled <- w.Epoch():
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -113,12 +113,22 @@
 	seats := n.allSeats()
 	list := make([]exchange.Owner, len(seats))
 	for d, s := range seats {
-		v, _ := s.current()
-		list[d] = exchange.Owner{Docket: d, Epoch: v.epoch, Address: v.address}
+		list[d] = s.owner()
 	}
 	return list
 }
 
+// owner returns the docket's owner as this process knows it, with the load only if
+// it is this process.
+func (s *seat) owner() exchange.Owner {
+	v, _ := s.current()
+	o := exchange.Owner{Docket: s.docket, Epoch: v.epoch, Address: v.address}
+	if v.cell != nil {
+		o.Load = v.cell.Load()
+	}
+	return o
+}
+
 // welcomed takes in what another process has told.
 func (n *Node) welcomed(address string, w exchange.Welcome) {
 	now := time.Now()
@@ -135,6 +145,7 @@
 	for _, o := range owners {
 		if s := n.seat(o.Docket); s != nil {
 			s.learn(view{address: o.Address, epoch: o.Epoch})
+			s.noteLoad(o)
 		}
 	}
 }
@@ -259,7 +270,7 @@
 		if v.cell == nil && v.address == n.Identity.Address {
 			continue // a former life owned it
 		}
-		w.Owners = append(w.Owners, exchange.Owner{Docket: s.docket, Epoch: v.epoch, Address: v.address})
+		w.Owners = append(w.Owners, s.owner())
 		if v.cell == nil || !slices.Contains(h.Helps, s.docket) {
 			continue
 		}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -17,6 +17,7 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/exchange"
 	"persimmonworks.example/persimmonworks/fleettest"
+	"persimmonworks.example/persimmonworks/layout"
 	"persimmonworks.example/persimmonworks/node"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -260,3 +261,50 @@
 		t.Error(fault)
 	}
 }
+
+// Work that waits in one docket while another has room goes there, is found there,
+// and can be cancelled there.
+func TestWaitingWorkMoves(t *testing.T) {
+	const workers = 272
+	f, shared := fleettest.New(workers, 16000, 32768), fleettest.NewStore()
+	f.Takes = func(docket.TaskID) time.Duration { return 4 * time.Second }
+	var all []*process
+	for i := range 3 {
+		all = append(all, start(t, fmt.Sprintf("e%d", i), shared.Path(), f))
+	}
+	submit(t, all[0], f, 0) // the layout is known once it is accepted
+	l := layout.New(workers)
+	var names []int
+	for n := 1; len(names) < 4; n++ {
+		if l.OfJob(fmt.Sprintf("%016x", n)) == 0 {
+			names = append(names, n)
+		}
+	}
+	for _, n := range names {
+		j := job(f, n)
+		j.Steps[0].Count, j.Steps[0].MilliCpu = 120, 16000 // most of one docket
+		eventually(t, "submit", func(ctx context.Context) error { return all[n%3].Submit(ctx, j) })
+	}
+	eventually(t, "move a job", func(ctx context.Context) error {
+		for _, p := range all {
+			for _, n := range names {
+				if s, err := p.StateHere(ctx, 1, fmt.Sprintf("%016x", n)); err == nil && s == docket.Running {
+					return nil
+				}
+			}
+		}
+		return errors.New("none runs in the other docket")
+	})
+	last := fmt.Sprintf("%016x", names[3])
+	eventually(t, "cancel the last", func(ctx context.Context) error { return all[1].Cancel(ctx, last) })
+	f.Cancelled(last)
+	for _, n := range names[:3] {
+		eventually(t, "complete", completed(all[n%3], n))
+	}
+	for _, p := range all {
+		p.kill()
+	}
+	for _, fault := range f.Broken() {
+		t.Error(fault)
+	}
+}
--- a/node/requests.go
+++ b/node/requests.go
@@ -26,32 +26,66 @@
 // Submit hands a job in at the owner of its docket. The error is a *cell.Refused,
 // or wraps cell.ErrUndecided when the job may have been accepted.
 func (n *Node) Submit(ctx context.Context, job *wire.DocketAccepted) error {
-	_, err := onOwner(ctx, n.seatOf(job.GetJob()), true, func(ctx context.Context, v view) (struct{}, error) {
+	return n.seatOf(job.GetJob()).submit(ctx, job)
+}
+
+func (s *seat) submit(ctx context.Context, job *wire.DocketAccepted) error {
+	_, err := onOwner(ctx, s, true, func(ctx context.Context, v view) (struct{}, error) {
 		if v.cell != nil {
 			return struct{}{}, v.cell.Submit(ctx, job)
 		}
-		return struct{}{}, n.client.Submit(ctx, v.address, job)
+		return struct{}{}, s.client.Submit(ctx, v.address, s.docket, job)
 	})
 	return err
 }
 
 // State returns the stored state of a job, or cell.ErrNoJob.
 func (n *Node) State(ctx context.Context, job string) (docket.State, error) {
-	return onOwner(ctx, n.seatOf(job), false, func(ctx context.Context, v view) (docket.State, error) {
+	state, err := n.seatOf(job).state(ctx, job)
+	var moved *cell.Moved
+	if !errors.As(err, &moved) {
+		return state, err
+	}
+	state, err = n.seat(moved.Docket).state(ctx, job)
+	if moved.OnTheWay && errors.Is(err, cell.ErrNoJob) {
+		return docket.Pending, nil
+	}
+	return state, err
+}
+
+func (s *seat) state(ctx context.Context, job string) (docket.State, error) {
+	return onOwner(ctx, s, false, func(ctx context.Context, v view) (docket.State, error) {
 		if v.cell != nil {
 			return v.cell.State(ctx, job)
 		}
-		return n.client.State(ctx, v.address, job)
+		return s.client.State(ctx, v.address, s.docket, job)
 	})
 }
 
 // Cancel ends a job, or returns cell.ErrNoJob.
 func (n *Node) Cancel(ctx context.Context, job string) error {
-	_, err := onOwner(ctx, n.seatOf(job), false, func(ctx context.Context, v view) (struct{}, error) {
+	err := n.seatOf(job).cancel(ctx, job)
+	var moved *cell.Moved
+	for errors.As(err, &moved) {
+		err = n.seat(moved.Docket).cancel(ctx, job)
+		if !moved.OnTheWay || !errors.Is(err, cell.ErrNoJob) {
+			return err
+		}
+		sleep(ctx, searchRetry) // it arrives soon
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: the job is between two dockets", cell.ErrUndecided)
+		}
+		err = n.seatOf(job).cancel(ctx, job)
+	}
+	return err
+}
+
+func (s *seat) cancel(ctx context.Context, job string) error {
+	_, err := onOwner(ctx, s, false, func(ctx context.Context, v view) (struct{}, error) {
 		if v.cell != nil {
 			return struct{}{}, v.cell.Cancel(ctx, job)
 		}
-		return struct{}{}, n.client.Cancel(ctx, v.address, job)
+		return struct{}{}, s.client.Cancel(ctx, v.address, s.docket, job)
 	})
 	return err
 }
@@ -135,7 +169,8 @@
 // final reports whether asking again cannot change the outcome.
 func final(err error) bool {
 	var refused *cell.Refused
-	return err == nil || errors.Is(err, cell.ErrNoJob) || errors.As(err, &refused)
+	var moved *cell.Moved
+	return err == nil || errors.Is(err, cell.ErrNoJob) || errors.As(err, &refused) || errors.As(err, &moved)
 }
 
 func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
@@ -153,8 +188,8 @@
 }
 
 // SubmitHere implements exchange.Service.
-func (n *Node) SubmitHere(ctx context.Context, job *wire.DocketAccepted) error {
-	c, err := n.seatOf(job.GetJob()).cellHere()
+func (n *Node) SubmitHere(ctx context.Context, docket int, job *wire.DocketAccepted) error {
+	c, err := n.seat(docket).cellHere()
 	if err != nil {
 		return err
 	}
@@ -162,8 +197,8 @@
 }
 
 // StateHere implements exchange.Service.
-func (n *Node) StateHere(ctx context.Context, job string) (docket.State, error) {
-	c, err := n.seatOf(job).cellHere()
+func (n *Node) StateHere(ctx context.Context, number int, job string) (docket.State, error) {
+	c, err := n.seat(number).cellHere()
 	if err != nil {
 		return "", err
 	}
@@ -171,8 +206,8 @@
 }
 
 // CancelHere implements exchange.Service.
-func (n *Node) CancelHere(ctx context.Context, job string) error {
-	c, err := n.seatOf(job).cellHere()
+func (n *Node) CancelHere(ctx context.Context, number int, job string) error {
+	c, err := n.seat(number).cellHere()
 	if err != nil {
 		return err
 	}
--- a/node/seat.go
+++ b/node/seat.go
@@ -9,6 +9,7 @@
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/exchange"
 )
 
 // seat is the part that the process takes in one docket.
@@ -31,6 +32,8 @@
 	engaged   time.Time     // until then the docket is followed in any case
 	ownerOK   time.Time     // newest answer of the owner
 	ownerBad  bool
+	load      float64   // of the docket, as its owner said
+	loadAt    time.Time // when
 }
 
 // view is what a process knows of the owner.
@@ -125,6 +128,15 @@
 	s.changed = make(chan struct{})
 }
 
+// noteLoad takes in the load that the owner of an epoch told.
+func (s *seat) noteLoad(o exchange.Owner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Load > 0 && o.Epoch == s.view.epoch {
+		s.load, s.loadAt = o.Load, time.Now()
+	}
+}
+
 func (s *seat) askedToTakeOver() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
