cell: the lease of a worker that has told that it leaves is kept short

Ruled out: giving runs up when the entry is missing: a worker that is cut off runs on. Change: from the notice on leases are extended by 3 s only. Test: TestLeaverIsGivenUpSoon, red before.

--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -260,3 +260,24 @@
 		}
 	})
 }
+
+// What ran on a worker that has left after a notice starts again soon: its lease
+// was kept short from the notice on.
+func TestLeaverIsGivenUpSoon(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 30 * time.Second }
+		b.submit(tasks(1, 16000))
+		time.Sleep(2 * time.Second)
+		leaver := b.fleet.Worker(0)
+		if !leaver.Busy() {
+			leaver = b.fleet.Worker(1)
+		}
+		leaver.Drain()
+		time.Sleep(10 * time.Second)
+		leaver.Crash()
+		time.Sleep(5 * time.Second)
+		if n := b.fleet.Starts(); n != 2 {
+			b.Errorf("%d starts, want 2: the task is not running again", n)
+		}
+	})
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -19,6 +19,7 @@
 	holdRetry       = 150 * time.Millisecond
 	unstoredRetry   = 500 * time.Millisecond // looks while ends cannot be stored
 	quietAfter      = 2200 * time.Millisecond
+	leaseLeaving    = 3 * time.Second // of a worker that has told that it leaves
 	clockDrift      = 0.02 // a worker's clock may be this much slow
 	lapseSlack      = 300 * time.Millisecond
 	absentMost      = 2500 * time.Millisecond // entries that lapsed with the store are back by then
@@ -147,6 +148,9 @@
 func (c *Cell) leaseEnd(w *worker) int64 {
 	now := time.Now()
 	end := now.Add(c.Limits.Lease)
+	if w.host.Draining {
+		end = now.Add(min(c.Limits.Lease, leaseLeaving))
+	}
 	if last := c.log.durableAt.Add(c.Limits.StoreSilence); end.After(last) {
 		end = last
 	}
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -85,6 +85,21 @@
 	w.mute = orders
 }
 
+// Busy reports whether anything runs on the worker.
+func (w *Worker) Busy() bool {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.running) > 0
+}
+
+// Drain makes the worker tell that it will leave.
+func (w *Worker) Drain() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.host.Draining = true
+	w.fleet.announce()
+}
+
 // Crash ends the worker and all that runs there.
 func (w *Worker) Crash() {
 	w.fleet.mu.Lock()
