--- a/cell/step.go
+++ b/cell/step.go
@@ -43,7 +43,9 @@
 const (
 	lateFactor  = 3 // up to so many times the objective an answer still has some worth
 	estimateTop = 1.25
-	gangLead    = 2 * time.Second // a gang has to wait for room to come together
+	// gangPatience bounds how long smaller work may pass a gang that is late.
+	gangPatience = 15 * time.Second
+	gangLead     = 2 * time.Second // a gang has to wait for room to come together
 )
 
 // objective returns how long the job may take to be worth its whole credit.
@@ -240,6 +242,8 @@
 
 func rank(s *step, now time.Time) int {
 	switch {
+	case s.shape.GetGang() && now.Sub(s.opened) > gangPatience:
+		return inTime
 	case now.After(s.useless):
 		return useless
 	case s.queue.GetPriority() == 0:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -20,7 +20,7 @@
 	unstoredRetry   = 500 * time.Millisecond // looks while ends cannot be stored
 	quietAfter      = 2200 * time.Millisecond
 	leaseLeaving    = 3 * time.Second // of a worker that has told that it leaves
-	clockDrift      = 0.02 // a worker's clock may be this much slow
+	clockDrift      = 0.02            // a worker's clock may be this much slow
 	lapseSlack      = 300 * time.Millisecond
 	absentMost      = 2500 * time.Millisecond // entries that lapsed with the store are back by then
 	distrustLasting = 800 * time.Millisecond  // after an order that could not be sent
