--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -50,7 +50,7 @@
 func limits() cell.Limits {
 	return cell.Limits{
 		Lease: 9 * time.Second, LeaseMost: 10 * time.Second, StoreSilence: 10 * time.Second,
-		GangWait: 3 * time.Second, StopTime: 400 * time.Millisecond, Retention: 240 * time.Second,
+		GangWait: 3 * time.Second, Retention: 240 * time.Second,
 	}
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -51,7 +51,6 @@
 	LeaseMost    time.Duration // the longest lease that a worker grants
 	GangWait     time.Duration // how long members of a gang wait for the others
 	Retention    time.Duration // how long ended jobs are remembered
-	StopTime     time.Duration // how long a stop takes at most
 	CommitGap    time.Duration // between two commits, at least
 	StoreSilence time.Duration // after this without a commit leases are not extended further
 }
@@ -86,7 +85,10 @@
 	passAt  time.Time
 	waiting bool // a pass is scheduled
 	counts  map[string]uint32
-	sample  samples
+	speeds  speeds
+	timed   []string      // jobs with occurrences that are not due yet
+	closed  string        // the job that was logged as ended last
+	stallAt time.Time     // when Stalled was called last
 	load    atomic.Uint64 // bits of the newest load
 	shedAt  time.Time
 }
@@ -183,8 +185,8 @@
 		c.checkLease(w, now)
 	}
 	c.checkGangs(now)
-	if c.Stalled != nil && c.stalled(now) && now.Sub(c.sample.stallAt) > stallInterval {
-		c.sample.stallAt = now
+	if c.Stalled != nil && c.stalled(now) && now.Sub(c.stallAt) > stallInterval {
+		c.stallAt = now
 		c.Stalled()
 	}
 	c.openDue(now)
--- a/cell/earmark.go
+++ b/cell/earmark.go
@@ -81,7 +81,7 @@
 func (c *Cell) freeSoon(w *worker, now time.Time) vector {
 	var v vector
 	for _, x := range w.runs {
-		usual := c.sample.speeds.usual(x.queue, x.shape.GetEstimateMs())
+		usual := c.speeds.usual(x.queue, x.shape.GetEstimateMs())
 		if x.phase == stopping || x.began.Add(usual).Before(now.Add(earmarkHorizon)) {
 			v = v.Add(demand(x.shape))
 		}
--- a/cell/place.go
+++ b/cell/place.go
@@ -13,14 +13,6 @@
 // ticketMargin is the time that a start needs to reach its worker.
 const ticketMargin = 250 * time.Millisecond
 
-// samples holds small notes of the loop.
-type samples struct {
-	timed   []string // jobs with occurrences that are not due yet
-	closed  string   // the job that was logged as ended last
-	speeds  speeds
-	stallAt time.Time // when Stalled was called last
-}
-
 // pass places what can start now.
 func (c *Cell) pass() {
 	c.waiting = false
@@ -132,7 +124,7 @@
 }
 
 func (c *Cell) room(s *step, w *worker) packing.Room {
-	r := packing.Room{Free: w.free(), Capacity: w.host.Capacity, Most: -1, Cost: c.sample.speeds.cost(w.host.ID)}
+	r := packing.Room{Free: w.free(), Capacity: w.host.Capacity, Most: -1, Cost: c.speeds.cost(w.host.ID)}
 	if most := s.shape.GetAntiAffinity(); most > 0 {
 		r.Most = int(most) - w.tasksOf(s.id)
 	}
@@ -264,5 +256,5 @@
 	if !ok || j.Task(x.task).Checkpoint() != "" {
 		return
 	}
-	c.sample.speeds.note(x.worker.host.ID, x.queue, x.shape.GetEstimateMs(), now.Sub(x.began))
+	c.speeds.note(x.worker.host.ID, x.queue, x.shape.GetEstimateMs(), now.Sub(x.began))
 }
--- a/cell/step.go
+++ b/cell/step.go
@@ -122,15 +122,15 @@
 
 // noteDue makes openDue look at a job again.
 func (c *Cell) noteDue(j *docket.Job) {
-	if !slices.Contains(c.sample.timed, j.ID()) {
-		c.sample.timed = append(c.sample.timed, j.ID())
+	if !slices.Contains(c.timed, j.ID()) {
+		c.timed = append(c.timed, j.ID())
 	}
 }
 
 // openDue opens the occurrences of timed jobs that have become due.
 func (c *Cell) openDue(time.Time) {
-	timed := c.sample.timed
-	c.sample.timed = nil
+	timed := c.timed
+	c.timed = nil
 	for _, id := range timed {
 		if j, ok := c.Docket.Job(id); ok {
 			c.open(j)
@@ -186,8 +186,8 @@
 			}
 		}
 	}
-	if c.sample.closed != j.ID() {
-		c.sample.closed = j.ID()
+	if c.closed != j.ID() {
+		c.closed = j.ID()
 		took := j.EndedAt() - j.Accepted().GetAcceptedMs()
 		c.Log.Emit(event.DocketJobEnded, "job", j.ID(), "queue", j.Accepted().GetQueue().GetName(), "state", string(j.State()),
 			"after-ms", took, "objective-ms", objective(j).Milliseconds())
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -161,8 +161,6 @@
 		d.finish(j, step, t, shape, e.GetAtMs())
 	case wire.DocketOutcome_DOCKET_OUTCOME_FAILED:
 		d.fail(j, step, t, shape, e.GetAtMs())
-	case wire.DocketOutcome_DOCKET_OUTCOME_LOST:
-		t.lost++
 	}
 	return nil
 }
--- a/docket/job.go
+++ b/docket/job.go
@@ -92,7 +92,6 @@
 type Task struct {
 	run        uint32
 	failures   uint32
-	lost       uint32
 	done       bool
 	active     bool
 	worker     string
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -56,7 +56,7 @@
 		Tables:   store.Table, Orders: f, Advisor: f, Fleet: f, Log: &event.Log{Writer: io.Discard}, Meter: silent{},
 		Limits: cell.Limits{
 			Lease: 9 * time.Second, LeaseMost: 10 * time.Second, StoreSilence: 10 * time.Second,
-			GangWait: 3 * time.Second, StopTime: 400 * time.Millisecond, Retention: time.Minute,
+			GangWait: 3 * time.Second, Retention: time.Minute,
 		},
 	}
 	n.Prepare()
--- a/process/settings.go
+++ b/process/settings.go
@@ -59,7 +59,6 @@
 	s.Limits = cell.Limits{
 		Lease: min(leaseUsual, most), LeaseMost: most, StoreSilence: most,
 		GangWait:  r.duration("bounds", "gang-wait-ms", time.Millisecond),
-		StopTime:  r.duration("bounds", "stop-ms", time.Millisecond),
 		Retention: retention * r.duration("bounds", "status-s", time.Second),
 	}
 	return s, r.faults.Err()
--- a/soak/host.go
+++ b/soak/host.go
@@ -26,7 +26,6 @@
 grace-s = 5
 lease-most-ms = 10000
 gang-wait-ms = 3000
-stop-ms = 400
 status-s = 120
 `
 
