--- /dev/null
+++ b/advice/advice.go
@@ -0,0 +1,18 @@
+package advice
+
+import (
+	"context"
+
+	"persimmonworks.example/persimmonworks/docket"
+)
+
+// Permit lets a worker run the tasks of a step.
+type Permit struct {
+	Worker string
+	Ticket string
+}
+
+// Advisor asks the service that knows which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, step docket.StepID, workers []string) ([]Permit, error)
+}
--- a/cell/desk.go
+++ b/advice/desk.go
@@ -1,8 +1,25 @@
-package cell
+// Package advice spreads questions to the advisory service, which knows the workers
+// that may run a step, over processes that help to ask.
+//
+// The service takes one question at a time from each process, so a Desk keeps an
+// account of when each helper will be free, holds questions back that would wait,
+// keeps short ones from waiting behind long ones, and learns what share of the
+// workers a queue is allowed.
+//
+// Usage:
+//
+//	d := advice.NewDesk("e1", own)
+//	d.Hear("e2", func() advice.Advisor { return remote }, time.Now())
+//	if h := d.Choose(takes, time.Now()); h != nil {
+//		permits, err := h.Advisor.Advise(ctx, step, workers)
+//		d.Done(h, err, time.Now())
+//	}
+package advice
 
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"persimmonworks.example/persimmonworks/wire"
@@ -18,6 +35,9 @@
 	openMost       = 24                     // the service turns more than 32 waiting ones away
 	helperSilence  = 3 * time.Second        // a helper that was not heard for so long is not asked
 	helperDistrust = 2 * time.Second        // after a failed question
+	allowedFirst   = 0.4                    // share of the workers that are allowed, until it is learned
+	allowedGain    = 0.05                   // weight of a new answer
+	allowedLeast   = 0.1
 )
 
 // Helper is a process through which questions are put. The advisory service
@@ -32,7 +52,7 @@
 	open  int
 }
 
-// Desk spreads questions over helpers. It belongs to the cell's loop.
+// Desk spreads questions over helpers. It belongs to one goroutine.
 type Desk struct {
 	helpers []*Helper
 	live    []*Helper          // room for soonest
@@ -56,14 +76,14 @@
 		}
 	}
 	d.helpers = append(d.helpers, &Helper{Name: name, Advisor: a(), heard: now})
-	slices.SortFunc(d.helpers, func(a, b *Helper) int { return compareText(a.Name, b.Name) })
+	slices.SortFunc(d.helpers, func(a, b *Helper) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// choose returns the helper that can put a question soonest, nil if that is not
+// Choose returns the helper that can put a question soonest, nil if that is not
 // soon: questions wait in the order of their steps and not at the service. Long
 // questions use only the first helpers, and short ones prefer the last, so that
 // a short question seldom waits behind a long one.
-func (d *Desk) choose(takes time.Duration, now time.Time) *Helper {
+func (d *Desk) Choose(takes time.Duration, now time.Time) *Helper {
 	best := d.soonest(takes, now)
 	if best == nil {
 		return nil
@@ -73,9 +93,9 @@
 	return best
 }
 
-// can reports whether a question of a queue could be put now.
-func (d *Desk) can(a *wire.DocketAdvice, now time.Time) bool {
-	return d.soonest(questionTime(a, 1), now) != nil
+// Can reports whether a question of a queue could be put now.
+func (d *Desk) Can(a *wire.DocketAdvice, now time.Time) bool {
+	return d.soonest(QuestionTime(a, 1), now) != nil
 }
 
 func (d *Desk) soonest(takes time.Duration, now time.Time) *Helper {
@@ -118,8 +138,8 @@
 	return h.busy
 }
 
-// done notes that a question was answered or failed.
-func (d *Desk) done(h *Helper, err error, now time.Time) {
+// Done notes that a question was answered or failed.
+func (d *Desk) Done(h *Helper, err error, now time.Time) {
 	h.open--
 	if err != nil {
 		h.shy = now.Add(helperDistrust)
@@ -128,3 +148,24 @@
 		h.busy = now
 	}
 }
+
+// QuestionTime returns how long the service takes for a question.
+func QuestionTime(a *wire.DocketAdvice, workers int) time.Duration {
+	return time.Duration((a.GetDecisionMs() + float64(workers)*a.GetPerWorkerMs()) * float64(time.Millisecond))
+}
+
+// Allowed returns the share of the workers asked about that a queue's steps may
+// use, as far as it was learned.
+func (d *Desk) Allowed(queue string) float64 {
+	if share, ok := d.shares[queue]; ok {
+		return max(share, allowedLeast)
+	}
+	return allowedFirst
+}
+
+// Learn notes how many of the workers that were asked about for the first time are
+// allowed.
+func (d *Desk) Learn(queue string, allowed, asked int) {
+	share := d.Allowed(queue)
+	d.shares[queue] = share + allowedGain*(float64(allowed)/float64(asked)-share)
+}
--- a/cell/desk_test.go
+++ b/advice/desk_test.go
@@ -1,4 +1,4 @@
-package cell
+package advice
 
 import (
 	"testing"
@@ -14,7 +14,7 @@
 	d := NewDesk("e0", nil)
 	put := 0
 	for range 300 {
-		if d.choose(long, now) != nil {
+		if d.Choose(long, now) != nil {
 			put++
 		}
 	}
@@ -25,9 +25,9 @@
 		d.Hear(name, func() Advisor { return nil }, now)
 	}
 	for range 300 {
-		d.choose(long, now)
+		d.Choose(long, now)
 	}
-	h := d.choose(short, now)
+	h := d.Choose(short, now)
 	if h == nil || h.free(now).Sub(now) > short {
 		t.Errorf("a short question waits behind long ones at %+v", h)
 	}
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -6,20 +6,16 @@
 	"slices"
 	"time"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/event"
-	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
-	adviceMost     = 100 // workers that one question may name
-	adviceTimeout  = 4 * time.Second
-	adviceRetry    = 150 * time.Millisecond
-	adviceSpare    = 1.4 // asked for, over what is likely needed
-	gangSpare      = 4.0 // the same for gangs, whose members need much room at one moment
-	allowedFirst   = 0.4 // share of workers allowed until it is learned
-	allowedGain    = 0.05
-	allowedLeast   = 0.1
-	reserveTimeout = 1500 * time.Millisecond
+	adviceMost    = 100 // workers that one question may name
+	adviceTimeout = 4 * time.Second
+	adviceRetry   = 150 * time.Millisecond
+	adviceSpare   = 1.4 // asked for, over what is likely needed
+	gangSpare     = 4.0 // the same for gangs, whose members need much room at one moment
 )
 
 // seekAdvice asks which workers may run the step: of a gang all unknown ones at
@@ -101,7 +97,7 @@
 		holds[w] = r.Holds(amount, len(indices))
 	}
 	slices.SortStableFunc(workers, func(v, w *worker) int { return holds[w] - holds[v] })
-	share := c.allowedShare(s.queue.GetName())
+	share := c.Advice.Allowed(s.queue.GetName())
 	want := float64(len(indices)) * spare
 	count := 0
 	for _, w := range workers {
@@ -119,18 +115,6 @@
 	return workers[:min(len(workers), max(count, least), adviceMost)]
 }
 
-func (c *Cell) allowedShare(queue string) float64 {
-	if share, ok := c.Advice.shares[queue]; ok {
-		return max(share, allowedLeast)
-	}
-	return allowedFirst
-}
-
-// questionTime returns how long the service takes for a question.
-func questionTime(a *wire.DocketAdvice, workers int) time.Duration {
-	return time.Duration((a.GetDecisionMs() + float64(workers)*a.GetPerWorkerMs()) * float64(time.Millisecond))
-}
-
 // ask puts the question; the answer is taken in on the loop.
 func (c *Cell) ask(s *step, workers []*worker, now time.Time) {
 	a := s.queue.GetAdvice()
@@ -140,8 +124,8 @@
 		names[i] = w.host.ID
 		lives[w.host.ID] = w.life
 	}
-	takes := questionTime(a, len(names))
-	helper := c.Advice.choose(takes, now)
+	takes := advice.QuestionTime(a, len(names))
+	helper := c.Advice.Choose(takes, now)
 	if helper == nil {
 		c.unreserve(s)
 		return
@@ -157,11 +141,11 @@
 }
 
 // advised takes in the answer to a question sent at a time.
-func (c *Cell) advised(s *step, h *Helper, names []string, lives map[string]int64, permits []Permit, sent time.Time, err error) {
+func (c *Cell) advised(s *step, h *advice.Helper, names []string, lives map[string]int64, permits []advice.Permit, sent time.Time, err error) {
 	now := time.Now()
 	s.asking = false
 	c.unreserve(s)
-	c.Advice.done(h, err, now)
+	c.Advice.Done(h, err, now)
 	c.Meter.Observe("advice", now.Sub(sent))
 	if err != nil {
 		s.askAgain = now.Add(adviceRetry)
@@ -170,7 +154,6 @@
 		return
 	}
 	valid := time.Duration(s.queue.GetAdvice().GetValidityMs() * float64(time.Millisecond))
-	share := c.allowedShare(s.queue.GetName())
 	fresh := 0
 	for _, name := range names {
 		if _, known := s.tickets[name]; !known {
@@ -188,7 +171,7 @@
 		s.tickets[p.Worker] = ticket{value: p.Ticket, life: lives[p.Worker], until: now.Add(valid - now.Sub(sent)/8)}
 	}
 	if fresh > 0 {
-		c.Advice.shares[s.queue.GetName()] = share + allowedGain*(float64(allowedFresh)/float64(fresh)-share)
+		c.Advice.Learn(s.queue.GetName(), allowedFresh, fresh)
 	}
 	c.Log.Emit(event.Advised, "job", s.id.Job, "step", s.id.String(), "asked", len(names), "allowed", len(permits),
 		"helper", h.Name, "took-ms", now.Sub(sent).Milliseconds())
--- a/cell/answer.go
+++ b/cell/answer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/wire"
@@ -166,7 +167,7 @@
 }
 
 // Hear notes that another process lives and puts questions for advice.
-func (c *Cell) Hear(ctx context.Context, name string, a func() Advisor) error {
+func (c *Cell) Hear(ctx context.Context, name string, a func() advice.Advisor) error {
 	return c.loop.Do(ctx, func() { c.Advice.Hear(name, a, time.Now()) })
 }
 
--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/docket"
@@ -73,7 +74,7 @@
 		log = &event.Log{Writer: b.Output()}
 	}
 	c := &cell.Cell{
-		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: cell.NewDesk("e1", b.fleet), Fleet: b.fleet,
+		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: advice.NewDesk("e1", b.fleet), Fleet: b.fleet,
 		Log: log, Meter: silent{}, Limits: limits(),
 	}
 	c.Prepare()
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -31,6 +31,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/docket"
@@ -61,7 +62,7 @@
 	Docket *docket.Docket
 	Writer *changelog.Writer
 	Orders Orders
-	Advice *Desk
+	Advice *advice.Desk
 	Fleet  Fleet
 	Log    event.Emitter
 	Meter  Meter
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -124,17 +124,6 @@
 	Hold(ctx context.Context, h *Host, o HoldOrder) (Report, error)
 }
 
-// Permit lets a worker run the tasks of a step.
-type Permit struct {
-	Worker string
-	Ticket string
-}
-
-// Advisor asks the service that knows which workers may run a step.
-type Advisor interface {
-	Advise(ctx context.Context, step docket.StepID, workers []string) ([]Permit, error)
-}
-
 // Fleet is the list of workers.
 type Fleet interface {
 	// Watch calls changed with all hosts, at first and after each change, until
--- a/cell/place.go
+++ b/cell/place.go
@@ -68,7 +68,7 @@
 	if len(indices) == 0 {
 		return
 	}
-	asks := s.queue.GetAdvice() != nil && !s.asking && now.After(s.askAgain) && c.Advice.can(s.queue.GetAdvice(), now)
+	asks := s.queue.GetAdvice() != nil && !s.asking && now.After(s.askAgain) && c.Advice.Can(s.queue.GetAdvice(), now)
 	if s.queue.GetAdvice() != nil && len(s.tickets) == 0 && !asks {
 		return
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/wire"
@@ -162,7 +163,7 @@
 }
 
 // Advisor returns the advisor that asks through the process at an address.
-func (c *Client) Advisor(address string) cell.Advisor {
+func (c *Client) Advisor(address string) advice.Advisor {
 	return &remoteAdvisor{client: c, address: address}
 }
 
@@ -171,8 +172,8 @@
 	address string
 }
 
-// Advise implements cell.Advisor.
-func (r *remoteAdvisor) Advise(ctx context.Context, step docket.StepID, workers []string) ([]cell.Permit, error) {
+// Advise implements advice.Advisor.
+func (r *remoteAdvisor) Advise(ctx context.Context, step docket.StepID, workers []string) ([]advice.Permit, error) {
 	out := &wire.ExchangePermits{}
 	if err := r.client.call(ctx, r.address, pathAdvise, &wire.ExchangeAdvise{Step: step.String(), Workers: workers}, out); err != nil {
 		return nil, err
@@ -180,9 +181,9 @@
 	if out.GetBusy() {
 		return nil, fmt.Errorf("%s: the advisory service did not answer", r.address)
 	}
-	permits := make([]cell.Permit, 0, len(out.GetPermits()))
+	permits := make([]advice.Permit, 0, len(out.GetPermits()))
 	for _, p := range out.GetPermits() {
-		permits = append(permits, cell.Permit{Worker: p.GetWorker(), Ticket: p.GetTicket()})
+		permits = append(permits, advice.Permit{Worker: p.GetWorker(), Ticket: p.GetTicket()})
 	}
 	return permits, nil
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,7 +18,7 @@
 	"errors"
 	"time"
 
-	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -73,7 +73,7 @@
 	// YieldHere asks to take a docket over from the owner of that epoch; it
 	// reports whether the process tries to.
 	YieldHere(docket int, epoch uint64) bool
-	cell.Advisor
+	advice.Advisor
 }
 
 const (
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/resource"
@@ -13,7 +14,7 @@
 )
 
 // Fleet is a group of workers with a ledger of what they were told to do. It
-// implements cell.Orders, cell.Fleet and cell.Advisor.
+// implements cell.Orders, cell.Fleet and advice.Advisor.
 type Fleet struct {
 	mu       sync.Mutex
 	workers  []*Worker
@@ -337,12 +338,12 @@
 	return deliver(ctx, w, func() (cell.Report, error) { return w.hold(o) })
 }
 
-// Advise implements cell.Advisor: every worker is allowed.
-func (f *Fleet) Advise(ctx context.Context, _ docket.StepID, workers []string) ([]cell.Permit, error) {
+// Advise implements advice.Advisor: every worker is allowed.
+func (f *Fleet) Advise(ctx context.Context, _ docket.StepID, workers []string) ([]advice.Permit, error) {
 	sleep(ctx, 10*time.Millisecond)
-	permits := make([]cell.Permit, len(workers))
+	permits := make([]advice.Permit, len(workers))
 	for i, w := range workers {
-		permits[i] = cell.Permit{Worker: w, Ticket: "t-" + w}
+		permits[i] = advice.Permit{Worker: w, Ticket: "t-" + w}
 	}
 	return permits, nil
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
@@ -188,7 +189,7 @@
 // given to a stronger host.
 func (s *seat) schedule(ctx context.Context, w *changelog.Writer) (released bool, err error) {
 	c := &cell.Cell{
-		Docket: s.replica.Docket(), Writer: w, Orders: s.Orders, Advice: cell.NewDesk(s.Identity.Name, s.Advisor),
+		Docket: s.replica.Docket(), Writer: w, Orders: s.Orders, Advice: advice.NewDesk(s.Identity.Name, s.Advisor),
 		Fleet: &share{s.Node, s.docket}, Others: s.others(), Log: s.Log, Meter: s.Meter, Limits: s.limits(),
 		Stalled: func() {
 			select {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/exchange"
 )
 
@@ -274,7 +274,7 @@
 		if v.cell == nil || !slices.Contains(h.Helps, s.docket) {
 			continue
 		}
-		err := v.cell.Hear(ctx, h.Name, func() cell.Advisor { return n.client.Advisor(h.Address) })
+		err := v.cell.Hear(ctx, h.Name, func() advice.Advisor { return n.client.Advisor(h.Address) })
 		if err != nil && !errors.Is(err, context.Canceled) {
 			return w, err
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
@@ -39,7 +40,7 @@
 	Identity exchange.Hello
 	Tables   func(name string) changelog.Table
 	Orders   cell.Orders
-	Advisor  cell.Advisor
+	Advisor  advice.Advisor
 	Fleet    cell.Fleet
 	Log      event.Emitter
 	Meter    cell.Meter
--- a/node/requests.go
+++ b/node/requests.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/exchange"
@@ -223,7 +224,7 @@
 	return c.Waiting(ctx, queue)
 }
 
-// Advise implements cell.Advisor for other processes.
-func (n *Node) Advise(ctx context.Context, step docket.StepID, workers []string) ([]cell.Permit, error) {
+// Advise implements advice.Advisor for other processes.
+func (n *Node) Advise(ctx context.Context, step docket.StepID, workers []string) ([]advice.Permit, error) {
 	return n.Advisor.Advise(ctx, step, workers)
 }
