cell: a start that a worker's next life has taken is not given up with its former life

Cause: a worker restarted under its name 50 ms before a start reached it; the new life ran it and answered, then the next hold told of the new life, and the run was ended as lost and started elsewhere: the task ran twice. Ruled out: a lost copy of the start (it was answered once). Change: when a life ends, every run that this life has not listed is stopped and waited for on the new one. Test: TestStartMeetsLifeThatIsNotKnown, red before.

--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -281,3 +281,15 @@
 		}
 	})
 }
+
+// A start that a worker's next life has carried out, before anything has told of
+// that life, is not given up with the life before.
+func TestStartMeetsLifeThatIsNotKnown(t *testing.T) {
+	run(t, 4, func(b *bed) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 5 * time.Second }
+		time.Sleep(time.Second)
+		b.fleet.Worker(0).RestartUnlisted()
+		job := b.submit(tasks(10, 4000))
+		b.want(job, docket.Completed, 30*time.Second)
+	})
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -41,6 +41,7 @@
 	phase        phase
 	unanswered   bool // it is not known whether it has begun
 	confirmed    bool // its worker has said that it runs
+	listed       bool // the life that it was started on has listed it
 	mayArrive    bool // a copy of its start may still arrive, even if another copy was answered
 	stopAnswered time.Time
 	stopSent     bool
@@ -118,7 +119,7 @@
 // seenRunning notes that the worker lists the run.
 func (c *Cell) seenRunning(x *run, t RunningTask) {
 	x.percent = t.Percent
-	x.unanswered, x.confirmed = false, true
+	x.unanswered, x.confirmed, x.listed = false, true, true
 	if x.phase == adopted {
 		x.phase = working
 		j, ok := c.Docket.Job(x.task.Job)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -256,10 +256,11 @@
 func (c *Cell) endLife(w *worker, born int64) {
 	c.Log.Emit(event.WorkerReborn, "worker", w.host.ID, "life", w.life, "next", born, "runs", len(w.runs))
 	for _, x := range w.runs {
-		if x.unanswered || x.mayArrive {
-			// The order may still arrive and would be carried out by the new life.
+		if x.phase != committing && (x.unanswered || x.mayArrive || !x.listed) {
+			// The order may still arrive and would be carried out by the new life, or
+			// has been, before anything told of that.
 			x.phase = stopping
-			x.stopAnswered = time.Time{}
+			x.stopAnswered, x.listed = time.Time{}, false
 			x.life = born
 			c.sendStop(x)
 			continue
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -117,11 +117,18 @@
 
 // Restart gives the worker a new life under its name.
 func (w *Worker) Restart() {
+	w.RestartUnlisted()
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.fleet.announce()
+}
+
+// RestartUnlisted restarts the worker; the list does not say so yet.
+func (w *Worker) RestartUnlisted() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	w.crash()
 	w.begin()
-	w.fleet.announce()
 }
 
 func (w *Worker) begin() {
