--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,10 +79,11 @@
 // Run runs it. The error is not nil if the run could not be made; broken promises
 // are in the report.
 func (s Soak) Run(ctx context.Context) (Report, error) {
-	r := &run{Soak: s, store: fleettest.NewStore(), fleet: fleettest.New(s.Workers, workerMilliCPU, workerMemoryMB)}
+	records := fleettest.NewStore()
+	r := &run{Soak: s, store: records.Path(), fleet: fleettest.New(s.Workers, workerMilliCPU, workerMemoryMB)}
 	r.fleet.Takes = r.takes
 	r.fleet.Fails = r.fails
-	r.platform = &counterpart.Platform{Store: r.store, Fleet: r.fleet}
+	r.platform = &counterpart.Platform{Records: records, Store: r.store, Fleet: r.fleet}
 	if err := os.MkdirAll(s.Directory, 0o755); err != nil {
 		return Report{}, fmt.Errorf("soak: %w", err)
 	}
