cell: only a process that still owns the docket says that a job is not known

Cause: an owner that was paused for 3.6 s woke, and before its next commit told it of its successor, answered 410 for a job that the successor had accepted. Ruled out: a lost row (the job ran to its end at the successor). Change: that a job is not known is answered after a commit that began later than the question; states and counts of an owner without a commit for 1 s as well, unless the store does not answer. Test: TestDeposedOwnerDeniesNothing, red before.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -100,11 +100,11 @@
 	a, err := await(ctx, c, func(done func(answer)) {
 		j, ok := c.Docket.Job(id)
 		if !ok {
-			done(answer{"", fmt.Errorf("job %s: %w", id, ErrNoJob)})
+			c.ifOwner(func() { done(answer{"", fmt.Errorf("job %s: %w", id, ErrNoJob)}) })
 			return
 		}
 		state, elsewhere := j.State(), movedError(j)
-		c.afterDurable(j.Changed(), func() { done(answer{state, elsewhere}) })
+		c.afterDurable(j.Changed(), func() { c.ifOwnerLately(func() { done(answer{state, elsewhere}) }) })
 	})
 	if err != nil {
 		return "", err
@@ -126,7 +126,7 @@
 	answer, err := await(ctx, c, func(done func(error)) {
 		j, ok := c.Docket.Job(id)
 		if !ok {
-			done(fmt.Errorf("job %s: %w", id, ErrNoJob))
+			c.ifOwner(func() { done(fmt.Errorf("job %s: %w", id, ErrNoJob)) })
 			return
 		}
 		if elsewhere := movedError(j); elsewhere != nil || j.Terminal() {
@@ -145,7 +145,9 @@
 
 // Waiting returns how many jobs of a queue have not begun.
 func (c *Cell) Waiting(ctx context.Context, queue string) (uint32, error) {
-	return await(ctx, c, func(done func(uint32)) { done(c.waitingJobs(queue)) })
+	return await(ctx, c, func(done func(uint32)) {
+		c.ifOwnerLately(func() { done(c.waitingJobs(queue)) })
+	})
 }
 
 // waitingJobs counts the jobs of a queue of which no task is known to have begun,
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -11,6 +11,7 @@
 
 const (
 	heartbeatInterval = 400 * time.Millisecond // a commit at least this often shows that the owner lives
+	ownerFresh        = time.Second            // an owner that was so lately may answer at once
 	snapshotRows      = 4000                   // rows of changes before a snapshot replaces them
 	stalledAfter      = 700 * time.Millisecond // a commit that takes longer, and twice the usual time, tells that the store is away
 	stallInterval     = 300 * time.Millisecond // between two reports of that
@@ -30,6 +31,7 @@
 	applied   uint64
 	durable   uint64
 	waiters   []waiter
+	checks    []func() // run once a commit that begins later has succeeded
 	kick      chan struct{}
 	durableAt time.Time // when the newest commit that succeeded was sent
 	sentAt    time.Time // when the commit that is not answered yet was first sent, zero if there is none
@@ -63,6 +65,24 @@
 	c.log.waiters = append(c.log.waiters, waiter{number, f})
 }
 
+// ifOwner runs f once a commit that begins from now on has succeeded, which shows
+// that this process still owns the docket. If it does not, f never runs.
+func (c *Cell) ifOwner(f func()) {
+	c.log.checks = append(c.log.checks, f)
+	c.kick()
+}
+
+// ifOwnerLately runs f at once if a commit has succeeded lately, or the store does
+// not answer and so tells nothing; else as ifOwner.
+func (c *Cell) ifOwnerLately(f func()) {
+	now := time.Now()
+	if now.Sub(c.log.durableAt) < ownerFresh || c.stalled(now) {
+		f()
+		return
+	}
+	c.ifOwner(f)
+}
+
 func (c *Cell) kick() {
 	select {
 	case c.log.kick <- struct{}{}:
@@ -108,7 +128,9 @@
 
 func (c *Cell) commitOne(ctx context.Context) (more bool, err error) {
 	var batch []*wire.DocketEntry
+	var checks []func()
 	if err := c.loop.Do(ctx, func() {
+		checks, c.log.checks = c.log.checks, nil
 		n := changelog.Fits(c.log.pending)
 		batch = c.log.pending[:n:n]
 		c.log.pending = c.log.pending[n:]
@@ -130,7 +152,12 @@
 	}
 	c.Meter.Observe("commit", time.Since(sent))
 	left := 0
-	if err := c.loop.Do(ctx, func() { left = c.stored(len(batch), sent) }); err != nil {
+	if err := c.loop.Do(ctx, func() {
+		left = c.stored(len(batch), sent)
+		for _, f := range checks {
+			f()
+		}
+	}); err != nil {
 		return false, nil
 	}
 	if left == 0 && c.Writer.Rows() > snapshotRows {
--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
+	"persimmonworks.example/persimmonworks/cell"
+	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 func TestStepsRunInOrder(t *testing.T) {
@@ -293,3 +297,30 @@
 		b.want(job, docket.Completed, 30*time.Second)
 	})
 }
+
+// An owner that does not know yet that another one has taken over must not say
+// that a job is not known which that one has accepted.
+func TestDeposedOwnerDeniesNothing(t *testing.T) {
+	run(t, 2, func(b *bed) {
+		known := b.submit(tasks(1, 100))
+		b.want(known, docket.Completed, 10*time.Second)
+		r := &changelog.Replica{Table: b.table}
+		if err := r.Load(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		w, err := r.TakeOver(b.Context(), changelog.Owner{Name: "e2", Address: "10.0.0.2:1"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		job := &wire.DocketAccepted{Job: "00000000000000ff", Queue: &wire.DocketQueue{Name: "q", MaxAttempts: 1}, Steps: []*wire.DocketStep{{Count: 1}}}
+		if err := w.Append(b.Context(), []*wire.DocketEntry{docket.Accept(job)}); err != nil {
+			b.Fatal(err)
+		}
+		if s, err := b.cell.State(b.Context(), job.GetJob()); !errors.Is(err, cell.ErrUndecided) {
+			b.Errorf("state %q, %v, want that it is not decided here", s, err)
+		}
+		if err := b.cell.Cancel(b.Context(), job.GetJob()); !errors.Is(err, cell.ErrUndecided) {
+			b.Errorf("cancel: %v, want that it is not decided here", err)
+		}
+	})
+}
