--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -69,7 +69,7 @@
 const (
 	tickInterval     = 50 * time.Millisecond
 	pollInterval     = 250 * time.Millisecond // between quiet syncs with the owner of a rack
-	livelyInterval   = 50 * time.Millisecond // the same while attempts start or end there
+	livelyInterval   = 50 * time.Millisecond  // the same while attempts start or end there
 	livelyTime       = 2 * time.Second        // after the last start or end
 	commitInterval   = 100 * time.Millisecond // between commits of a job shard
 	retryPause       = time.Second            // after a failed commit or sync
