--- /dev/null
+++ b/cell/gangs_test.go
@@ -0,0 +1,63 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"persimmonworks.example/persimmonworks/docket"
+)
+
+// A start that stays unanswered ends the whole gang, however its timeout and the
+// periodic check of incomplete gangs interleave: no member waits alone.
+func TestUnansweredStartEndsGang(t *testing.T) {
+	for offset := time.Duration(0); offset < 50*time.Millisecond; offset += 7 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 3, func(b *harness) {
+				time.Sleep(offset)
+				b.fleet.Worker(0).SetCut(true)
+				job := b.submit(gang(3, 12000))
+				time.Sleep(4 * time.Second)
+				b.fleet.Worker(0).SetCut(false)
+				b.waitForState(job, docket.Completed, 30*time.Second)
+			})
+		})
+	}
+}
+
+// An owner that takes over shortly after the start of a gang, and cannot reach the
+// worker of one member, gives the gang up before the others have waited too long.
+func TestAdoptedGangWithUnreachableMember(t *testing.T) {
+	for _, pause := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			run(t, 3, func(b *harness) {
+				b.fleet.Worker(1).SetCut(true)
+				job := b.submit(gang(3, 12000))
+				time.Sleep(pause)
+				b.stop()
+				b.takeOver()
+				time.Sleep(6 * time.Second)
+				b.fleet.Worker(1).SetCut(false)
+				b.waitForState(job, docket.Completed, 30*time.Second)
+			})
+		})
+	}
+}
+
+// A gang that works goes on under the next owner although one of its workers cannot
+// be reached for a while.
+func TestAdoptedGangThatWorksGoesOn(t *testing.T) {
+	run(t, 3, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 8 * time.Second }
+		job := b.submit(gang(3, 12000))
+		time.Sleep(2 * time.Second)
+		b.stop()
+		b.fleet.Worker(1).SetCut(true)
+		b.takeOver()
+		time.Sleep(3 * time.Second)
+		b.fleet.Worker(1).SetCut(false)
+		b.waitForState(job, docket.Completed, 6*time.Second)
+		if n := b.fleet.Starts(); n != 3 {
+			t.Errorf("%d starts, want 3", n)
+		}
+	})
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -220,6 +220,9 @@
 	}
 	if lost || err != nil && errors.Is(err, ErrUnanswered) || r.Refusal == Outdated {
 		c.stopRun(x, "start not answered")
+		if x.gang {
+			c.stopGang(x.task.StepID(), x.number, "a gang member did not start")
+		}
 		return
 	}
 	x.startUnanswered = false
@@ -335,27 +338,3 @@
 		return nil
 	})
 }
-
-// stopIncompleteGangs stops gangs of which a member did not start in time.
-func (c *Cell) stopIncompleteGangs(now time.Time) {
-	limit := c.Limits.GangTimeout / 2
-	for _, x := range c.runs {
-		if !x.gang || x.phase != starting || now.Sub(x.startedAt) < limit {
-			continue
-		}
-		c.stopGang(x.task.StepID(), x.number, "a gang member did not start")
-	}
-}
-
-// stopGang stops all members of a run of a gang.
-func (c *Cell) stopGang(id docket.StepID, number uint32, reason string) {
-	j, ok := c.Docket.Job(id.Job)
-	if !ok {
-		return
-	}
-	for index := range j.StepDefinition(id.Step).GetCount() {
-		if x, ok := c.runs[id.Task(index)]; ok && x.number == number {
-			c.stopRun(x, reason)
-		}
-	}
-}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -184,7 +184,9 @@
 	})
 	if x.gang {
 		f.gather(w, o.Task, x, shape.GetCount())
+		return
 	}
+	x.worksFrom = time.Now()
 }
 
 func (f *Fleet) takes(t docket.TaskID) time.Duration {
@@ -201,7 +203,7 @@
 	members := f.members(t, x.run)
 	if len(members) == int(count) {
 		for _, m := range members {
-			m.x.together = true
+			m.x.together, m.x.worksFrom = true, time.Now()
 			m.x.timer.Reset(f.takes(t))
 		}
 		return
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -48,6 +48,15 @@
 	timer      *time.Timer
 	stopping   bool
 	checkpoint string
+	worksFrom  time.Time // when it began to work; zero while it waits for its gang
+}
+
+// percent returns how far the run is, at least 1 once it works.
+func (x *work) percent(takes time.Duration) int {
+	if x.worksFrom.IsZero() {
+		return 0
+	}
+	return int(min(99, max(1, 100*time.Since(x.worksFrom)/max(takes, 1))))
 }
 
 // Host returns the worker's entry in the list.
@@ -256,7 +265,7 @@
 	}
 	r := cell.HoldResponse{ClockMS: w.clock(), StartedMS: w.born, Complete: true}
 	for t, x := range w.running {
-		r.Running = append(r.Running, cell.RunningTask{Task: t, Run: x.run})
+		r.Running = append(r.Running, cell.RunningTask{Task: t, Run: x.run, Percent: x.percent(w.fleet.takes(t))})
 	}
 	r.Ended = append(r.Ended, w.ended...)
 	return r, nil
