--- a/advice/desk.go
+++ b/advice/desk.go
@@ -26,18 +26,23 @@
 )
 
 const (
-	longRequest          = 200 * time.Millisecond // requests from this duration on use only a share of the helpers
-	longRequestHelpers   = 0.6
-	mediumRequest        = 30 * time.Millisecond // the same, with a larger share
+	longRequest          = 200 * time.Millisecond // requests from this duration on leave some helpers to shorter ones
+	mediumRequest        = 30 * time.Millisecond  // the same, with a larger share, if usual requests are much shorter
 	mediumRequestHelpers = 0.75
-	maxWait              = 200 * time.Millisecond // a request that would wait longer is rejected for now
-	maxLongRequestWait   = 600 * time.Millisecond // the same for long requests
-	maxInFlight          = 24                     // the service rejects requests while more than 32 wait
-	helperTimeout        = 3 * time.Second        // a helper that has not been heard from for this long gets no requests
-	failureBackoff       = 2 * time.Second        // after a failed request
-	initialAllowedShare  = 0.4                    // until the share of a queue is learned
-	allowedShareGain     = 0.05                   // weight of a new answer
-	minAllowedShare      = 0.1
+	mediumFactor         = 3 // a medium request takes at least this many times as long as the shortest ones
+	// Shorter requests get the helpers for this many times their usual load to themselves.
+	shortLoadFactor     = 2.0
+	maxShortHelpers     = 0.4                    // of all helpers
+	loadWindow          = 2 * time.Second        // over which the load of short requests is averaged
+	shortestRiseRate    = 0.001                  // by which the duration of the shortest requests is forgotten, each request
+	maxWait             = 200 * time.Millisecond // a request that would wait longer is rejected for now
+	maxLongRequestWait  = 600 * time.Millisecond // the same for long requests
+	maxInFlight         = 24                     // the service rejects requests while more than 32 wait
+	helperTimeout       = 3 * time.Second        // a helper that has not been heard from for this long gets no requests
+	failureBackoff      = 2 * time.Second        // after a failed request
+	initialAllowedShare = 0.4                    // until the share of a queue is learned
+	allowedShareGain    = 0.05                   // weight of a new answer
+	minAllowedShare     = 0.1
 )
 
 // Helper is a process that sends requests to the advisory service, which handles
@@ -57,6 +62,9 @@
 	helpers       []*Helper
 	liveBuf       []*Helper          // buffer of earliestHelper
 	allowedShares map[string]float64 // share of the workers asked about that are allowed, by queue
+	shortWork     time.Duration      // of the requests below longRequest, decaying over loadWindow
+	shortWorkAt   time.Time          // when shortWork was last updated
+	shortest      time.Duration      // duration of the shortest usual requests
 }
 
 // NewBalancer returns a balancer whose first helper is the process itself.
@@ -91,15 +99,62 @@
 	}
 	best.busyUntil = best.freeAt(now).Add(duration)
 	best.inFlight++
+	b.recordDuration(duration, now)
 	return best
 }
 
+// recordDuration updates the load of short requests and the shortest duration.
+func (b *Balancer) recordDuration(duration time.Duration, now time.Time) {
+	if b.shortest == 0 || duration < b.shortest {
+		b.shortest = duration
+	} else {
+		b.shortest += time.Duration(shortestRiseRate * float64(duration-b.shortest))
+	}
+	if duration < longRequest {
+		b.shortWork = b.recentShortWork(now) + duration
+		b.shortWorkAt = now
+	}
+}
+
+func (b *Balancer) recentShortWork(now time.Time) time.Duration {
+	age := now.Sub(b.shortWorkAt).Seconds() / loadWindow.Seconds()
+	return time.Duration(float64(b.shortWork) * math.Exp(-age))
+}
+
+// helpersFor returns how many of the first of n helpers a request may use.
+func (b *Balancer) helpersFor(duration time.Duration, n int, now time.Time) int {
+	switch {
+	case duration >= longRequest:
+		load := float64(b.recentShortWork(now)) / float64(loadWindow) // in helpers
+		reserved := min(math.Ceil(shortLoadFactor*load)+1, math.Ceil(maxShortHelpers*float64(n)))
+		return max(1, n-int(reserved))
+	case duration >= mediumRequest && duration >= mediumFactor*b.shortest:
+		return max(1, int(math.Ceil(mediumRequestHelpers*float64(n))))
+	}
+	return n
+}
+
+// Idle returns how many helpers without a request could take one of the given
+// duration.
+func (b *Balancer) Idle(duration time.Duration, now time.Time) int {
+	live := b.liveHelpers(now)
+	idle := 0
+	for _, h := range live[:b.helpersFor(duration, len(live), now)] {
+		if h.inFlight == 0 {
+			idle++
+		}
+	}
+	return idle
+}
+
 // Available reports whether a minimal request of a queue could be sent now.
 func (b *Balancer) Available(a *wire.DocketAdvice, now time.Time) bool {
 	return b.earliestHelper(RequestDuration(a, 1), now) != nil
 }
 
-func (b *Balancer) earliestHelper(duration time.Duration, now time.Time) *Helper {
+// liveHelpers returns the helpers that can take requests, or all if none can. The
+// result is valid until the next call.
+func (b *Balancer) liveHelpers(now time.Time) []*Helper {
 	live := b.liveBuf[:0]
 	for _, h := range b.helpers {
 		if now.Sub(h.lastHeard) < helperTimeout && now.After(h.avoidUntil) {
@@ -108,20 +163,22 @@
 	}
 	b.liveBuf = live
 	if len(live) == 0 {
-		live = b.helpers
+		return b.helpers
 	}
-	share, wait := 1.0, maxWait
-	switch {
-	case duration >= longRequest:
-		share, wait = longRequestHelpers, maxLongRequestWait
-	case duration >= mediumRequest:
-		share = mediumRequestHelpers
+	return live
+}
+
+func (b *Balancer) earliestHelper(duration time.Duration, now time.Time) *Helper {
+	live := b.liveHelpers(now)
+	live = live[:b.helpersFor(duration, len(live), now)]
+	long, wait := duration >= longRequest, maxWait
+	if long {
+		wait = maxLongRequestWait
 	}
-	live = live[:max(1, int(math.Ceil(share*float64(len(live)))))]
 	best := live[0]
 	for _, h := range live[1:] {
 		b, c := h.freeAt(now), best.freeAt(now)
-		if b.Before(c) || b.Equal(c) && share > longRequestHelpers {
+		if b.Before(c) || b.Equal(c) && !long {
 			best = h
 		}
 	}
