--- a/cell/cell.go
+++ b/cell/cell.go
@@ -55,6 +55,8 @@
 	Lease               time.Duration // how long a worker keeps running tasks without hearing from the owner
 	MaxLease            time.Duration // the longest lease that a worker accepts
 	GangTimeout         time.Duration // how long members of a gang wait for the others
+	StopTime            time.Duration // how long a worker takes to stop a run
+	RestoreTime         time.Duration // how long a run takes to resume from a checkpoint
 	Retention           time.Duration // how long ended jobs are kept
 	MinCommitInterval   time.Duration // minimum time between two commits
 	MaxLeaseAfterCommit time.Duration // leases are not extended past this time after the last commit
@@ -168,7 +170,7 @@
 				}
 				id := docket.TaskID{Job: j.ID(), Occurrence: occurrence, Step: uint32(s), Index: uint32(i)}
 				workerID, incarnation := t.Worker()
-				r := &run{task: id, number: t.Run(), shape: j.StepDefinition(uint32(s)), phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(), gang: j.StepDefinition(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName()}
+				r := &run{task: id, number: t.Run(), shape: j.StepDefinition(uint32(s)), phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(), gang: j.StepDefinition(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName(), urgent: j.Accepted().GetQueue().GetPriority() == 0}
 				c.assignRun(r, c.workerByID(workerID))
 			}
 		}
--- a/cell/earmark.go
+++ b/cell/earmark.go
@@ -53,7 +53,7 @@
 		}
 		b := c.workerBin(s, w)
 		n := candidate{worker: w, fitsNow: b.Fits(amount, members)}
-		b.Free = b.Free.Add(c.freedSoon(w, now))
+		b.Free = b.Free.Add(c.freedWithin(w, now, earmarkHorizon))
 		n.fitsSoon = b.Fits(amount, members)
 		if n.fitsSoon > 0 {
 			candidates = append(candidates, n)
@@ -78,13 +78,13 @@
 	}
 }
 
-// freedSoon returns the resources of the runs that are expected to end within
-// earmarkHorizon.
-func (c *Cell) freedSoon(w *worker, now time.Time) vector {
+// freedWithin returns the resources of the runs that are stopping or expected to end
+// within the given time.
+func (c *Cell) freedWithin(w *worker, now time.Time, within time.Duration) vector {
 	var v vector
 	for _, x := range w.runs {
 		usual := c.durations.expected(x.queue, x.shape.GetEstimateMs())
-		if x.phase == stopping || x.startedAt.Add(usual).Before(now.Add(earmarkHorizon)) {
+		if x.phase == stopping || x.startedAt.Add(usual).Before(now.Add(within)) {
 			v = v.Add(demand(x.shape))
 		}
 	}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -54,6 +54,7 @@
 	return cell.Limits{
 		Lease: 9 * time.Second, MaxLease: 10 * time.Second, MaxLeaseAfterCommit: 10 * time.Second,
 		GangTimeout: 3 * time.Second, Retention: 240 * time.Second,
+		StopTime: 400 * time.Millisecond, RestoreTime: 250 * time.Millisecond,
 	}
 }
 
@@ -101,11 +102,17 @@
 
 // submit submits a job and returns its name.
 func (b *harness) submit(steps ...*wire.DocketStep) string {
+	b.Helper()
+	return b.submitWith(1, steps...)
+}
+
+// submitWith submits a job of the given priority and returns its name.
+func (b *harness) submitWith(priority uint32, steps ...*wire.DocketStep) string {
 	b.Helper()
 	b.jobs++
 	job := &wire.DocketAccepted{
 		Job: fmt.Sprintf("%016x", b.jobs), Spec: "spec", Steps: steps,
-		Queue: &wire.DocketQueue{Name: "q", Service: "jobs", Priority: 1, MaxAttempts: 3, Dilation: 2, TargetMs: 1000},
+		Queue: &wire.DocketQueue{Name: "q", Service: "jobs", Priority: priority, MaxAttempts: 3, Dilation: 2, TargetMs: 1000},
 	}
 	b.fleet.Accept(job)
 	if err := b.cell.Submit(b.Context(), job); err != nil {
--- a/cell/place.go
+++ b/cell/place.go
@@ -88,6 +88,7 @@
 			return
 		}
 	}
+	c.preempt(s, len(indices), ticketed, now)
 	if mayAsk {
 		c.requestAdvice(s, indices, eligible, now)
 	}
@@ -241,7 +242,7 @@
 func (c *Cell) startRun(s *readyStep, index, number uint32, w *worker, now time.Time) {
 	id := s.id.Task(index)
 	x := &run{
-		task: id, number: number, shape: s.shape, queue: s.queue.GetName(), gang: s.shape.GetGang(),
+		task: id, number: number, shape: s.shape, queue: s.queue.GetName(), gang: s.shape.GetGang(), urgent: s.queue.GetPriority() == 0,
 		incarnation: w.incarnation, phase: committing, startedAt: now, ticket: s.tickets[w.host.ID].value,
 	}
 	if !c.append(docket.Start(id, number, w.host.ID, w.incarnation), func() { c.sendStart(x) }) {
--- /dev/null
+++ b/cell/preempt.go
@@ -0,0 +1,139 @@
+package cell
+
+import (
+	"time"
+
+	"persimmonworks.example/persimmonworks/class"
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/preemption"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+const (
+	minRunBeforePreemption = time.Second // a run gets at least this long before it is preempted
+	maxPreemptionsPerStep  = 16          // in one pass
+	// preemptionGain is how many core seconds preemption may cost for each core second
+	// of urgent work that it lets start.
+	preemptionGain = 2.0
+)
+
+// preempt stops runs of less urgent work so that the remaining tasks of an urgent step
+// can start on the workers. It answers bursts of short urgent work on workers full of
+// long tasks, none of which ends in time.
+//
+// Only runs that lose nothing but the time to stop and resume are stopped: tasks that
+// save checkpoints and are in no gang. A task is preempted at most once in a step, and
+// only if the urgent task still ends in time after the stop.
+func (c *Cell) preempt(s *readyStep, tasks int, workers []*worker, now time.Time) {
+	inTime := now.Add(c.Limits.StopTime).Before(s.lateAfter())
+	if placementRank(s, now) != rankUrgent || !inTime || len(workers) == 0 {
+		return
+	}
+	amount := demand(s.shape)
+	free, tasks := c.roomSoon(s, tasks, workers, now)
+	if tasks <= 0 {
+		return
+	}
+	attempts, byName := c.preemptible(workers, now)
+	var runs []*run
+	gain := preemptionGain * coreSeconds(amount, c.durations.expected(s.queue.GetName(), s.shape.GetEstimateMs()))
+	for ; tasks > 0 && len(runs) < maxPreemptionsPerStep; tasks-- {
+		victims, ok := preemption.Victims(amount, free, attempts)
+		if !ok || totalCost(victims) > gain {
+			break
+		}
+		w := victims[0].Attempt.Worker
+		for _, v := range victims {
+			runs = append(runs, byName[v.Attempt.Task])
+			free[w] = free[w].Add(v.Freed)
+			attempts = withoutTask(attempts, v.Attempt.Task)
+		}
+		free[w] = free[w].Sub(amount)
+	}
+	if s.shape.GetGang() && tasks > 0 {
+		return // the gang would not fit all the same
+	}
+	for _, x := range runs {
+		c.stopPreempted(x, s)
+	}
+}
+
+// roomSoon returns the free resources of the workers once the runs that stop or are
+// about to end have ended and as many tasks of the step as fit have started, and how
+// many do not fit.
+func (c *Cell) roomSoon(s *readyStep, tasks int, workers []*worker, now time.Time) (map[string]vector, int) {
+	amount := demand(s.shape)
+	free := make(map[string]vector, len(workers))
+	for _, w := range workers {
+		b := c.workerBin(s, w)
+		b.Free = b.Free.Add(c.freedWithin(w, now, c.Limits.StopTime))
+		n := b.Fits(amount, tasks)
+		tasks -= n
+		if b.MaxTasks >= 0 && b.MaxTasks-n <= 0 {
+			continue
+		}
+		free[w.host.ID] = b.Free.Sub(amount.Scale(int64(n)))
+	}
+	return free, tasks
+}
+
+// preemptible returns the runs on the workers that may be preempted, and the same by
+// the name of their task.
+func (c *Cell) preemptible(workers []*worker, now time.Time) ([]preemption.Attempt, map[string]*run) {
+	var attempts []preemption.Attempt
+	byName := map[string]*run{}
+	for _, w := range workers {
+		for _, x := range w.runs {
+			if !c.mayPreempt(x, now) {
+				continue
+			}
+			name := x.task.String()
+			amount := demand(x.shape)
+			byName[name] = x
+			attempts = append(attempts, preemption.Attempt{
+				Task: name, Worker: w.host.ID, Class: class.Batch, Demand: amount,
+				Unsaved:        coreSeconds(amount, now.Sub(x.startedAt)),
+				CheckpointCost: coreSeconds(amount, c.Limits.StopTime+c.Limits.RestoreTime),
+			})
+		}
+	}
+	return attempts, byName
+}
+
+func (c *Cell) mayPreempt(x *run, now time.Time) bool {
+	if x.phase != running || x.gang || x.urgent || !x.shape.GetCheckpointing() || x.shape.GetLongRunning() || x.shape.GetFills() {
+		return false
+	}
+	s, ok := c.readySteps[x.task.StepID()]
+	return ok && !s.preempted[x.task.Index] && now.Sub(x.startedAt) >= minRunBeforePreemption
+}
+
+func (c *Cell) stopPreempted(x *run, s *readyStep) {
+	c.readySteps[x.task.StepID()].preempted[x.task.Index] = true
+	c.Meter.Count("preemptions", s.queue.GetName())
+	c.Log.Emit(event.TaskPreempted, "job", x.task.Job, "task", x.task.String(), "run", x.number, "worker", x.worker.host.ID,
+		"for", s.id.String(), "ran-ms", time.Since(x.startedAt).Milliseconds())
+	c.stopRun(x, "preempted")
+}
+
+func coreSeconds(v vector, d time.Duration) float64 {
+	return float64(v.MilliCPU) / resource.MilliPerCore * d.Seconds()
+}
+
+func totalCost(victims []preemption.Victim) float64 {
+	sum := 0.0
+	for _, v := range victims {
+		sum += v.LostWork
+	}
+	return sum
+}
+
+func withoutTask(attempts []preemption.Attempt, task string) []preemption.Attempt {
+	kept := attempts[:0]
+	for _, a := range attempts {
+		if a.Task != task {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -36,6 +36,7 @@
 	shape           *wire.DocketStep
 	queue           string
 	gang            bool
+	urgent          bool // of a queue with the highest priority
 	worker          *worker
 	incarnation     int64 // of the worker when the run was started
 	phase           phase
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -122,6 +122,7 @@
 	TaskStopping       = define(2223, Info, "task-stopping", "A run is being stopped or prevented from starting.", "none")
 	StartFailed        = define(2224, Warn, "start-failed", "A worker did not accept the start of a run.", "If this happens often with one worker, check it.")
 	StopFailed         = define(2225, Warn, "stop-failed", "A request to stop a run that is unknown to this process got no response; it is repeated when the run is listed again.", "none")
+	TaskPreempted      = define(2226, Info, "task-preempted", "A run that saves checkpoints is stopped to make room for the urgent step `for`; it resumes later.", "none")
 	Advised            = define(2231, Info, "advised", "The advisory service has named the workers that may run a step.", "none")
 	AdviceFailed       = define(2232, Warn, "advice-failed", "A request to the advisory service failed; it is retried.", "If it continues, check the advisory service.")
 	WorkerRestarted    = define(2241, Warn, "worker-restarted", "A worker has restarted; the runs that it had are lost.", "none")
--- a/process/settings.go
+++ b/process/settings.go
@@ -59,6 +59,8 @@
 	s.Limits = cell.Limits{
 		Lease: min(leaseUsual, most), MaxLease: most, MaxLeaseAfterCommit: most,
 		GangTimeout: r.duration("bounds", "gang-wait-ms", time.Millisecond),
+		StopTime:    r.duration("bounds", "stop-ms", time.Millisecond),
+		RestoreTime: r.duration("bounds", "restore-ms", time.Millisecond),
 		Retention:   retention * r.duration("bounds", "status-s", time.Second),
 	}
 	return s, r.faults.Err()
--- a/soak/host.go
+++ b/soak/host.go
@@ -26,6 +26,8 @@
 grace-s = 5
 lease-most-ms = 10000
 gang-wait-ms = 3000
+stop-ms = 400
+restore-ms = 600
 status-s = 120
 `
 
