--- a/cell/advice.go
+++ b/cell/advice.go
@@ -20,22 +20,18 @@
 
 // requestAdvice asks which workers may run the step. For a gang it names all
 // workers without an answer at once, since each request costs more than the
-// workers that it names; for other steps it names those with enough free resources.
-func (c *Cell) requestAdvice(s *readyStep, indices []uint32, eligible []*worker, now time.Time) {
-	amount := demand(s.shape)
-	var known, unknown, unknownWithRoom []*worker
+// workers that it names; for other steps it names those with room.
+func (c *Cell) requestAdvice(s *readyStep, indices []uint32, room, workers []*worker, now time.Time) {
+	var known, unknown []*worker // with room
 	knownCapacity := 0
-	for _, w := range eligible {
-		b := c.workerBin(s, w)
-		n := b.Fits(amount, len(indices))
-		t, hasTicket := s.tickets[w.host.ID]
-		switch {
-		case !hasTicket || t.incarnation != w.incarnation:
+	amount := demand(s.shape)
+	for _, w := range room {
+		if !s.knows(w) {
 			unknown = append(unknown, w)
-			if n > 0 {
-				unknownWithRoom = append(unknownWithRoom, w)
-			}
-		case n > 0:
+			continue
+		}
+		b := c.workerBin(s, w)
+		if n := b.Fits(amount, len(indices)); n > 0 {
 			known = append(known, w)
 			knownCapacity += n
 		}
@@ -44,14 +40,34 @@
 	switch {
 	case gang && knownCapacity >= len(indices):
 		c.renewGangTickets(s, indices, known, now)
-	case gang && len(unknown) > 0 && (len(s.tickets) == 0 || len(unknownWithRoom) > 0):
-		c.sendAdviceRequest(s, c.workersToAsk(s, unknown, indices, gangAdviceSurplus), now)
+	case gang && (len(s.tickets) == 0 || len(unknown) > 0):
+		if all := s.unknownWorkers(workers); len(all) > 0 {
+			c.sendAdviceRequest(s, c.workersToAsk(s, all, indices, gangAdviceSurplus), now)
+		}
 	case gang:
 	case len(known) > 0:
 		c.sendAdviceRequest(s, c.workersToAsk(s, known, indices, adviceSurplus), now)
-	case len(unknownWithRoom) > 0:
-		c.sendAdviceRequest(s, c.workersToAsk(s, unknownWithRoom, indices, adviceSurplus), now)
+	case len(unknown) > 0:
+		c.sendAdviceRequest(s, c.workersToAsk(s, unknown, indices, adviceSurplus), now)
+	}
+}
+
+// knows reports whether the step has had a permit for this incarnation of the worker.
+func (s *readyStep) knows(w *worker) bool {
+	t, ok := s.tickets[w.host.ID]
+	return ok && t.incarnation == w.incarnation
+}
+
+// unknownWorkers returns the workers that the step may use as far as is known, and has
+// no answer for.
+func (s *readyStep) unknownWorkers(workers []*worker) []*worker {
+	var unknown []*worker
+	for _, w := range workers {
+		if s.mayUse(w) && !s.knows(w) {
+			unknown = append(unknown, w)
+		}
 	}
+	return unknown
 }
 
 // renewGangTickets renews the tickets of the workers that a whole gang fits on, and
--- a/cell/earmark.go
+++ b/cell/earmark.go
@@ -13,19 +13,37 @@
 	maxEarmarkedShare = 0.5                     // share of the workers that may be earmarked at a time
 )
 
-// earmarks maps workers to the waiting gang that they are kept for, so that smaller
-// tasks do not take the resources there as they come free one by one. Urgent tasks
-// ignore earmarks.
-type earmarks map[*worker]docket.StepID
+// earmarks are the workers that a pass keeps for waiting gangs, so that smaller tasks
+// do not take the resources there as they come free one by one. Urgent tasks ignore
+// earmarks.
+type earmarks struct {
+	kept map[*worker]docket.StepID
+	soon map[*worker]vector // free resources at the end of earmarkHorizon
+}
+
+func newEarmarks() *earmarks {
+	return &earmarks{kept: map[*worker]docket.StepID{}, soon: map[*worker]vector{}}
+}
+
+// roomSoon returns the resources of the worker that are expected to be free at the end
+// of earmarkHorizon.
+func (e *earmarks) roomSoon(c *Cell, w *worker, now time.Time) vector {
+	v, ok := e.soon[w]
+	if !ok {
+		v = w.free().Add(c.freedWithin(w, now, earmarkHorizon))
+		e.soon[w] = v
+	}
+	return v
+}
 
-// usableBy returns the workers that are not earmarked for another step.
-func (e earmarks) usableBy(s *readyStep, workers []*worker, now time.Time) []*worker {
-	if len(e) == 0 || urgent(placementRank(s, now)) {
+// usableBy returns the workers that are not kept for another step.
+func (e *earmarks) usableBy(s *readyStep, workers []*worker, now time.Time) []*worker {
+	if len(e.kept) == 0 || urgent(placementRank(s, now)) {
 		return workers
 	}
 	rest := make([]*worker, 0, len(workers))
 	for _, w := range workers {
-		if id, earmarked := e[w]; !earmarked || id == s.id {
+		if id, kept := e.kept[w]; !kept || id == s.id {
 			rest = append(rest, w)
 		}
 	}
@@ -33,7 +51,7 @@
 }
 
 // earmark marks the workers on which a waiting gang will fit soonest.
-func (c *Cell) earmark(s *readyStep, e earmarks, workers []*worker, now time.Time) {
+func (c *Cell) earmark(s *readyStep, e *earmarks, workers []*worker, now time.Time) {
 	members := len(s.startableTasks())
 	if !s.shape.GetGang() || members == 0 || len(s.reservations) > 0 || placementRank(s, now) > rankInTime {
 		return
@@ -45,7 +63,7 @@
 	}
 	var candidates []candidate
 	for _, w := range workers {
-		if _, earmarked := e[w]; earmarked || w.host.Service != s.queue.GetService() || s.denied[w.host.ID] || !w.host.HasLabel(s.shape.GetRequires()) {
+		if _, earmarked := e.kept[w]; earmarked || !e.roomSoon(c, w, now).Covers(amount) || !s.mayUse(w) {
 			continue
 		}
 		if _, known := s.tickets[w.host.ID]; !known && s.queue.GetAdvice() != nil {
@@ -53,7 +71,7 @@
 		}
 		b := c.workerBin(s, w)
 		n := candidate{worker: w, fitsNow: b.Fits(amount, members)}
-		b.Free = b.Free.Add(c.freedWithin(w, now, earmarkHorizon))
+		b.Free = e.roomSoon(c, w, now)
 		n.fitsSoon = b.Fits(amount, members)
 		if n.fitsSoon > 0 {
 			candidates = append(candidates, n)
@@ -68,11 +86,11 @@
 		if members > 0 {
 			continue
 		}
-		if len(e)+i+1 > maxEarmarked {
+		if len(e.kept)+i+1 > maxEarmarked {
 			return
 		}
 		for _, k := range candidates[:i+1] {
-			e[k.worker] = s.id
+			e.kept[k.worker] = s.id
 		}
 		return
 	}
--- a/cell/order.go
+++ b/cell/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,11 @@
 	)
 }
 
+// sortSteps sorts steps in the order of placement.
+func sortSteps(steps []*readyStep, now time.Time) {
+	slices.SortFunc(steps, func(a, b *readyStep) int { return compareSteps(a, b, now) })
+}
+
 // lateAfter returns the time after which the job cannot end in time.
 func (s *readyStep) lateAfter() time.Time {
 	if s.shape.GetGang() {
--- a/cell/place.go
+++ b/cell/place.go
@@ -36,11 +36,11 @@
 	for _, s := range c.readySteps {
 		steps = append(steps, s)
 	}
-	slices.SortFunc(steps, func(a, b *readyStep) int { return compareSteps(a, b, now) })
-	earmarked := earmarks{}
+	sortSteps(steps, now)
+	earmarked := newEarmarks()
 	for _, s := range steps {
 		c.placeStep(s, earmarked.usableBy(s, accepting, now), now)
-		if float64(len(earmarked)) < maxEarmarkedShare*float64(len(accepting)) {
+		if float64(len(earmarked.kept)) < maxEarmarkedShare*float64(len(accepting)) {
 			c.earmark(s, earmarked, accepting, now)
 		}
 	}
@@ -73,10 +73,10 @@
 	if s.queue.GetAdvice() != nil && len(s.tickets) == 0 && !mayAsk {
 		return
 	}
-	eligible := c.eligibleWorkers(s, workers)
-	ticketed := eligible
+	room := c.workersWithRoom(s, workers)
+	ticketed := room
 	if s.queue.GetAdvice() != nil {
-		ticketed = slices.DeleteFunc(slices.Clone(eligible), func(w *worker) bool { return !s.hasValidTicket(w, now) })
+		ticketed = slices.DeleteFunc(slices.Clone(room), func(w *worker) bool { return !s.hasValidTicket(w, now) })
 	}
 	if s.shape.GetGang() {
 		if c.startGang(s, indices, ticketed, now) {
@@ -88,22 +88,28 @@
 			return
 		}
 	}
-	c.preempt(s, len(indices), ticketed, now)
+	c.preempt(s, len(indices), workers, now)
 	if mayAsk {
-		c.requestAdvice(s, indices, eligible, now)
+		c.requestAdvice(s, indices, room, workers, now)
 	}
 }
 
-// eligibleWorkers returns the workers that are not known to be excluded for the
-// step.
-func (c *Cell) eligibleWorkers(s *readyStep, workers []*worker) []*worker {
-	var eligible []*worker
+// workersWithRoom returns the workers on which a task of the step fits and that are not
+// known to be excluded for it. Room is checked first: in a burst few workers have any.
+func (c *Cell) workersWithRoom(s *readyStep, workers []*worker) []*worker {
+	amount := demand(s.shape)
+	var room []*worker
 	for _, w := range workers {
-		if w.host.Service == s.queue.GetService() && w.host.HasLabel(s.shape.GetRequires()) && !s.denied[w.host.ID] && !w.conflictsWith(s.shape) {
-			eligible = append(eligible, w)
+		if w.free().Covers(amount) && s.mayUse(w) {
+			room = append(room, w)
 		}
 	}
-	return eligible
+	return room
+}
+
+// mayUse reports whether the worker is not known to be excluded for the step.
+func (s *readyStep) mayUse(w *worker) bool {
+	return w.host.Service == s.queue.GetService() && w.host.HasLabel(s.shape.GetRequires()) && !s.denied[w.host.ID] && !w.conflictsWith(s.shape)
 }
 
 // conflictsWith reports whether the step would fill up idle processor time beside a
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -26,9 +26,10 @@
 // only if the urgent task still ends in time after the stop.
 func (c *Cell) preempt(s *readyStep, tasks int, workers []*worker, now time.Time) {
 	inTime := now.Add(c.Limits.StopTime).Before(s.lateAfter())
-	if placementRank(s, now) != rankUrgent || !inTime || len(workers) == 0 {
+	if placementRank(s, now) != rankUrgent || !inTime {
 		return
 	}
+	workers = c.startableWorkers(s, workers, now)
 	amount := demand(s.shape)
 	free, tasks := c.roomSoon(s, tasks, workers, now)
 	if tasks <= 0 {
@@ -58,6 +59,21 @@
 	}
 }
 
+// startableWorkers returns the workers on which a start of the step's tasks would be
+// accepted if there were room.
+func (c *Cell) startableWorkers(s *readyStep, workers []*worker, now time.Time) []*worker {
+	var startable []*worker
+	for _, w := range workers {
+		if s.queue.GetAdvice() != nil && !s.hasValidTicket(w, now) {
+			continue
+		}
+		if s.mayUse(w) {
+			startable = append(startable, w)
+		}
+	}
+	return startable
+}
+
 // roomSoon returns the free resources of the workers once the runs that stop or are
 // about to end have ended and as many tasks of the step as fit have started, and how
 // many do not fit.
