--- a/cell/advice.go
+++ b/cell/advice.go
@@ -8,6 +8,7 @@
 
 	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
@@ -15,6 +16,7 @@
 	adviceTimeout       = 4 * time.Second
 	adviceRetryInterval = 150 * time.Millisecond
 	adviceSurplus       = 1.4 // factor on the number of workers that are likely needed
+	adviceDivision      = 2.0 // a part of a divided request names workers for half of its decision time
 	gangAdviceSurplus   = 4.0 // the same for gangs, whose members need many free resources at the same moment
 )
 
@@ -128,25 +130,51 @@
 		needed -= n
 	}
 	minCount := int(math.Ceil(2 / share))
-	return workers[:min(len(workers), max(count, minCount), maxAdviceWorkers)]
+	return workers[:min(len(workers), max(count, minCount))]
 }
 
-// sendAdviceRequest sends the request. The answer is handled on the control loop.
+// sendAdviceRequest asks about the workers. A request that names many is divided over
+// helpers that have nothing to do, since the service takes time for each worker named.
 func (c *Cell) sendAdviceRequest(s *readyStep, workers []*worker, now time.Time) {
-	a := s.queue.GetAdvice()
+	parts := c.adviceParts(s.queue.GetAdvice(), len(workers), now)
+	workers = workers[:min(len(workers), parts*maxAdviceWorkers)]
+	for i := range parts {
+		c.sendAdvicePart(s, workers[i*len(workers)/parts:(i+1)*len(workers)/parts], now)
+	}
+	if s.adviceInFlight == 0 {
+		c.releaseReservations(s)
+	}
+}
+
+// adviceParts returns over how many helpers a request is divided. The time for the
+// decision is spent once a part, so a part is not shorter than that; half of the idle
+// helpers are left to other steps.
+func (c *Cell) adviceParts(a *wire.DocketAdvice, workers int, now time.Time) int {
+	useful := workers / maxAdviceWorkers
+	if a.GetDecisionMs() > 0 {
+		useful = max(useful, int(math.Round(float64(workers)*a.GetPerWorkerMs()*adviceDivision/a.GetDecisionMs())))
+	}
+	if useful < 2 {
+		return 1
+	}
+	idle := c.Advice.Idle(advice.RequestDuration(a, workers/useful), now)
+	return max(1, min(useful, idle/2))
+}
+
+// sendAdvicePart sends one request. The answer is handled on the control loop.
+func (c *Cell) sendAdvicePart(s *readyStep, workers []*worker, now time.Time) {
 	names := make([]string, len(workers))
 	incarnations := make(map[string]int64, len(workers))
 	for i, w := range workers {
 		names[i] = w.host.ID
 		incarnations[w.host.ID] = w.incarnation
 	}
-	duration := advice.RequestDuration(a, len(names))
+	duration := advice.RequestDuration(s.queue.GetAdvice(), len(names))
 	helper := c.Advice.Acquire(duration, now)
 	if helper == nil {
-		c.releaseReservations(s)
 		return
 	}
-	s.adviceInFlight = true
+	s.adviceInFlight++
 	c.group.Go(func() error {
 		call, cancel := context.WithTimeout(c.ctx, adviceTimeout)
 		defer cancel()
@@ -159,8 +187,10 @@
 // handleAdvice processes the answer to a request sent at the given time.
 func (c *Cell) handleAdvice(s *readyStep, h *advice.Helper, names []string, incarnations map[string]int64, permits []advice.Permit, sent time.Time, err error) {
 	now := time.Now()
-	s.adviceInFlight = false
-	c.releaseReservations(s)
+	s.adviceInFlight--
+	if s.adviceInFlight == 0 {
+		c.releaseReservations(s)
+	}
 	c.Advice.Release(h, err, now)
 	c.Meter.Observe("advice", now.Sub(sent))
 	if err != nil {
--- a/cell/balance.go
+++ b/cell/balance.go
@@ -77,7 +77,7 @@
 func (c *Cell) offload(to int, remaining float64, now time.Time) {
 	steps := make([]*readyStep, 0, len(c.readySteps))
 	for _, s := range c.readySteps {
-		if movable(s.job) && !s.adviceInFlight && now.Sub(s.readyAt) > offloadMinWait {
+		if movable(s.job) && s.adviceInFlight == 0 && now.Sub(s.readyAt) > offloadMinWait {
 			steps = append(steps, s)
 		}
 	}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -24,11 +24,12 @@
 // of package synctest.
 type harness struct {
 	*testing.T
-	fleet *fleettest.Fleet
-	table *fleettest.Table
-	cell  *cell.Cell
-	stop  func() // stops the cell
-	jobs  int
+	fleet   *fleettest.Fleet
+	advisor advice.Advisor
+	table   *fleettest.Table
+	cell    *cell.Cell
+	stop    func() // stops the cell
+	jobs    int
 }
 
 type nopMeter struct{}
@@ -41,6 +42,7 @@
 func run(t *testing.T, workers int, f func(b *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &harness{T: t, fleet: fleettest.New(workers, 16000, 32768), table: fleettest.NewTable()}
+		b.advisor = b.fleet
 		b.takeOver()
 		f(b)
 		b.stop()
@@ -77,7 +79,7 @@
 		log = &event.Log{Writer: b.Output()}
 	}
 	c := &cell.Cell{
-		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: advice.NewBalancer("e1", b.fleet), Fleet: b.fleet,
+		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: advice.NewBalancer("e1", b.advisor), Fleet: b.fleet,
 		Log: log, Meter: nopMeter{}, Limits: limits(),
 	}
 	c.Prepare()
--- a/cell/pass_bench_test.go
+++ b/cell/pass_bench_test.go
@@ -35,7 +35,7 @@
 		}
 		j, _ := d.Job(job)
 		s := c.newReadyStep(j, docket.StepID{Job: job}, now)
-		s.adviceInFlight = true
+		s.adviceInFlight = 1
 		for k, w := range list {
 			switch (k + i) % 5 {
 			case 0:
--- a/cell/place.go
+++ b/cell/place.go
@@ -69,7 +69,7 @@
 	if len(indices) == 0 {
 		return
 	}
-	mayAsk := s.queue.GetAdvice() != nil && !s.adviceInFlight && now.After(s.nextAdviceAt) && c.Advice.Available(s.queue.GetAdvice(), now)
+	mayAsk := s.queue.GetAdvice() != nil && s.adviceInFlight == 0 && now.After(s.nextAdviceAt) && c.Advice.Available(s.queue.GetAdvice(), now)
 	if s.queue.GetAdvice() != nil && len(s.tickets) == 0 && !mayAsk {
 		return
 	}
--- a/cell/step.go
+++ b/cell/step.go
@@ -21,7 +21,7 @@
 	worthlessAfter time.Time // a job whose step starts after this ends too late to be worth anything
 	tickets        map[string]ticket
 	denied         map[string]bool // workers that may not run the step
-	adviceInFlight bool
+	adviceInFlight int             // requests that are not answered yet
 	nextAdviceAt   time.Time
 	reservations   []reservation
 	preempted      map[uint32]bool // tasks of which a run was preempted
