--- a/cell/order.go
+++ b/cell/order.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// maxGangDeferral bounds how long smaller tasks may be placed before a late gang.
-const maxGangDeferral = 15 * time.Second
+const (
+	// maxGangDeferral bounds how long smaller tasks may be placed before a late gang.
+	maxGangDeferral = 15 * time.Second
+	// maxInterruption bounds how long urgent work is placed before a task of a lasting
+	// step that has to run again.
+	maxInterruption = 1500 * time.Millisecond
+)
 
 // compareSteps defines the order of placement: by rank, then by latest start.
 //
@@ -49,6 +54,8 @@
 func placementRank(s *readyStep, now time.Time) int {
 	late := now.After(s.lateAfter())
 	switch {
+	case s.shape.GetLongRunning():
+		return lastingRank(s, now)
 	case s.shape.GetGang() && now.Sub(s.readyAt) > maxGangDeferral:
 		return rankInTime
 	case now.After(s.worthlessAfter):
@@ -63,5 +70,18 @@
 	return rankInTime
 }
 
+// lastingRank is the rank of a step whose tasks run until the job is cancelled. Such a
+// step is never too late; one that misses a task that ran before waits behind nothing
+// but urgent work, and behind that only for a while.
+func lastingRank(s *readyStep, now time.Time) int {
+	switch {
+	case s.interruptedAt.IsZero():
+		return rankInTime
+	case now.Sub(s.interruptedAt) > maxInterruption:
+		return rankUrgent
+	}
+	return rankUrgentLate
+}
+
 // urgent reports whether a step of the rank may use workers that are kept for gangs.
 func urgent(rank int) bool { return rank <= rankUrgentLate }
--- a/cell/place.go
+++ b/cell/place.go
@@ -189,6 +189,7 @@
 		}
 		c.startRun(s, index, t.Run()+1, workers[i], now)
 	}
+	s.noteInterruption(now)
 	return remaining
 }
 
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -14,7 +14,8 @@
 	maxPreemptionsPerStep  = 16          // in one pass
 	// preemptionGain is how many core seconds preemption may cost for each core second
 	// of urgent work that it lets start.
-	preemptionGain = 2.0
+	preemptionGain  = 2.0
+	lastingDuration = 30 * time.Second // for which a lasting task counts
 )
 
 // preempt stops runs of less urgent work so that the remaining tasks of an urgent step
@@ -25,7 +26,7 @@
 // save checkpoints and are in no gang. A task is preempted at most once in a step, and
 // only if the urgent task still ends in time after the stop.
 func (c *Cell) preempt(s *readyStep, tasks int, workers []*worker, now time.Time) {
-	inTime := now.Add(c.Limits.StopTime).Before(s.lateAfter())
+	inTime := s.shape.GetLongRunning() || now.Add(c.Limits.StopTime).Before(s.lateAfter())
 	if placementRank(s, now) != rankUrgent || !inTime {
 		return
 	}
@@ -37,7 +38,7 @@
 	}
 	attempts, byName := c.preemptible(workers, now)
 	var runs []*run
-	gain := preemptionGain * coreSeconds(amount, c.durations.expected(s.queue.GetName(), s.shape.GetEstimateMs()))
+	gain := preemptionGain * coreSeconds(amount, c.durationOf(s))
 	for ; tasks > 0 && len(runs) < maxPreemptionsPerStep; tasks-- {
 		victims, ok := preemption.Victims(amount, free, attempts)
 		if !ok || totalCost(victims) > gain {
@@ -59,6 +60,14 @@
 	}
 }
 
+// durationOf returns how long a task of the step is expected to take.
+func (c *Cell) durationOf(s *readyStep) time.Duration {
+	if s.shape.GetLongRunning() {
+		return lastingDuration
+	}
+	return c.durations.expected(s.queue.GetName(), s.shape.GetEstimateMs())
+}
+
 // startableWorkers returns the workers on which a start of the step's tasks would be
 // accepted if there were room.
 func (c *Cell) startableWorkers(s *readyStep, workers []*worker, now time.Time) []*worker {
--- a/cell/step.go
+++ b/cell/step.go
@@ -25,6 +25,7 @@
 	nextAdviceAt   time.Time
 	reservations   []reservation
 	preempted      map[uint32]bool // tasks of which a run was preempted
+	interruptedAt  time.Time       // of a lasting step: since when a task that ran is missing, zero if none is
 }
 
 // ticket is a permission to start tasks of a step on a worker.
@@ -115,9 +116,28 @@
 		s.latestStart = s.latestStart.Add(-gangLeadTime)
 	}
 	s.worthlessAfter = start.Add(worthlessFactor*target - remainingWork)
+	s.noteInterruption(now)
 	return s
 }
 
+// noteInterruption records since when a lasting step misses a task that ran before.
+func (s *readyStep) noteInterruption(now time.Time) {
+	if !s.shape.GetLongRunning() {
+		return
+	}
+	missing := false
+	tasks := s.state.Tasks()
+	for i := range tasks {
+		missing = missing || tasks[i].Run() > 0 && !tasks[i].Active()
+	}
+	switch {
+	case !missing:
+		s.interruptedAt = time.Time{}
+	case s.interruptedAt.IsZero():
+		s.interruptedAt = now
+	}
+}
+
 // watchDue adds the job to those that openDueOccurrences checks.
 func (c *Cell) watchDue(j *docket.Job) {
 	if !slices.Contains(c.timedJobs, j.ID()) {
@@ -156,9 +176,11 @@
 	if j.StepDefinition(t.Step).GetGang() && outcome != wire.DocketOutcome_DOCKET_OUTCOME_DONE {
 		c.stopGang(id, j.Task(t).Run(), "a gang member ended: "+outcomeName(outcome))
 	}
-	if _, ok := c.readySteps[id]; !ok {
-		c.openSteps(j)
+	if s, ok := c.readySteps[id]; ok {
+		s.noteInterruption(time.Now())
+		return
 	}
+	c.openSteps(j)
 }
 
 func (c *Cell) removeStep(id docket.StepID) {
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -138,6 +138,21 @@
 	return f.starts
 }
 
+// Running returns how many tasks of a job run.
+func (f *Fleet) Running(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, w := range f.workers {
+		for t := range w.running {
+			if t.Job == job && w.up {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (f *Fleet) fault(format string, args ...any) {
 	f.broken = append(f.broken, fmt.Sprintf("%s: ", time.Now().Format("05.000"))+fmt.Sprintf(format, args...))
 }
