--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -40,6 +40,9 @@
 	var runs []*run
 	gain := preemptionGain * coreSeconds(amount, c.durationOf(s))
 	for ; tasks > 0 && len(runs) < maxPreemptionsPerStep; tasks-- {
+		if takeRoom(free, amount) {
+			continue // beside a task that a victim has made room for
+		}
 		victims, ok := preemption.Victims(amount, free, attempts)
 		if !ok || totalCost(victims) > gain {
 			break
@@ -68,6 +71,18 @@
 	return c.durations.expected(s.queue.GetName(), s.shape.GetEstimateMs())
 }
 
+// takeRoom subtracts a demand from the free resources of a worker that covers it. It
+// returns false if none does.
+func takeRoom(free map[string]vector, amount vector) bool {
+	for w, v := range free {
+		if v.Covers(amount) {
+			free[w] = v.Sub(amount)
+			return true
+		}
+	}
+	return false
+}
+
 // startableWorkers returns the workers on which a start of the step's tasks would be
 // accepted if there were room.
 func (c *Cell) startableWorkers(s *readyStep, workers []*worker, now time.Time) []*worker {
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -80,3 +80,21 @@
 		}
 	})
 }
+
+// One task that is preempted makes room for several urgent ones.
+func TestPreemptedTaskMakesRoomForSeveral(t *testing.T) {
+	run(t, 1, func(b *harness) {
+		b.fleet.Takes = func(id docket.TaskID) time.Duration {
+			if id.Job == "0000000000000001" {
+				return 20 * time.Second
+			}
+			return 700 * time.Millisecond
+		}
+		background := long(1, 16000)
+		background.Checkpointing = true
+		b.submitWith(2, background)
+		time.Sleep(3 * time.Second)
+		urgent := b.submitWith(0, tasks(5, 3000))
+		b.waitForState(urgent, docket.Completed, 2500*time.Millisecond)
+	})
+}
