--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -5,6 +5,7 @@
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/packing"
 	"persimmonworks.example/persimmonworks/preemption"
 	"persimmonworks.example/persimmonworks/resource"
 )
@@ -44,16 +45,22 @@
 			continue // beside a task that a victim has made room for
 		}
 		victims, ok := preemption.Victims(amount, free, attempts)
-		if !ok || totalCost(victims) > gain {
+		if !ok {
 			break
 		}
 		w := victims[0].Attempt.Worker
+		room := packing.Bin{Free: free[w], MaxTasks: -1}
+		for _, v := range victims {
+			room.Free = room.Free.Add(v.Freed)
+		}
+		if totalCost(victims) > gain*float64(room.Fits(amount, tasks)) {
+			break
+		}
+		free[w] = room.Free.Sub(amount)
 		for _, v := range victims {
 			runs = append(runs, byName[v.Attempt.Task])
-			free[w] = free[w].Add(v.Freed)
 			attempts = withoutTask(attempts, v.Attempt.Task)
 		}
-		free[w] = free[w].Sub(amount)
 	}
 	if s.shape.GetGang() && tasks > 0 {
 		return // the gang would not fit all the same
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -81,8 +81,15 @@
 	})
 }
 
-// One task that is preempted makes room for several urgent ones.
+// One task that is preempted makes room for several urgent ones, whether its own cost
+// pays for one of them or only for all.
 func TestPreemptedTaskMakesRoomForSeveral(t *testing.T) {
+	for _, background := range []*wire.DocketStep{long(2, 8000), long(1, 16000)} {
+		preemptForSeveral(t, background)
+	}
+}
+
+func preemptForSeveral(t *testing.T, background *wire.DocketStep) {
 	run(t, 1, func(b *harness) {
 		b.fleet.Takes = func(id docket.TaskID) time.Duration {
 			if id.Job == "0000000000000001" {
@@ -90,7 +97,6 @@
 			}
 			return 700 * time.Millisecond
 		}
-		background := long(1, 16000)
 		background.Checkpointing = true
 		b.submitWith(2, background)
 		time.Sleep(3 * time.Second)
