--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -111,6 +111,8 @@
 	LayoutKnown        = define(2206, Info, "layout-known", "The division of jobs and workers among dockets is known.", "none")
 	LayoutChanged      = define(2207, Info, "layout-changed", "This process has stored a division of jobs and workers among dockets.", "none")
 	LayoutNotStored    = define(2208, Warn, "layout-not-stored", "Racks without a docket could not be assigned one; the assignment is retried.", "Check the store.")
+	HostNotAnnounced   = define(2209, Warn, "host-not-announced", "The strength of this host could not be stored; the first layout is made without it.", "Check the store.")
+	HostsUnknown       = define(2210, Warn, "hosts-unknown", "The strengths of the hosts could not be read; the first layout is made for hosts like this one.", "Check the store.")
 	DocketJobAccepted  = define(2211, Info, "docket-job-accepted", "A job was accepted and is being stored.", "none")
 	DocketJobRepeated  = define(2212, Info, "docket-job-repeated", "A known job was submitted again.", "none")
 	DocketJobRefused   = define(2213, Info, "docket-job-refused", "A job was not accepted; it never runs.", "Read `reason`.")
--- a/layout/layout.go
+++ b/layout/layout.go
@@ -3,12 +3,13 @@
 //
 // A job belongs to the docket that its name hashes to. A worker belongs to the docket
 // of its rack; racks are never split, so that tasks that must share a rack can use all
-// of it. The number of dockets is fixed once, from the number of workers. A rack that
-// appears later is assigned to the docket with the fewest workers and stays there.
+// of it. The number of dockets is fixed once, from the number of workers and the
+// strength of the hosts. A rack that appears later is assigned to the docket with the
+// fewest workers and stays there.
 //
 // Usage:
 //
-//	l := layout.New(len(workers))
+//	l := layout.New(len(workers), cores)
 //	l, changed := l.Assign(racks)
 //	docket := l.OfJob(id)
 //	docket, ok := l.OfRack(rack)
@@ -27,9 +28,11 @@
 )
 
 const (
-	// workersPerDocket is how many workers one owner handles well. A lower number would
-	// leave less room for large gangs, as each gang must fit into one docket.
-	workersPerDocket = 176
+	// maxWorkersPerDocket bounds what one process handles, and how many jobs wait for a
+	// takeover when it fails.
+	maxWorkersPerDocket = 550
+	// workersPerCore is how many workers a process handles for each core that it may use.
+	workersPerCore = 700
 	// MaxDockets bounds the number of dockets, because the store bounds the number of
 	// tables and each docket has one.
 	MaxDockets = 48
@@ -42,10 +45,18 @@
 	racks   map[string]int // docket by rack
 }
 
-// New returns a layout without racks whose number of dockets suits the given number of
-// workers.
-func New(workers int) *Layout {
-	return &Layout{dockets: min(max(1, (workers+workersPerDocket/2)/workersPerDocket), MaxDockets)}
+// New returns a layout without racks. It has as few dockets as the hosts can handle, since
+// a gang has to fit into one docket. Cores holds the processor cores of the known hosts
+// in any order.
+func New(workers int, cores []float64) *Layout {
+	strongest := slices.Sorted(slices.Values(cores))
+	slices.Reverse(strongest)
+	fewest := (workers + maxWorkersPerDocket - 1) / maxWorkersPerDocket
+	dockets := max(1, fewest)
+	for dockets < len(strongest) && float64(workers) > workersPerCore*strongest[dockets-1]*float64(dockets) {
+		dockets++
+	}
+	return &Layout{dockets: min(dockets, MaxDockets)}
 }
 
 // Dockets returns the number of dockets.
--- a/layout/layout_test.go
+++ b/layout/layout_test.go
@@ -10,9 +10,36 @@
 )
 
 func TestNumberOfDockets(t *testing.T) {
-	for _, c := range []struct{ workers, dockets int }{{0, 1}, {24, 1}, {263, 1}, {264, 2}, {350, 2}, {2000, 11}, {9900, 48}} {
-		if got := layout.New(c.workers).Dockets(); got != c.dockets {
-			t.Errorf("%d workers: %d dockets, want %d", c.workers, got, c.dockets)
+	hosts := func(counts ...float64) []float64 { // count, cores, count, cores
+		var cores []float64
+		for i := 0; i < len(counts); i += 2 {
+			for range int(counts[i]) {
+				cores = append(cores, counts[i+1])
+			}
+		}
+		return cores
+	}
+	for _, c := range []struct {
+		name    string
+		workers int
+		cores   []float64
+		dockets int
+	}{
+		{"nothing known", 0, nil, 1},
+		{"hosts not known", 1100, nil, 2},
+		{"small", 48, hosts(8, 0.4), 1},
+		{"some strong hosts", 350, hosts(29, 0.192, 6, 0.8), 1},
+		{"weak hosts alone", 350, hosts(35, 0.25), 2},
+		{"weakest hosts alone", 120, hosts(24, 0.12), 2},
+		{"one strong host", 350, hosts(30, 0.192, 1, 0.8), 1},
+		{"large", 1100, hosts(132, 0.192, 15, 0.8), 2},
+		{"large and weak", 1100, hosts(147, 0.192), 9},
+		{"two years", 9900, hosts(400, 0.8), 18},
+		{"two years and weak", 9900, hosts(400, 0.192), 48},
+		{"fewer hosts than dockets", 9900, hosts(4, 0.1), 18},
+	} {
+		if got := layout.New(c.workers, c.cores).Dockets(); got != c.dockets {
+			t.Errorf("%s: %d dockets, want %d", c.name, got, c.dockets)
 		}
 	}
 }
@@ -21,7 +48,7 @@
 // differ by at most one rack, and both hold after encoding and decoding.
 func TestAssign(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := layout.New(rapid.IntRange(0, 3000).Draw(t, "workers"))
+		l := layout.New(rapid.IntRange(0, 3000).Draw(t, "workers"), rapid.SliceOfN(rapid.Float64Range(0.1, 1), 0, 60).Draw(t, "cores"))
 		workers, assigned := map[string]int{}, map[string]int{}
 		const size = 8
 		for range rapid.IntRange(1, 5).Draw(t, "rounds") {
@@ -58,7 +85,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	value, err := layout.New(200).Encode()
+	value, err := layout.New(200, nil).Encode()
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/node/layout.go
+++ b/node/layout.go
@@ -8,17 +8,21 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/layout"
 	"persimmonworks.example/persimmonworks/provider"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
 	layoutTable       = "layout"
 	layoutKey         = "layout"
+	hostTable         = "hosts"
+	hostsEnd          = "~" // greater than the name of any process
 	layoutRetry       = 200 * time.Millisecond
 	layoutFeedWait    = 1500 * time.Millisecond // longest wait of one feed call for a change
 	workersSettleTime = 1500 * time.Millisecond // the list of workers counts as complete when its length has not changed for this long
@@ -47,6 +51,7 @@
 		if known {
 			break
 		}
+		n.announceHost(ctx)
 		first, err := n.createLayout(ctx)
 		if err != nil {
 			return err
@@ -100,6 +105,16 @@
 // createLayout waits until the workers are known and computes the first layout. It
 // does not store it.
 func (n *Node) createLayout(ctx context.Context) (*layout.Layout, error) {
+	workers, err := n.awaitWorkers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l, _ := layout.New(len(workers), n.knownCores(ctx)).Assign(countByRack(workers))
+	return l, nil
+}
+
+// awaitWorkers returns the list of workers once it has settled.
+func (n *Node) awaitWorkers(ctx context.Context) ([]cell.Host, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -136,8 +151,48 @@
 	if failed := group.Wait(); err == nil && !errors.Is(failed, context.Canceled) {
 		err = failed
 	}
-	l, _ := layout.New(len(hosts)).Assign(countByRack(hosts))
-	return l, err
+	return hosts, err
+}
+
+// announceHost stores the strength of this host for the process that makes the first
+// layout. A failure only leaves the host out of account.
+func (n *Node) announceHost(ctx context.Context) {
+	value, err := proto.Marshal(&wire.DocketHost{Cores: n.Identity.Cores})
+	if err == nil {
+		_, err = n.Tables(hostTable).Commit(ctx, changelog.Transaction{
+			Require: provider.Row{Key: n.Identity.Name},
+			Put:     []provider.Row{{Key: n.Identity.Name, Value: value}},
+		})
+	}
+	if err != nil && !errors.Is(err, provider.ErrConflict) {
+		n.Log.Emit(event.HostNotAnnounced, "error", err)
+	}
+}
+
+// knownCores returns the cores of all hosts that have announced themselves, or of this
+// host alone if they cannot be read.
+func (n *Node) knownCores(ctx context.Context) []float64 {
+	var cores []float64
+	from := ""
+	for {
+		page, err := n.Tables(hostTable).Read(ctx, from, hostsEnd)
+		if err != nil {
+			n.Log.Emit(event.HostsUnknown, "error", err)
+			return []float64{n.Identity.Cores}
+		}
+		for _, row := range page.Rows {
+			h := &wire.DocketHost{}
+			if err := proto.Unmarshal(row.Value, h); err != nil {
+				n.Log.Emit(event.EntryUnreadable, "entry", row.Key, "error", err)
+				continue
+			}
+			cores = append(cores, h.GetCores())
+			from = row.Key + "\x00"
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return cores
+		}
+	}
 }
 
 func countByRack(hosts []cell.Host) map[string]int {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -26,6 +26,9 @@
 // measures it; it only ends a wait that cannot succeed.
 const testTimeout = 60 * time.Second
 
+// weakCores is the strength of hosts of which one does not handle 272 workers.
+const weakCores = 0.2
+
 type noopMeter struct{}
 
 func (noopMeter) Count(string, string)          {}
@@ -224,7 +227,7 @@
 	f.List(workers - 4) // without the last rack
 	var all []*process
 	for i := range 4 {
-		all = append(all, startNode(t, fmt.Sprintf("e%d", i), shared.Path(), f))
+		all = append(all, startNodeOn(t, fmt.Sprintf("e%d", i), weakCores, shared.Path(), f))
 	}
 	const jobs = 24
 	for n := range jobs {
@@ -271,10 +274,10 @@
 	f.Takes = func(docket.TaskID) time.Duration { return 4 * time.Second }
 	var all []*process
 	for i := range 3 {
-		all = append(all, startNode(t, fmt.Sprintf("e%d", i), shared.Path(), f))
+		all = append(all, startNodeOn(t, fmt.Sprintf("e%d", i), weakCores, shared.Path(), f))
 	}
 	submitJob(t, all[0], f, 0) // the layout is known once this job is accepted
-	l := layout.New(workers)
+	l := layout.New(workers, []float64{weakCores, weakCores, weakCores})
 	var names []int
 	for n := 1; len(names) < 4; n++ {
 		if l.JobDocket(fmt.Sprintf("%016x", n)) == 0 {
