--- a/command/node.go
+++ b/command/node.go
@@ -23,7 +23,7 @@
 const (
 	settingsVariable = "PERSIMMONWORKS_SETTINGS"
 	heapShare        = 0.6 // of the memory limit, from where the garbage collector works harder
-	heapGrowth       = 60  // percent between two collections
+	heapGrowth       = 200 // percent between two collections; weak hosts are short of processor time, not of memory
 )
 
 // schedule runs a process on the operators' platform.
