--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"persimmonworks.example/persimmonworks/provider"
@@ -22,8 +23,8 @@
 	maxDropsPerTransaction = 40
 	initialBackoff         = 10 * time.Millisecond
 	maxBackoff             = 200 * time.Millisecond
-	// Repeating a transaction is safe, so the timeout of one attempt is only a small
-	// multiple of the usual latency. That keeps the delay by a lost answer short.
+	// Repeating a transaction is safe, so an answer is missed after a small multiple of
+	// the usual latency. That keeps the delay by a lost answer short.
 	minCommitTimeout    = 150 * time.Millisecond
 	maxCommitTimeout    = 1500 * time.Millisecond
 	commitTimeoutFactor = 4   // multiple of the average latency
@@ -62,16 +63,69 @@
 // goroutine.
 func (w *Writer) AverageLatency() time.Duration { return time.Duration(w.avgLatency.Load()) }
 
-// tryCommit sends a transaction once and updates the average latency.
-func (w *Writer) tryCommit(ctx context.Context, t Transaction, timeout time.Duration) (uint64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// commitResult is the outcome of sending a transaction once.
+type commitResult struct {
+	version uint64
+	err     error
+}
+
+// tryCommit sends a transaction once. If there is no answer for patience, it reads the
+// head to find out why: a store that answers reads quickly has lost the transaction or
+// its answer, and the transaction is given up so that the caller repeats it; a store
+// that is slow is waited for, since a copy would only lengthen its queue.
+func (w *Writer) tryCommit(ctx context.Context, next *wire.DocketHead, t Transaction, patience time.Duration) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxCommitTimeout)
+	var group errgroup.Group
+	defer func() {
+		cancel()
+		_ = group.Wait() // no function returns an error
+	}()
 	sent := time.Now()
-	version, err := w.table.Commit(callCtx, t)
-	if err == nil || errors.Is(err, provider.ErrConflict) {
-		w.avgLatency.Add(int64(latencyGain * float64(time.Since(sent)-w.AverageLatency())))
+	results := make(chan commitResult, 1)
+	group.Go(func() error {
+		version, err := w.table.Commit(ctx, t)
+		if err == nil || errors.Is(err, provider.ErrConflict) {
+			w.avgLatency.Add(int64(latencyGain * float64(time.Since(sent)-w.AverageLatency())))
+		}
+		results <- commitResult{version, err}
+		return nil
+	})
+	patient := time.NewTimer(patience)
+	defer patient.Stop()
+	probed := make(chan commitResult, 1)
+	for {
+		select {
+		case r := <-results:
+			return r.version, r.err
+		case r := <-probed:
+			return r.version, r.err
+		case <-patient.C:
+			group.Go(func() error {
+				if r, decided := w.probe(ctx, next, t); decided {
+					probed <- r
+				}
+				return nil
+			})
+		}
+	}
+}
+
+// probe reads the head while a transaction is not answered. It returns the outcome of
+// the transaction and true if that is known, or the transaction should be repeated.
+func (w *Writer) probe(ctx context.Context, next *wire.DocketHead, t Transaction) (commitResult, bool) {
+	asked := time.Now()
+	head, version, _, err := readHead(ctx, w.table)
+	switch {
+	case errors.Is(err, provider.ErrUnavailable):
+		return commitResult{0, err}, true
+	case err != nil:
+		return commitResult{}, false // tryCommit ends with its context
+	case version != t.Require.Version && proto.Equal(head, next) && !proto.Equal(next, w.head):
+		return commitResult{version, nil}, true
+	case time.Since(asked) < minCommitTimeout:
+		return commitResult{0, provider.ErrOutcomeUnknown}, true
 	}
-	return version, err
+	return commitResult{}, false
 }
 
 // StoreUnavailable reports whether the store was unavailable for the last attempt of the newest
@@ -169,7 +223,7 @@
 	}
 	backoff, timeout := initialBackoff, min(max(minCommitTimeout, commitTimeoutFactor*w.AverageLatency()), maxCommitTimeout)
 	for {
-		version, err := w.tryCommit(ctx, t, timeout)
+		version, err := w.tryCommit(ctx, next, t, timeout)
 		if errors.Is(err, provider.ErrOutcomeUnknown) {
 			timeout = min(2*timeout, maxCommitTimeout)
 		}
--- a/fleettest/table.go
+++ b/fleettest/table.go
@@ -21,6 +21,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/provider"
 )
@@ -43,10 +45,18 @@
 	lose    int           // answers of commits to lose
 	late    time.Duration // lost commits are carried out so much later
 	commits int
+	calls   int           // commits that were called
+	hang    int           // commits to leave without an answer
+	slow    time.Duration // time of a call; commits take it one after the other
+	turn    chan struct{} // holds one value while no slow commit is carried out
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]provider.Row{}, changed: make(chan struct{})} }
+func NewTable() *Table {
+	t := &Table{rows: map[string]provider.Row{}, changed: make(chan struct{}), turn: make(chan struct{}, 1)}
+	t.turn <- struct{}{}
+	return t
+}
 
 // Path returns a way to the table that can be away by itself.
 func (t *Table) Path() *Table { return &Table{shared: t} }
@@ -66,6 +76,27 @@
 	t.lose, t.late = commits, late
 }
 
+// HangCommits leaves the next commits without an answer; they are not carried out.
+func (t *Table) HangCommits(commits int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hang = commits
+}
+
+// SetSlow makes each call take a time, and commits take it one after the other.
+func (t *Table) SetSlow(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow = d
+}
+
+// CommitCalls returns how many commits were called, carried out or not.
+func (t *Table) CommitCalls() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls
+}
+
 // ForgetHistory makes feeds start anew.
 func (t *Table) ForgetHistory() {
 	t.mu.Lock()
@@ -90,14 +121,14 @@
 
 func (t *Table) reach(ctx context.Context) error {
 	t.mu.Lock()
-	away := t.away
+	away, takes := t.away, max(answerTime, t.slow)
 	t.mu.Unlock()
 	if away {
 		sleep(ctx, callTimeout)
 		return fmt.Errorf("%w: no answer", provider.ErrOutcomeUnknown)
 	}
 	select {
-	case <-time.After(answerTime):
+	case <-time.After(takes):
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", provider.ErrOutcomeUnknown, ctx.Err())
@@ -167,12 +198,21 @@
 
 // Commit implements changelog.Table.
 func (t *Table) Commit(ctx context.Context, x changelog.Transaction) (uint64, error) {
+	if t.shared == nil {
+		if slow := t.noteCall(); slow > 0 {
+			return t.commitSlowly(ctx, x, slow)
+		}
+	}
 	if err := t.reach(ctx); err != nil {
 		return 0, err
 	}
 	if t.shared != nil {
 		return t.shared.Commit(ctx, x)
 	}
+	if t.takeHang() {
+		<-ctx.Done()
+		return 0, fmt.Errorf("%w: %w", provider.ErrOutcomeUnknown, ctx.Err())
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lose > 0 {
@@ -191,6 +231,49 @@
 	return t.apply(x)
 }
 
+func (t *Table) takeHang() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hang == 0 {
+		return false
+	}
+	t.hang--
+	return true
+}
+
+func (t *Table) noteCall() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls++
+	return t.slow
+}
+
+// commitSlowly carries the transaction out in its turn, also if the caller has left.
+func (t *Table) commitSlowly(ctx context.Context, x changelog.Transaction, takes time.Duration) (uint64, error) {
+	type result struct {
+		version uint64
+		err     error
+	}
+	done := make(chan result, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		<-t.turn
+		defer func() { t.turn <- struct{}{} }()
+		time.Sleep(takes)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		version, err := t.apply(x)
+		done <- result{version, err}
+		return nil
+	})
+	select {
+	case r := <-done:
+		return r.version, r.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%w: %w", provider.ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
 // apply needs the lock.
 func (t *Table) apply(x changelog.Transaction) (uint64, error) {
 	if t.rows[x.Require.Key].Version != x.Require.Version {
