--- a/node/candidate.go
+++ b/node/candidate.go
@@ -24,6 +24,7 @@
 	strongerMinDuration   = 2 * time.Second         // a stronger host must have been present this long before a release
 	minReleaseInterval    = 3 * time.Second         // between two releases by one process
 	followersPerDocket    = 3                       // standby processes that keep a replica of each docket
+	fewHosts              = 12                      // with fewer hosts, all of them do
 	rankWarmup            = 1500 * time.Millisecond // time after start until a process knows its peers well enough to rank itself
 	fallbackDelay         = 1500 * time.Millisecond // once the owner has been unreachable this long, lower-ranked processes follow the docket too
 	fallbackDelayPerRank  = 120 * time.Millisecond  // added to fallbackDelay for each better-ranked process
@@ -101,9 +102,6 @@
 
 // shouldFollow reports whether the process should keep a replica of the docket now.
 func (p *participant) shouldFollow(now time.Time) bool {
-	if l, _ := p.currentLayout(); l.Dockets() == 1 {
-		return true
-	}
 	p.mu.Lock()
 	forced := now.Before(p.followUntil) || p.takeoverRequest != 0
 	unreachable := time.Duration(0)
@@ -117,8 +115,17 @@
 	if now.Sub(p.startedAt) < rankWarmup {
 		return false
 	}
-	rank := p.rank()
-	return rank < followersPerDocket || unreachable > fallbackDelay+time.Duration(rank)*fallbackDelayPerRank
+	peers, rank := len(p.peerList()), p.rank()
+	v, _ := p.current()
+	switch {
+	case peers == 0 && v.address != "":
+		// It cannot rank itself. After a restart of all hosts, weak ones would read
+		// the whole log over their links to no purpose.
+		return unreachable > fallbackDelay
+	case rank < followersPerDocket || peers < fewHosts:
+		return true
+	}
+	return unreachable > fallbackDelay+time.Duration(rank)*fallbackDelayPerRank
 }
 
 // forceFollow makes the process follow the docket for forcedFollowDuration,
