--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -58,9 +58,7 @@
 		if len(page.Rows) == 0 {
 			return fmt.Errorf("read snapshot %s: %w", key, errMissingRow)
 		}
-		if err := r.applyBatch(page.Rows[0].Value, head.GetBase()); err != nil {
-			return err
-		}
+		r.applyBatch(page.Rows[0].Value, head.GetBase())
 	}
 	return r.readRows(ctx)
 }
@@ -140,24 +138,30 @@
 	if sequence != r.sequence+1 {
 		return fmt.Errorf("row %d after %d: %w", sequence, r.sequence, errMissingRow)
 	}
-	if err := r.applyBatch(row.Value, sequence); err != nil {
-		return err
-	}
+	r.applyBatch(row.Value, sequence)
 	r.sequence = sequence
 	return nil
 }
 
-func (r *Replica) applyBatch(value []byte, sequence uint64) error {
+// applyBatch applies a row of entries. A row that cannot be decoded is reported and left
+// out, by all processes alike; stopping there would stop every owner of the docket.
+func (r *Replica) applyBatch(value []byte, sequence uint64) {
 	batch := &wire.DocketBatch{}
 	if err := proto.Unmarshal(value, batch); err != nil {
-		return fmt.Errorf("decode row %d: %w", sequence, err)
+		r.reportInvalid(fmt.Errorf("row %d cannot be decoded and is left out: %w", sequence, err))
+		return
 	}
 	for _, e := range batch.GetEntries() {
-		if err := r.docket.Apply(e, sequence); err != nil && r.OnInvalidEntry != nil {
-			r.OnInvalidEntry(err)
+		if err := r.docket.Apply(e, sequence); err != nil {
+			r.reportInvalid(fmt.Errorf("row %d: %w", sequence, err))
 		}
 	}
-	return nil
+}
+
+func (r *Replica) reportInvalid(err error) {
+	if r.OnInvalidEntry != nil {
+		r.OnInvalidEntry(err)
+	}
 }
 
 // TakeOver makes the process the writer, with a higher epoch. It fails with ErrDeposed
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -106,12 +106,34 @@
 	if _, ok := d.jobs[a.GetJob()]; ok {
 		return fmt.Errorf("job %s: already accepted", a.GetJob())
 	}
+	if err := checkSteps(a.GetSteps()); err != nil {
+		return fmt.Errorf("job %s: %w", a.GetJob(), err)
+	}
 	j := &Job{accepted: a, occurrences: map[uint32][]*Step{}, state: Pending, changed: sequence}
 	j.openSteps = len(a.GetSteps()) * int(j.Occurrences())
 	d.jobs[a.GetJob()] = j
 	return nil
 }
 
+// maxTasksPerStep bounds the memory that one entry can take.
+const maxTasksPerStep = 100_000
+
+// checkSteps reports whether the steps can be scheduled: each has tasks, and follows
+// only steps before it.
+func checkSteps(steps []*wire.DocketStep) error {
+	for i, s := range steps {
+		if s.GetCount() == 0 || s.GetCount() > maxTasksPerStep {
+			return fmt.Errorf("step %d has %d tasks, want 1 to %d", i, s.GetCount(), maxTasksPerStep)
+		}
+		for _, before := range s.GetAfter() {
+			if int64(before) >= int64(i) {
+				return fmt.Errorf("step %d follows step %d, which is not before it", i, before)
+			}
+		}
+	}
+	return nil
+}
+
 func (d *Docket) lookupTask(name *wire.DocketTaskName) (*Job, *Step, *Task, error) {
 	j, ok := d.jobs[name.GetJob()]
 	if !ok {
