--- a/cell/cell.go
+++ b/cell/cell.go
@@ -152,6 +152,7 @@
 			c.transferJob(j, to)
 		}
 	})
+	c.reachUnlistedWorkers(time.Now())
 	c.requestPass()
 }
 
--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -346,3 +346,22 @@
 		}
 	})
 }
+
+// Guards against giving up the work of a worker that is only missing in the list of
+// workers when another process takes over: it is reached where it was.
+func TestTakeoverReachesUnlistedWorker(t *testing.T) {
+	run(t, 2, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 25 * time.Second }
+		job := b.submit(tasks(8, 4000))
+		time.Sleep(time.Second)
+		b.stop()
+		b.fleet.List(1)
+		b.takeOver()
+		time.Sleep(15 * time.Second)
+		b.fleet.List(2)
+		b.waitForState(job, docket.Completed, 15*time.Second)
+		if n := b.fleet.Starts(); n != 8 {
+			t.Errorf("%d starts, want 8", n)
+		}
+	})
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -89,6 +89,10 @@
 		c.handleRestart(w, h.StartedMS)
 	}
 	w.host, w.inFleet = h, true
+	c.startHoldLoop(w)
+}
+
+func (c *Cell) startHoldLoop(w *worker) {
 	if w.holdLoopRunning {
 		return
 	}
@@ -96,6 +100,29 @@
 	c.group.Go(func() error { return c.holdLoop(c.ctx, w) })
 }
 
+// recordAddress stores where the worker listens, for the next owner.
+func (c *Cell) recordAddress(w *worker) {
+	address, startedAt, ok := c.Docket.WorkerAddress(w.host.ID)
+	if ok && address == w.host.Address && startedAt == w.incarnation {
+		return
+	}
+	c.append(docket.ReachWorker(w.host.ID, w.host.Address, w.incarnation), nil)
+}
+
+// reachUnlistedWorkers renews the leases of workers that have runs and are not in the
+// list of workers, at the addresses that earlier owners have stored. A worker that is
+// cut off from the store, or slow to report there, runs on.
+func (c *Cell) reachUnlistedWorkers(now time.Time) {
+	for id, w := range c.workers {
+		address, startedAt, ok := c.Docket.WorkerAddress(id)
+		if w.inFleet || len(w.runs) == 0 || !ok {
+			continue
+		}
+		w.host.Address, w.host.StartedMS, w.unlistedSince = address, startedAt, now
+		c.startHoldLoop(w)
+	}
+}
+
 // holdLoop renews the worker's lease and reads its task lists until ctx ends or the
 // worker is removed.
 func (c *Cell) holdLoop(ctx context.Context, w *worker) error {
@@ -132,6 +159,7 @@
 	const forgetAfter = 15 * time.Second
 	if !w.inFleet && len(w.runs) == 0 && time.Since(w.unlistedSince) > forgetAfter && time.Since(w.lastHeard) > silenceTimeout {
 		w.holdLoopRunning = false
+		c.append(docket.ReachWorker(w.host.ID, "", 0), nil)
 		delete(c.workers, w.host.ID)
 		c.quarantine.RemoveWorker(w.host.ID)
 		return o, h, true
@@ -256,6 +284,7 @@
 		}
 	}
 	if first {
+		c.recordAddress(w)
 		c.Log.Emit(event.WorkerOpened, "worker", w.host.ID, "epoch", c.Epoch(), "running", len(r.Running), "life", w.incarnation)
 	}
 }
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -32,11 +32,14 @@
 // concurrent use.
 type Docket struct {
 	jobs      map[string]*Job
+	workers   map[string]*wire.DocketWorker
 	endedJobs []string // names of jobs that have ended, oldest end first
 }
 
 // New returns an empty docket.
-func New() *Docket { return &Docket{jobs: map[string]*Job{}} }
+func New() *Docket {
+	return &Docket{jobs: map[string]*Job{}, workers: map[string]*wire.DocketWorker{}}
+}
 
 // Job returns a job by its name.
 func (d *Docket) Job(id string) (*Job, bool) {
@@ -44,6 +47,14 @@
 	return j, ok
 }
 
+// WorkerAddress returns where a worker listens, as ip:port, and the time at which that
+// incarnation of it started, in Unix milliseconds. It returns false if no owner has
+// reached the worker.
+func (d *Docket) WorkerAddress(id string) (address string, startedAt int64, ok bool) {
+	w, ok := d.workers[id]
+	return w.GetAddress(), w.GetBornMs(), ok
+}
+
 // Len returns the number of jobs, including those that have ended.
 func (d *Docket) Len() int { return len(d.jobs) }
 
@@ -98,6 +109,9 @@
 		return nil
 	case e.GetTask() != nil:
 		return d.restoreTask(e.GetTask())
+	case e.GetWorker() != nil:
+		d.recordWorker(e.GetWorker())
+		return nil
 	}
 	return fmt.Errorf("docket entry %v: unknown kind", e)
 }
@@ -292,6 +306,14 @@
 	d.endedJobs = append(d.endedJobs, j.ID())
 }
 
+func (d *Docket) recordWorker(w *wire.DocketWorker) {
+	if w.GetAddress() == "" {
+		delete(d.workers, w.GetWorker())
+		return
+	}
+	d.workers[w.GetWorker()] = w
+}
+
 // removeJob deletes a job, and the names of deleted jobs at the front of endedJobs.
 func (d *Docket) removeJob(id string) {
 	delete(d.jobs, id)
--- a/docket/entry.go
+++ b/docket/entry.go
@@ -41,3 +41,11 @@
 func Forget(job string) *wire.DocketEntry {
 	return &wire.DocketEntry{Kind: &wire.DocketEntry_Forgotten{Forgotten: &wire.DocketForgotten{Job: job}}}
 }
+
+// ReachWorker returns the entry that records where an incarnation of a worker listens.
+// An empty address removes the worker.
+func ReachWorker(id, address string, startedAt int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Worker{
+		Worker: &wire.DocketWorker{Worker: id, Address: address, BornMs: startedAt},
+	}}
+}
--- a/docket/snapshot.go
+++ b/docket/snapshot.go
@@ -9,6 +9,9 @@
 // Snapshot returns entries that bring an empty docket to the same state.
 func (d *Docket) Snapshot() []*wire.DocketEntry {
 	var entries []*wire.DocketEntry
+	for _, w := range d.workers {
+		entries = append(entries, &wire.DocketEntry{Kind: &wire.DocketEntry_Worker{Worker: w}})
+	}
 	ended := make(map[string]bool, len(d.endedJobs))
 	for _, id := range d.endedJobs {
 		if j, ok := d.jobs[id]; ok {
