--- a/cell/balance.go
+++ b/cell/balance.go
@@ -106,6 +106,7 @@
 func (c *Cell) moveJob(j *docket.Job, to int) {
 	c.Log.Emit(event.DocketJobMoved, "job", j.ID(), "to", to, "load", c.Load())
 	c.Meter.Count("jobs", "moved")
+	delete(c.startTimes, j.ID())
 	c.append(docket.Move(j.ID(), to), func() { c.transferJob(j, to) })
 	for i := range j.Accepted().GetSteps() {
 		c.removeStep(docket.StepID{Job: j.ID(), Step: uint32(i)})
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -92,12 +92,12 @@
 	dirty           bool
 	nextPassAt      time.Time
 	passScheduled   bool // a placement pass is due
-	counts          map[string]uint32
 	durations       durationModel
-	timedJobs       []string      // jobs with occurrences that are not due yet
-	lastEndedJob    string        // the job whose end was logged last
-	stallReportedAt time.Time     // when OnStoreStalled was last called
-	loadBits        atomic.Uint64 // bits of the float64 that Load returns
+	startTimes      map[string]time.Time // when open jobs were accepted
+	timedJobs       []string             // jobs with occurrences that are not due yet
+	lastEndedJob    string               // the job whose end was logged last
+	stallReportedAt time.Time            // when OnStoreStalled was last called
+	loadBits        atomic.Uint64        // bits of the float64 that Load returns
 	balancedAt      time.Time
 }
 
@@ -113,7 +113,7 @@
 	c.workers = map[string]*worker{}
 	c.runs = map[docket.TaskID]*run{}
 	c.readySteps = map[docket.StepID]*readyStep{}
-	c.counts = map[string]uint32{}
+	c.startTimes = map[string]time.Time{}
 	c.startedAt = time.Now()
 	c.commits.wake = make(chan struct{}, 1)
 	c.commits.lastCommitSentAt = time.Now()
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -83,7 +83,7 @@
 // confirmOwnership.
 func (c *Cell) confirmRecentOwnership(f func()) {
 	now := time.Now()
-	if now.Sub(c.commits.lastCommitSentAt) < ownershipFreshFor || c.storeStalled(now) {
+	if fresh(c.commits.lastCommitSentAt, now, ownershipFreshFor) || c.storeStalled(now) {
 		f()
 		return
 	}
--- a/cell/step.go
+++ b/cell/step.go
@@ -104,11 +104,10 @@
 		id: id, job: j, state: j.Step(id.Occurrence, id.Step), shape: j.StepDefinition(id.Step), queue: j.Accepted().GetQueue(),
 		readyAt: now, tickets: map[string]ticket{}, denied: map[string]bool{}, preempted: map[uint32]bool{},
 	}
-	startMS := j.Accepted().GetAcceptedMs()
+	start := c.startTime(j, now)
 	if j.HasDueTimes() {
-		startMS = j.DueMS(id.Occurrence)
+		start = fromUnix(j.DueMS(id.Occurrence), now)
 	}
-	start := now.Add(time.Duration(startMS-now.UnixMilli()) * time.Millisecond)
 	target := objective(j)
 	remainingWork := criticalPath(j, func(i uint32) bool { return !j.Step(id.Occurrence, i).Done() })
 	s.latestStart = start.Add(target - remainingWork)
@@ -120,6 +119,22 @@
 	return s
 }
 
+// startTime returns when the job was accepted, on the steady clock. The time of day is
+// used once a job, so that jumps of it do not make the later steps of a job look late.
+func (c *Cell) startTime(j *docket.Job, now time.Time) time.Time {
+	start, ok := c.startTimes[j.ID()]
+	if !ok {
+		start = fromUnix(j.Accepted().GetAcceptedMs(), now)
+		c.startTimes[j.ID()] = start
+	}
+	return start
+}
+
+// fromUnix returns the time of a Unix timestamp in milliseconds on the clock of now.
+func fromUnix(ms int64, now time.Time) time.Time {
+	return now.Add(time.Duration(ms-now.UnixMilli()) * time.Millisecond)
+}
+
 // noteInterruption records since when a lasting step misses a task that ran before.
 func (s *readyStep) noteInterruption(now time.Time) {
 	if !s.shape.GetLongRunning() {
@@ -192,6 +207,7 @@
 
 // withdrawJob removes the steps of a job that has ended and stops its runs.
 func (c *Cell) withdrawJob(j *docket.Job) {
+	delete(c.startTimes, j.ID())
 	for occurrence := range j.Occurrences() {
 		for i, shape := range j.Accepted().GetSteps() {
 			id := docket.StepID{Job: j.ID(), Occurrence: occurrence, Step: uint32(i)}
