--- a/cell/cell.go
+++ b/cell/cell.go
@@ -171,7 +171,7 @@
 				}
 				id := docket.TaskID{Job: j.ID(), Occurrence: occurrence, Step: uint32(s), Index: uint32(i)}
 				workerID, incarnation := t.Worker()
-				r := &run{task: id, number: t.Run(), shape: j.StepDefinition(uint32(s)), phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(), gang: j.StepDefinition(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName(), urgent: j.Accepted().GetQueue().GetPriority() == 0}
+				r := &run{task: id, number: t.Run(), shape: j.StepDefinition(uint32(s)), phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(), gang: j.StepDefinition(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName(), priority: j.Accepted().GetQueue().GetPriority()}
 				c.assignRun(r, c.workerByID(workerID))
 			}
 		}
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -11,33 +11,37 @@
 )
 
 const (
-	minRunBeforePreemption = time.Second // a run gets at least this long before it is preempted
-	maxPreemptionsPerStep  = 16          // in one pass
+	minRunBeforePreemption = time.Second            // a run gets at least this long before it is preempted
+	maxPreemptionsPerStep  = 64                     // at a time
+	preemptionInterval     = 250 * time.Millisecond // between two attempts for one step
+	// gangPreemptionWait is how long a gang waits for room that comes free by itself.
+	gangPreemptionWait = 400 * time.Millisecond
 	// preemptionGain is how many core seconds preemption may cost for each core second
 	// of urgent work that it lets start.
 	preemptionGain  = 2.0
 	lastingDuration = 30 * time.Second // for which a lasting task counts
 )
 
-// preempt stops runs of less urgent work so that the remaining tasks of an urgent step
-// can start on the workers. It answers bursts of short urgent work on workers full of
-// long tasks, none of which ends in time.
+// preempt stops runs of less urgent work so that the remaining tasks of a step can
+// start on the workers. It answers bursts of short urgent work on workers full of long
+// tasks, none of which ends in time, and gangs that would have to wait until enough
+// tasks have ended by chance at the same time.
 //
-// Only runs that lose nothing but the time to stop and resume are stopped: tasks that
-// save checkpoints and are in no gang. A task is preempted at most once in a step, and
-// only if the urgent task still ends in time after the stop.
+// Only runs that lose nothing but the time to stop and resume are stopped: tasks of a
+// lower priority that save checkpoints and are in no gang. A task is preempted at most
+// once in a step, and only if the step still ends in time after the stop.
 func (c *Cell) preempt(s *readyStep, tasks int, workers []*worker, now time.Time) {
-	inTime := s.shape.GetLongRunning() || now.Add(c.Limits.StopTime).Before(s.lateAfter())
-	if placementRank(s, now) != rankUrgent || !inTime {
+	if !c.mayPreemptFor(s, now) {
 		return
 	}
+	s.preemptTriedAt = now
 	workers = c.startableWorkers(s, workers, now)
 	amount := demand(s.shape)
 	free, tasks := c.roomSoon(s, tasks, workers, now)
 	if tasks <= 0 {
 		return
 	}
-	attempts, byName := c.preemptible(workers, now)
+	attempts, byName := c.preemptible(s, workers, now)
 	var runs []*run
 	gain := preemptionGain * coreSeconds(amount, c.durationOf(s))
 	for ; tasks > 0 && len(runs) < maxPreemptionsPerStep; tasks-- {
@@ -70,6 +74,21 @@
 	}
 }
 
+// mayPreemptFor reports whether runs may be stopped for the step now.
+func (c *Cell) mayPreemptFor(s *readyStep, now time.Time) bool {
+	if now.Sub(s.preemptTriedAt) < preemptionInterval {
+		return false
+	}
+	inTime := s.shape.GetLongRunning() || now.Add(c.Limits.StopTime).Before(s.lateAfter())
+	switch placementRank(s, now) {
+	case rankUrgent:
+		return inTime
+	case rankInTime:
+		return inTime && s.shape.GetGang() && now.Sub(s.readyAt) > gangPreemptionWait
+	}
+	return false
+}
+
 // durationOf returns how long a task of the step is expected to take.
 func (c *Cell) durationOf(s *readyStep) time.Duration {
 	if s.shape.GetLongRunning() {
@@ -124,14 +143,14 @@
 	return free, tasks
 }
 
-// preemptible returns the runs on the workers that may be preempted, and the same by
-// the name of their task.
-func (c *Cell) preemptible(workers []*worker, now time.Time) ([]preemption.Attempt, map[string]*run) {
+// preemptible returns the runs on the workers that may be preempted for the step, and
+// the same by the name of their task.
+func (c *Cell) preemptible(s *readyStep, workers []*worker, now time.Time) ([]preemption.Attempt, map[string]*run) {
 	var attempts []preemption.Attempt
 	byName := map[string]*run{}
 	for _, w := range workers {
 		for _, x := range w.runs {
-			if !c.mayPreempt(x, now) {
+			if x.priority <= s.queue.GetPriority() || !c.mayPreempt(x, now) {
 				continue
 			}
 			name := x.task.String()
@@ -148,7 +167,7 @@
 }
 
 func (c *Cell) mayPreempt(x *run, now time.Time) bool {
-	if x.phase != running || x.gang || x.urgent || !x.shape.GetCheckpointing() || x.shape.GetLongRunning() || x.shape.GetFills() {
+	if x.phase != running || x.gang || !x.shape.GetCheckpointing() || x.shape.GetLongRunning() || x.shape.GetFills() {
 		return false
 	}
 	s, ok := c.readySteps[x.task.StepID()]
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -104,3 +104,35 @@
 		b.waitForState(urgent, docket.Completed, 2500*time.Millisecond)
 	})
 }
+
+// A gang in time makes its own room among tasks of a lower priority instead of waiting
+// until enough of them have ended at the same time; among tasks of its own it waits.
+func TestGangPreemptsLowerPriority(t *testing.T) {
+	for _, c := range []struct {
+		priority uint32
+		starts   int
+	}{{2, 16 + 8 + 16}, {1, 16}} {
+		run(t, 4, func(b *harness) {
+			b.fleet.Takes = func(id docket.TaskID) time.Duration {
+				if id.Job == "0000000000000001" {
+					return 20 * time.Second
+				}
+				return 700 * time.Millisecond
+			}
+			background := long(16, 4000)
+			background.Checkpointing = true
+			b.submitWith(c.priority, background)
+			time.Sleep(3 * time.Second)
+			wide := gang(8, 8000)
+			wide.EstimateMs = 3000
+			job := b.submitWith(1, wide)
+			if c.priority > 1 {
+				b.waitForState(job, docket.Completed, 3*time.Second)
+			}
+			time.Sleep(2 * time.Second)
+			if n := b.fleet.Starts(); n != c.starts {
+				t.Errorf("priority %d: %d starts, want %d", c.priority, n, c.starts)
+			}
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -36,7 +36,7 @@
 	shape           *wire.DocketStep
 	queue           string
 	gang            bool
-	urgent          bool // of a queue with the highest priority
+	priority        uint32 // of the queue, 0 is the most urgent
 	worker          *worker
 	incarnation     int64 // of the worker when the run was started
 	phase           phase
--- a/cell/step.go
+++ b/cell/step.go
@@ -25,6 +25,7 @@
 	nextAdviceAt   time.Time
 	reservations   []reservation
 	preempted      map[uint32]bool // tasks of which a run was preempted
+	preemptTriedAt time.Time       // when preemption for the step was last tried
 	interruptedAt  time.Time       // of a lasting step: since when a task that ran is missing, zero if none is
 }
 
