--- a/node/gossip.go
+++ b/node/gossip.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +15,10 @@
 )
 
 const (
-	helloInterval          = 400 * time.Millisecond
+	minHelloInterval       = 400 * time.Millisecond
+	maxHelloInterval       = time.Second // peers count as active for somewhat more than two of these
+	maxHellosPerOwner      = 200.0       // a second, from all processes together
+	otherOwnersPerRound    = 2           // owners besides those of the advised dockets that get a hello in a round
 	helloTimeout           = 400 * time.Millisecond
 	ownerAnswerTimeout     = 700 * time.Millisecond  // an owner that has not answered for this long is unreachable; callers are then refused at once
 	peerExpiry             = 30 * time.Second        // a peer is removed after this long without contact or mention by another process
@@ -31,42 +35,94 @@
 	lastCalled time.Time // when it last called this process
 }
 
-// gossip sends hellos at each helloInterval: to every owner of a docket, and, while
+// gossip sends hellos in rounds: to the owners that ownersToGreet selects, and, while
 // an owner or the store does not answer, to one other process in turn to learn of new
 // owners.
 func (n *Node) gossip(ctx context.Context) error {
 	for round := 0; ctx.Err() == nil; round++ {
-		n.helloOwners(ctx)
+		n.helloOwners(ctx, round)
 		for _, p := range n.allParticipants() {
 			if p.needsOwnerLookup() {
 				n.helloNextPeer(ctx, round)
 				break
 			}
 		}
-		sleep(ctx, helloInterval)
+		sleep(ctx, helloInterval(len(n.peerList()), len(n.docketsByOwner())))
 	}
 	return nil
 }
 
-// helloOwners sends one hello to each other process that owns a docket.
-func (n *Node) helloOwners(ctx context.Context) {
+// helloInterval returns the time between two rounds of hellos, so that an owner's work
+// for them does not grow with the number of processes.
+func helloInterval(peers, owners int) time.Duration {
+	if owners == 0 {
+		return minHelloInterval
+	}
+	hellos := float64(peers) * min(float64(owners), otherOwnersPerRound+1) / float64(owners)
+	interval := time.Duration(hellos / maxHellosPerOwner * float64(time.Second))
+	return min(max(minHelloInterval, interval), maxHelloInterval)
+}
+
+// ownersToGreet selects the owners that get a hello in a round: those of the advised
+// dockets, which count on this process, and a few others in turn. Of the remaining ones
+// the process learns from the answers.
+func ownersToGreet(owners []string, advised map[string]bool, round int) []string {
+	var greeted, others []string
+	for _, address := range owners {
+		if advised[address] {
+			greeted = append(greeted, address)
+		} else {
+			others = append(others, address)
+		}
+	}
+	for i := range min(otherOwnersPerRound, len(others)) {
+		greeted = append(greeted, others[(round*otherOwnersPerRound+i)%len(others)])
+	}
+	return greeted
+}
+
+// helloOwners sends one hello to each process that the round selects of those that own
+// a docket. An owner greets all others, since it hands jobs to them by their load.
+func (n *Node) helloOwners(ctx context.Context, round int) {
 	owners := map[string][]*participant{}
+	owns := false
 	for _, p := range n.allParticipants() {
 		if v, _ := p.current(); v.cell == nil && v.address != "" {
 			owners[v.address] = append(owners[v.address], p)
+		} else if v.cell != nil {
+			owns = true
 		}
 	}
+	greeted := slices.Sorted(maps.Keys(owners))
+	if !owns {
+		greeted = ownersToGreet(greeted, n.advisedOwners(owners), round)
+	}
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentHellos)
-	for address, participants := range owners {
+	for _, address := range greeted {
 		group.Go(func() error {
-			n.helloOwner(ctx, address, participants)
+			n.helloOwner(ctx, address, owners[address])
 			return nil
 		})
 	}
 	_ = group.Wait() // no function returns an error
 }
 
+// advisedOwners returns the owners of the dockets for which this process queries the
+// advisory service, and of those whose owner does not answer.
+func (n *Node) advisedOwners(owners map[string][]*participant) map[string]bool {
+	dockets := n.advisedDockets()
+	advised := map[string]bool{}
+	for address, participants := range owners {
+		for _, p := range participants {
+			if slices.Contains(dockets, p.docket) || p.needsOwnerLookup() {
+				advised[address] = true
+			}
+		}
+	}
+	return advised
+}
+
 // helloOwner sends a hello to the owner of the given dockets and records whether it
 // answered.
 func (n *Node) helloOwner(ctx context.Context, address string, participants []*participant) {
