--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -9,6 +9,7 @@
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/fleettest"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -365,3 +366,33 @@
 		}
 	})
 }
+
+// The work of a worker whose process has ended runs again soon; that of one that is
+// silent waits until its lease has certainly expired.
+func TestDeadWorkerIsGivenUpBeforeItsLease(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fail   func(*fleettest.Worker)
+		starts int
+	}{
+		{"process ended", (*fleettest.Worker).Crash, 4 + 2},
+		{"silent", func(w *fleettest.Worker) { w.SetCut(true) }, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 3, func(b *harness) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return time.Minute }
+				b.submit(tasks(4, 8000)) // two on each of two workers
+				time.Sleep(time.Second)
+				busy := 0
+				for !b.fleet.Worker(busy).Busy() {
+					busy++
+				}
+				c.fail(b.fleet.Worker(busy))
+				time.Sleep(5 * time.Second)
+				if n := b.fleet.Starts(); n != c.starts {
+					t.Errorf("%d starts, want %d", n, c.starts)
+				}
+			})
+		})
+	}
+}
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -284,7 +284,7 @@
 		return zero, fmt.Errorf("%w: %w", cell.ErrUnanswered, ctx.Err())
 	case !w.up:
 		f.mu.Unlock()
-		return zero, fmt.Errorf("%w: connection refused", cell.ErrNotSent)
+		return zero, fmt.Errorf("%w: connection refused", cell.ErrNotListening)
 	case w.lateLeft > 0:
 		w.lateLeft--
 		time.AfterFunc(w.lateFor, func() {
