--- a/node/candidate.go
+++ b/node/candidate.go
@@ -23,7 +23,7 @@
 	strongerCheckInterval = 500 * time.Millisecond
 	strongerMinDuration   = 2 * time.Second         // a stronger host must have been present this long before a release
 	minReleaseInterval    = 3 * time.Second         // between two releases by one process
-	followersPerDocket    = 3                       // standby processes that keep a replica of each docket
+	followersPerDocket    = 5                       // standby processes that keep a replica of each docket
 	fewHosts              = 12                      // with fewer hosts, all of them do
 	rankWarmup            = 1500 * time.Millisecond // time after start until a process knows its peers well enough to rank itself
 	fallbackDelay         = 1500 * time.Millisecond // once the owner has been unreachable this long, lower-ranked processes follow the docket too
@@ -136,12 +136,17 @@
 	p.followUntil = now.Add(forcedFollowDuration)
 }
 
-// rank returns how many peers are better candidates for the docket. Processes that
-// know the same peers compute the same order.
+// rank returns how many peers are better candidates for the docket: hosts that are
+// clearly stronger come first, since a weak one may not manage a docket that was made
+// for strong ones. Processes that know the same peers compute the same order.
 func (p *participant) rank() int {
-	own, rank := p.rendezvousWeight(p.Identity.Address, p.Identity.Cores), 0
+	own, ownWeight, rank := p.Identity.Cores, p.rendezvousWeight(p.Identity.Address, p.Identity.Cores), 0
 	for _, other := range p.peerList() {
-		if p.rendezvousWeight(other.Address, other.Cores) > own {
+		switch {
+		case other.Cores > strongerRatio*own:
+			rank++
+		case own > strongerRatio*other.Cores:
+		case p.rendezvousWeight(other.Address, other.Cores) > ownWeight:
 			rank++
 		}
 	}
--- a/node/candidate_test.go
+++ b/node/candidate_test.go
@@ -56,3 +56,43 @@
 }
 
 func address(host int) string { return fmt.Sprintf("10.0.%d.%d:1", host/200, host%200) }
+
+// Where hosts differ, the strong ones follow: a docket that one of them owns is too
+// much for a weak host.
+func TestStrongHostsFollow(t *testing.T) {
+	store := fleettest.NewStore().Path()
+	const weak, strong, hosts, strongHosts = 0.192, 0.8, 36, 6
+	cores := func(host int) float64 {
+		if host < strongHosts {
+			return strong
+		}
+		return weak
+	}
+	now := time.Now()
+	for docket := range 4 {
+		following := 0
+		for host := range hosts {
+			n := &Node{Tables: func(string) changelog.Table { return store.Table("docket-0") }}
+			n.Prepare()
+			n.startedAt = now.Add(-time.Minute)
+			n.Identity = exchange.Hello{Address: address(host), Cores: cores(host)}
+			for peerHost := range hosts {
+				if peerHost != host {
+					n.recordCaller(exchange.Hello{Address: address(peerHost), Cores: cores(peerHost)}, now)
+				}
+			}
+			p := newParticipant(n, docket)
+			p.updateOwner(ownerView{address: "10.0.0.99:1", epoch: 1})
+			if !p.shouldFollow(now) {
+				continue
+			}
+			following++
+			if cores(host) == weak {
+				t.Errorf("docket %d: weak host %d follows", docket, host)
+			}
+		}
+		if following != followersPerDocket {
+			t.Errorf("docket %d: %d hosts follow", docket, following)
+		}
+	}
+}
