--- /dev/null
+++ b/cell/objective.go
@@ -0,0 +1,56 @@
+package cell
+
+import (
+	"time"
+
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	estimateMargin  = 1.25
+	typicalAdvice   = 30   // workers in a typical request for advice
+	returnShare     = 0.12 // of its objective that a refused job may lose until it comes back
+	minReturn       = time.Second
+	maxReturn       = 4 * time.Second
+	returnSpread    = 0.5 // width of the range over which returns are spread, as a share of their mean
+	returnSpreadLow = 1 - returnSpread/2
+)
+
+// objective returns how long the job may take to get full credit.
+func objective(job *wire.DocketAccepted) time.Duration {
+	q := job.GetQueue()
+	work := criticalPath(job, func(uint32) bool { return true })
+	if a := q.GetAdvice(); a != nil {
+		call := time.Duration((a.GetDecisionMs() + typicalAdvice*a.GetPerWorkerMs()) * float64(time.Millisecond))
+		work += time.Duration(len(job.GetSteps())) * call
+	}
+	return time.Duration(max(1, q.GetDilation())*float64(work)) + time.Duration(q.GetTargetMs())*time.Millisecond
+}
+
+// criticalPath returns the longest chain of estimated work over the steps of one
+// occurrence that pass the filter.
+func criticalPath(job *wire.DocketAccepted, counts func(step uint32) bool) time.Duration {
+	steps := job.GetSteps()
+	ends := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i, s := range steps {
+		for _, before := range s.GetAfter() {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if counts(uint32(i)) {
+			ends[i] += time.Duration(float64(s.GetEstimateMs())*estimateMargin) * time.Millisecond
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// ReturnAfter returns when the caller of a job that was refused during an outage should
+// come back. It answers outages of some seconds, whose end is not known: a caller has a
+// few tries, so one whose job takes long spends them slowly, and one whose job is short
+// comes back while an answer is still of use. Spread, from 0 to 1, keeps the callers from
+// coming back all at once; the caller draws it at random.
+func ReturnAfter(job *wire.DocketAccepted, spread float64) time.Duration {
+	mean := min(max(minReturn, time.Duration(returnShare*float64(objective(job)))), maxReturn)
+	return time.Duration((returnSpreadLow + returnSpread*spread) * float64(mean))
+}
--- a/cell/step.go
+++ b/cell/step.go
@@ -43,41 +43,10 @@
 }
 
 const (
-	worthlessFactor = 3 // a job that takes longer than this many times its objective is worth nothing
-	estimateMargin  = 1.25
+	worthlessFactor = 3               // a job that takes longer than this many times its objective is worth nothing
 	gangLeadTime    = 2 * time.Second // a gang has to wait until enough resources are free at the same time
 )
 
-// objective returns how long the job may take to get full credit.
-func objective(j *docket.Job) time.Duration {
-	q := j.Accepted().GetQueue()
-	work := criticalPath(j, func(uint32) bool { return true })
-	if a := q.GetAdvice(); a != nil {
-		const asked = 30 // workers in a typical request
-		call := time.Duration((a.GetDecisionMs() + asked*a.GetPerWorkerMs()) * float64(time.Millisecond))
-		work += time.Duration(len(j.Accepted().GetSteps())) * call
-	}
-	return time.Duration(max(1, q.GetDilation())*float64(work)) + time.Duration(q.GetTargetMs())*time.Millisecond
-}
-
-// criticalPath returns the longest chain of estimated work over the steps of one
-// occurrence that pass the filter.
-func criticalPath(j *docket.Job, counts func(step uint32) bool) time.Duration {
-	steps := j.Accepted().GetSteps()
-	ends := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i, s := range steps {
-		for _, before := range s.GetAfter() {
-			ends[i] = max(ends[i], ends[before])
-		}
-		if counts(uint32(i)) {
-			ends[i] += time.Duration(float64(s.GetEstimateMs())*estimateMargin) * time.Millisecond
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // openSteps makes the steps of a job ready whose time and dependencies have come.
 func (c *Cell) openSteps(j *docket.Job) {
 	if j.Terminal() {
@@ -109,8 +78,8 @@
 	if j.HasDueTimes() {
 		start = fromUnix(j.DueMS(id.Occurrence), now)
 	}
-	target := objective(j)
-	remainingWork := criticalPath(j, func(i uint32) bool { return !j.Step(id.Occurrence, i).Done() })
+	target := objective(j.Accepted())
+	remainingWork := criticalPath(j.Accepted(), func(i uint32) bool { return !j.Step(id.Occurrence, i).Done() })
 	s.latestStart = start.Add(target - remainingWork)
 	if s.shape.GetGang() {
 		s.latestStart = s.latestStart.Add(-gangLeadTime)
@@ -227,7 +196,7 @@
 		c.lastEndedJob = j.ID()
 		took := j.EndedAt() - j.Accepted().GetAcceptedMs()
 		c.Log.Emit(event.DocketJobEnded, "job", j.ID(), "queue", j.Accepted().GetQueue().GetName(), "state", string(j.State()),
-			"after-ms", took, "objective-ms", objective(j).Milliseconds())
+			"after-ms", took, "objective-ms", objective(j.Accepted()).Milliseconds())
 		c.Meter.Count("jobs", string(j.State()))
 		c.Meter.Observe("job", time.Duration(took)*time.Millisecond)
 	}
--- a/node/requests.go
+++ b/node/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,7 +28,12 @@
 // Submit submits a job to the owner of its docket. The error is a *cell.RefusedError, or
 // wraps cell.ErrUndecided if the job may have been accepted.
 func (n *Node) Submit(ctx context.Context, job *wire.DocketAccepted) error {
-	return n.participantForJob(job.GetJob()).submit(ctx, job)
+	err := n.participantForJob(job.GetJob()).submit(ctx, job)
+	var refused *cell.RefusedError
+	if errors.As(err, &refused) {
+		refused.RetryAfter = max(refused.RetryAfter, cell.ReturnAfter(job, rand.Float64()))
+	}
+	return err
 }
 
 func (p *participant) submit(ctx context.Context, job *wire.DocketAccepted) error {
