--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -396,3 +396,22 @@
 		})
 	}
 }
+
+// A worker that has left the list gets no new work from the next owner, although that
+// reaches it for the work that still runs there.
+func TestLeftWorkerGetsNothingAfterTakeover(t *testing.T) {
+	run(t, 2, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return time.Minute }
+		b.submit(tasks(2, 9000)) // one on each worker
+		time.Sleep(time.Second)
+		b.fleet.Worker(1).Drain()
+		b.stop()
+		b.fleet.List(1)
+		b.takeOver()
+		b.submit(tasks(2, 7000)) // one fits on the worker that is listed
+		time.Sleep(5 * time.Second)
+		if n := b.fleet.Starts(); n != 3 {
+			t.Errorf("%d starts, want 3", n)
+		}
+	})
+}
