--- a/layout/layout.go
+++ b/layout/layout.go
@@ -31,8 +31,12 @@
 	// maxWorkersPerDocket bounds what one process handles, and how many jobs wait for a
 	// takeover when it fails.
 	maxWorkersPerDocket = 550
-	// workersPerCore is how many workers a process handles for each core that it may use.
-	workersPerCore = 700
+	// minWorkersPerDocket leaves room for gangs, of whose workers a part may be allowed.
+	minWorkersPerDocket = 60
+	// workersPerCore is how many workers a process handles for each core that its callers
+	// leave.
+	workersPerCore = 750
+	callersCores   = 0.05
 	// MaxDockets bounds the number of dockets, because the store bounds the number of
 	// tables and each docket has one.
 	MaxDockets = 48
@@ -51,14 +55,18 @@
 func New(workers int, cores []float64) *Layout {
 	strongest := slices.Sorted(slices.Values(cores))
 	slices.Reverse(strongest)
-	fewest := (workers + maxWorkersPerDocket - 1) / maxWorkersPerDocket
-	dockets := max(1, fewest)
-	for dockets < len(strongest) && float64(workers) > workersPerCore*strongest[dockets-1]*float64(dockets) {
+	dockets := max(1, (workers+maxWorkersPerDocket-1)/maxWorkersPerDocket)
+	most := min(len(strongest), workers/minWorkersPerDocket, MaxDockets)
+	for dockets < most && workers > handled(strongest[dockets-1])*dockets {
 		dockets++
 	}
 	return &Layout{dockets: min(dockets, MaxDockets)}
 }
 
+// handled returns how many workers the owner of one docket handles on a host with the
+// given cores.
+func handled(cores float64) int { return int(workersPerCore * max(0, cores-callersCores)) }
+
 // Dockets returns the number of dockets.
 func (l *Layout) Dockets() int { return l.dockets }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -27,7 +27,7 @@
 const testTimeout = 60 * time.Second
 
 // weakCores is the strength of hosts of which one does not handle 272 workers.
-const weakCores = 0.2
+const weakCores = 0.25
 
 type noopMeter struct{}
 
