--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -9,7 +9,6 @@
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/docket"
-	"persimmonworks.example/persimmonworks/fleettest"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -367,36 +366,6 @@
 	})
 }
 
-// The work of a worker whose process has ended runs again soon; that of one that is
-// silent waits until its lease has certainly expired.
-func TestDeadWorkerIsGivenUpBeforeItsLease(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		fail   func(*fleettest.Worker)
-		starts int
-	}{
-		{"process ended", (*fleettest.Worker).Crash, 4 + 2},
-		{"silent", func(w *fleettest.Worker) { w.SetCut(true) }, 4},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			run(t, 3, func(b *harness) {
-				b.fleet.Takes = func(docket.TaskID) time.Duration { return time.Minute }
-				b.submit(tasks(4, 8000)) // two on each of two workers
-				time.Sleep(time.Second)
-				busy := 0
-				for !b.fleet.Worker(busy).Busy() {
-					busy++
-				}
-				c.fail(b.fleet.Worker(busy))
-				time.Sleep(5 * time.Second)
-				if n := b.fleet.Starts(); n != c.starts {
-					t.Errorf("%d starts, want %d", n, c.starts)
-				}
-			})
-		})
-	}
-}
-
 // A worker that has left the list gets no new work from the next owner, although that
 // reaches it for the work that still runs there.
 func TestLeftWorkerGetsNothingAfterTakeover(t *testing.T) {
@@ -415,3 +384,24 @@
 		}
 	})
 }
+
+// Connections that are refused prove nothing: a cut between data centres may refuse
+// them on behalf of a worker that runs on. Its work waits for the end of the lease.
+func TestRefusedConnectionsProveNothing(t *testing.T) {
+	run(t, 3, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 12 * time.Second }
+		job := b.submit(tasks(4, 8000)) // two on each of two workers
+		time.Sleep(time.Second)
+		busy := 0
+		for !b.fleet.Worker(busy).Busy() {
+			busy++
+		}
+		b.fleet.Worker(busy).SetRefusing(true)
+		time.Sleep(6 * time.Second)
+		if n := b.fleet.Starts(); n != 4 {
+			t.Errorf("%d starts, want 4", n)
+		}
+		b.fleet.Worker(busy).SetRefusing(false)
+		b.waitForState(job, docket.Completed, 10*time.Second)
+	})
+}
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -16,9 +15,6 @@
 var (
 	// ErrNotSent: the worker will certainly never get the request.
 	ErrNotSent = errors.New("request was not sent")
-	// ErrNotListening: the worker's host refused the connection, so its process is gone,
-	// unless the next one is about to listen. The request was not sent.
-	ErrNotListening = fmt.Errorf("nothing listens there: %w", ErrNotSent)
 	// ErrUnanswered: the worker may execute the request, now or seconds later.
 	ErrUnanswered = errors.New("request was not answered")
 	// ErrWorkerRestarted: the worker has restarted since and has done nothing.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -19,9 +19,8 @@
 	holdRetryInterval    = 150 * time.Millisecond
 	unstoredPollInterval = 500 * time.Millisecond // between two holds while ends cannot be stored
 	silenceTimeout       = 2200 * time.Millisecond
-	deadAfter            = 1500 * time.Millisecond // a process that restarts listens again within this time
-	drainingLease        = 3 * time.Second         // lease of a worker that has announced its shutdown
-	maxClockDrift        = 0.02                    // a worker's clock may be slow by this share
+	drainingLease        = 3 * time.Second // lease of a worker that has announced its shutdown
+	maxClockDrift        = 0.02            // a worker's clock may be slow by this share
 	leaseExpirySlack     = 300 * time.Millisecond
 	// Entries of the list of workers that expired while the store was unavailable are
 	// back within unlistedGrace.
@@ -42,7 +41,6 @@
 	clockMS              int64     // the worker's clock in the latest answer
 	leaseDeadlineMS      int64     // latest end of the lease that was sent, on the worker's clock
 	unresponsive         bool      // the latest hold was not answered
-	refusingSince        time.Time // since when every hold found nothing listening, zero if the latest did not
 	endsSeen             uint64    // ends up to this number are applied to the docket
 	endsStored           uint64    // ends up to this number are durable
 	wake                 chan struct{}
@@ -205,7 +203,6 @@
 	// Holds do not renew the lease of a worker that does not answer. They might reach
 	// it all the same, and the lease would never be known to have expired.
 	w.unresponsive = err != nil
-	w.noteRefusal(err, now)
 	if err != nil {
 		if errors.Is(err, ErrWorkerRestarted) {
 			c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "worker has restarted")
@@ -315,33 +312,12 @@
 	w.wakeHold()
 }
 
-// noteRefusal records whether the worker's host refuses connections.
-func (w *worker) noteRefusal(err error, now time.Time) {
-	switch {
-	case !errors.Is(err, ErrNotListening):
-		w.refusingSince = time.Time{}
-	case w.refusingSince.IsZero():
-		w.refusingSince = now
-	}
-}
-
-// dead reports whether the process of the worker has certainly ended. A process that is
-// paused, cut off or busy still listens.
-func (w *worker) dead(now time.Time) bool {
-	return !w.refusingSince.IsZero() && now.Sub(w.refusingSince) > deadAfter
-}
-
-// checkLease declares the runs of a worker lost once its lease has certainly expired,
-// or its process has ended. In the latter case a start of which a copy may still be
-// under way is left to the lease.
+// checkLease declares the runs of a worker lost once its lease has certainly expired.
 func (c *Cell) checkLease(w *worker, now time.Time) {
 	if len(w.runs) == 0 || now.Sub(w.lastHeard) < silenceTimeout {
 		return
 	}
 	if !c.leaseExpired(w, now) {
-		if w.reconciled && w.dead(now) {
-			c.endRunsOfDead(w)
-		}
 		return
 	}
 	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "lease expired", "runs", len(w.runs),
@@ -355,15 +331,6 @@
 	w.reconciled = false
 }
 
-func (c *Cell) endRunsOfDead(w *worker) {
-	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "its process has ended", "runs", len(w.runs))
-	for _, x := range w.runs {
-		if x.startConfirmed && !x.startMayArrive {
-			c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "the worker's process has ended")
-		}
-	}
-}
-
 // leaseExpired reports whether every deadline that the worker may have been given
 // has passed on its clock.
 func (c *Cell) leaseExpired(w *worker, now time.Time) bool {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -26,6 +26,7 @@
 	started  time.Time
 	up       bool
 	cut      bool // nothing reaches it
+	refusing bool // connections to it are refused; it runs on
 	lateFor  time.Duration
 	lateLeft int
 	mute     int // answers to lose after the order was carried out
@@ -80,6 +81,14 @@
 	w.cut = cut
 }
 
+// SetRefusing makes connections to the worker fail at once, as behind some cuts; it
+// runs on.
+func (w *Worker) SetRefusing(refusing bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.refusing = refusing
+}
+
 // DelayOrders leaves the next orders unanswered and carries them out later.
 func (w *Worker) DelayOrders(orders int, late time.Duration) {
 	w.fleet.mu.Lock()
@@ -282,9 +291,9 @@
 		f.mu.Unlock()
 		<-ctx.Done()
 		return zero, fmt.Errorf("%w: %w", cell.ErrUnanswered, ctx.Err())
-	case !w.up:
+	case !w.up || w.refusing:
 		f.mu.Unlock()
-		return zero, fmt.Errorf("%w: connection refused", cell.ErrNotListening)
+		return zero, fmt.Errorf("%w: connection refused", cell.ErrNotSent)
 	case w.lateLeft > 0:
 		w.lateLeft--
 		time.AfterFunc(w.lateFor, func() {
