--- a/exchange/client.go
+++ b/exchange/client.go
@@ -127,7 +127,7 @@
 func (c *Client) Hello(ctx context.Context, address string, hello Hello, known []Owner) (Welcome, error) {
 	in := &wire.ExchangeHello{
 		Process: hello.Name, Incarnation: hello.Incarnation, Address: hello.Address, DataCentre: hello.DataCentre, Cores: hello.Cores,
-		Owners: encodeOwners(known),
+		Owners: encodeOwners(known), SkipPeers: hello.SkipPeers,
 	}
 	for _, d := range hello.AdvisedDockets {
 		in.Helps = append(in.Helps, uint32(d))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -41,6 +41,7 @@
 	DataCentre     string
 	Cores          float64 // processor cores available to the process
 	AdvisedDockets []int   // dockets for whose owners the process queries the advisory service
+	SkipPeers      bool    // the process needs no peers in the answer
 }
 
 // Peer is a process that the sender knows of.
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -50,6 +50,7 @@
 func (s *Server) hello(ctx context.Context, m *wire.ExchangeHello) proto.Message {
 	hello := Hello{
 		Name: m.GetProcess(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Cores: m.GetCores(),
+		SkipPeers: m.GetSkipPeers(),
 	}
 	for _, d := range m.GetHelps() {
 		hello.AdvisedDockets = append(hello.AdvisedDockets, int(d))
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -18,6 +18,7 @@
 	minHelloInterval       = 400 * time.Millisecond
 	maxHelloInterval       = time.Second // peers count as active for somewhat more than two of these
 	maxHellosPerOwner      = 200.0       // a second, from all processes together
+	roundsPerPeerList      = 8           // an owner sends the list of peers, which grows with the hosts, once in so many rounds
 	otherOwnersPerRound    = 2           // owners besides those of the advised dockets that get a hello in a round
 	helloTimeout           = 400 * time.Millisecond
 	ownerAnswerTimeout     = 700 * time.Millisecond  // an owner that has not answered for this long is unreachable; callers are then refused at once
@@ -101,7 +102,7 @@
 	group.SetLimit(maxConcurrentHellos)
 	for _, address := range greeted {
 		group.Go(func() error {
-			n.helloOwner(ctx, address, owners[address])
+			n.helloOwner(ctx, address, owners[address], round%roundsPerPeerList != 0)
 			return nil
 		})
 	}
@@ -125,8 +126,8 @@
 
 // helloOwner sends a hello to the owner of the given dockets and records whether it
 // answered.
-func (n *Node) helloOwner(ctx context.Context, address string, participants []*participant) {
-	welcome, known, err := n.hello(ctx, address)
+func (n *Node) helloOwner(ctx context.Context, address string, participants []*participant, skipPeers bool) {
+	welcome, known, err := n.hello(ctx, address, skipPeers)
 	answered := map[int]exchange.Owner{}
 	for _, o := range welcome.Owners {
 		answered[o.Docket] = o
@@ -147,12 +148,14 @@
 	}
 }
 
-// hello sends a hello to another process and applies its answer. It also returns the
-// owners that were known before the call, by docket.
-func (n *Node) hello(ctx context.Context, address string) (exchange.Welcome, []exchange.Owner, error) {
+// hello sends a hello to another process and applies its answer, which has no peers if
+// skipPeers is set and some are known here. It also returns the owners that were known
+// before the call, by docket.
+func (n *Node) hello(ctx context.Context, address string, skipPeers bool) (exchange.Welcome, []exchange.Owner, error) {
 	known := n.owners()
 	hello := n.Identity
 	hello.AdvisedDockets = n.advisedDockets()
+	hello.SkipPeers = skipPeers && len(n.peerList()) > followersPerDocket
 	call, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	welcome, err := n.client.Hello(call, address, hello, known)
@@ -267,7 +270,7 @@
 // owners.
 func (n *Node) helloNextPeer(ctx context.Context, round int) {
 	if list := n.peerList(); len(list) > 0 {
-		_, _, _ = n.hello(ctx, list[round%len(list)].Address) // the next round tries another peer
+		_, _, _ = n.hello(ctx, list[round%len(list)].Address, false) // the next round tries another peer
 	}
 }
 
@@ -277,7 +280,7 @@
 	group.SetLimit(maxConcurrentHellos)
 	for _, p := range n.peerList() {
 		group.Go(func() error {
-			_, _, _ = n.hello(ctx, p.Address) // a peer that misses it learns the owner from others
+			_, _, _ = n.hello(ctx, p.Address, true) // a peer that misses it learns the owner from others
 			return nil
 		})
 	}
@@ -317,7 +320,7 @@
 		if err == nil {
 			return
 		}
-		_, _, _ = p.hello(ctx, other.Address) // it may know of a newer owner
+		_, _, _ = p.hello(ctx, other.Address, true) // it may know of a newer owner
 	}
 }
 
@@ -325,7 +328,10 @@
 func (n *Node) HandleHello(ctx context.Context, hello exchange.Hello, known []exchange.Owner) (exchange.Welcome, error) {
 	n.recordCaller(hello, time.Now())
 	n.updateOwners(known)
-	welcome := exchange.Welcome{Peers: n.activePeers()}
+	welcome := exchange.Welcome{}
+	if !hello.SkipPeers {
+		welcome.Peers = n.activePeers()
+	}
 	for _, p := range n.allParticipants() {
 		v, _ := p.current()
 		if v.cell == nil && v.address == n.Identity.Address {
--- a/node/gossip_test.go
+++ b/node/gossip_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/exchange"
 )
 
 // The hellos that an owner gets stay bounded as hosts and dockets grow, and every owner
@@ -46,3 +50,23 @@
 		})
 	}
 }
+
+// The list of peers, which grows with the hosts, is only sent to who asks for it.
+func TestPeersAreSentOnRequest(t *testing.T) {
+	const hosts = 300
+	n := &Node{Log: &event.Log{Writer: io.Discard}}
+	n.Prepare()
+	n.Identity = exchange.Hello{Address: address(0)}
+	for host := 1; host < hosts; host++ {
+		n.recordCaller(exchange.Hello{Address: address(host), Cores: 0.2}, time.Now())
+	}
+	for _, c := range []struct {
+		skip  bool
+		peers int
+	}{{false, hosts - 1}, {true, 0}} {
+		welcome, err := n.HandleHello(t.Context(), exchange.Hello{Address: address(1), Cores: 0.2, SkipPeers: c.skip}, nil)
+		if err != nil || len(welcome.Peers) != c.peers {
+			t.Errorf("skip %v: %d peers, %v, want %d", c.skip, len(welcome.Peers), err, c.peers)
+		}
+	}
+}
