--- a/advice/desk_test.go
+++ b/advice/balancer_test.go
@@ -10,7 +10,7 @@
 // Guards against a new owner with hundreds of waiting steps, and no helper but
 // itself, that fills the service's queue with long requests for minutes, and
 // against short requests that queue behind long ones.
-func TestDeskKeepsQuestionsBack(t *testing.T) {
+func TestLongRequestsAreHeldBack(t *testing.T) {
 	const long, short = 600 * time.Millisecond, 9 * time.Millisecond
 	now := time.Now()
 	b := NewBalancer("e0", nil)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -160,24 +160,29 @@
 func (c *Cell) adoptRuns(j *docket.Job) {
 	for occurrence := range j.Occurrences() {
 		for s := range j.Accepted().GetSteps() {
+			id := docket.StepID{Job: j.ID(), Occurrence: occurrence, Step: uint32(s)}
 			st := j.Step(occurrence, uint32(s))
 			if st.Active() == 0 {
 				continue
 			}
 			for i := range st.Tasks() {
-				t := &st.Tasks()[i]
-				if !t.Active() {
-					continue
+				if t := &st.Tasks()[i]; t.Active() {
+					c.adoptRun(j, id.Task(uint32(i)), t)
 				}
-				id := docket.TaskID{Job: j.ID(), Occurrence: occurrence, Step: uint32(s), Index: uint32(i)}
-				workerID, incarnation := t.Worker()
-				r := &run{task: id, number: t.Run(), shape: j.StepDefinition(uint32(s)), phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(), gang: j.StepDefinition(uint32(s)).GetGang(), queue: j.Accepted().GetQueue().GetName(), priority: j.Accepted().GetQueue().GetPriority()}
-				c.assignRun(r, c.workerByID(workerID))
 			}
 		}
 	}
 }
 
+func (c *Cell) adoptRun(j *docket.Job, id docket.TaskID, t *docket.Task) {
+	workerID, incarnation := t.Worker()
+	shape, queue := j.StepDefinition(id.Step), j.Accepted().GetQueue()
+	c.assignRun(&run{
+		task: id, number: t.Run(), shape: shape, queue: queue.GetName(), priority: queue.GetPriority(), gang: shape.GetGang(),
+		phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(),
+	}, c.workerByID(workerID))
+}
+
 // requestPass schedules a placement pass.
 func (c *Cell) requestPass() {
 	c.dirty = true
--- a/cell/place.go
+++ b/cell/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"persimmonworks.example/persimmonworks/docket"
@@ -25,13 +26,8 @@
 		return // a start would wait for the store and outlive its ticket
 	}
 	c.dirty = false
-	accepting := make([]*worker, 0, len(c.workers))
-	for _, w := range c.workers {
-		if c.acceptsStarts(w, now) {
-			accepting = append(accepting, w)
-		}
-	}
-	slices.SortFunc(accepting, func(v, w *worker) int { return compareStrings(v.host.ID, w.host.ID) })
+	accepting := c.schedulableWorkers(now)
+	slices.SortFunc(accepting, func(v, w *worker) int { return strings.Compare(v.host.ID, w.host.ID) })
 	steps := make([]*readyStep, 0, len(c.readySteps))
 	for _, s := range c.readySteps {
 		steps = append(steps, s)
@@ -49,16 +45,6 @@
 	c.nextPassAt = now.Add(max(minPassInterval, passPeriodFactor*took))
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // placeStep starts the tasks of a step that fit, and requests advice if only
 // tickets are missing.
 func (c *Cell) placeStep(s *readyStep, workers []*worker, now time.Time) {
--- a/docket/job.go
+++ b/docket/job.go
@@ -124,10 +124,9 @@
 
 // Step is the durable state of one occurrence of a step.
 type Step struct {
-	tasks   []Task
-	done    int
-	active  int
-	started bool
+	tasks  []Task
+	done   int
+	active int
 }
 
 // Tasks returns the tasks by index.
