--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -5,7 +5,6 @@
 
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/event"
-	"persimmonworks.example/persimmonworks/packing"
 	"persimmonworks.example/persimmonworks/preemption"
 	"persimmonworks.example/persimmonworks/resource"
 )
@@ -42,35 +41,15 @@
 		return
 	}
 	attempts, byName := c.preemptible(s, workers, now)
-	var runs []*run
-	gain := preemptionGain * coreSeconds(amount, c.durationOf(s))
-	for ; tasks > 0 && len(runs) < maxPreemptionsPerStep; tasks-- {
-		if takeRoom(free, amount) {
-			continue // beside a task that a victim has made room for
-		}
-		victims, ok := preemption.Victims(amount, free, attempts)
-		if !ok {
-			break
-		}
-		w := victims[0].Attempt.Worker
-		room := packing.Bin{Free: free[w], MaxTasks: -1}
-		for _, v := range victims {
-			room.Free = room.Free.Add(v.Freed)
-		}
-		if totalCost(victims) > gain*float64(room.Fits(amount, tasks)) {
-			break
-		}
-		free[w] = room.Free.Sub(amount)
-		for _, v := range victims {
-			runs = append(runs, byName[v.Attempt.Task])
-			attempts = withoutTask(attempts, v.Attempt.Task)
-		}
-	}
-	if s.shape.GetGang() && tasks > 0 {
+	victims, left := preemption.MakeRoom(preemption.Need{
+		Demand: amount, Tasks: tasks, MaxVictims: maxPreemptionsPerStep,
+		Gain: preemptionGain * coreSeconds(amount, c.durationOf(s)),
+	}, free, attempts)
+	if s.shape.GetGang() && left > 0 {
 		return // the gang would not fit all the same
 	}
-	for _, x := range runs {
-		c.stopPreempted(x, s)
+	for _, v := range victims {
+		c.stopPreempted(byName[v.Attempt.Task], s)
 	}
 }
 
@@ -97,18 +76,6 @@
 	return c.durations.expected(s.queue.GetName(), s.shape.GetEstimateMs())
 }
 
-// takeRoom subtracts a demand from the free resources of a worker that covers it. It
-// returns false if none does.
-func takeRoom(free map[string]vector, amount vector) bool {
-	for w, v := range free {
-		if v.Covers(amount) {
-			free[w] = v.Sub(amount)
-			return true
-		}
-	}
-	return false
-}
-
 // startableWorkers returns the workers on which a start of the step's tasks would be
 // accepted if there were room.
 func (c *Cell) startableWorkers(s *readyStep, workers []*worker, now time.Time) []*worker {
@@ -185,21 +152,3 @@
 func coreSeconds(v vector, d time.Duration) float64 {
 	return float64(v.MilliCPU) / resource.MilliPerCore * d.Seconds()
 }
-
-func totalCost(victims []preemption.Victim) float64 {
-	sum := 0.0
-	for _, v := range victims {
-		sum += v.LostWork
-	}
-	return sum
-}
-
-func withoutTask(attempts []preemption.Attempt, task string) []preemption.Attempt {
-	kept := attempts[:0]
-	for _, a := range attempts {
-		if a.Task != task {
-			kept = append(kept, a)
-		}
-	}
-	return kept
-}
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -15,6 +15,15 @@
 	return s
 }
 
+// backgroundAndShort says how long tasks take: those of the first job fill the workers
+// for long, all others are short.
+func backgroundAndShort(id docket.TaskID) time.Duration {
+	if id.Job == "0000000000000001" {
+		return 20 * time.Second
+	}
+	return 700 * time.Millisecond
+}
+
 // Replays short urgent work that arrives while long tasks fill all workers.
 func TestUrgentWorkPreemptsTasksThatSave(t *testing.T) {
 	for _, c := range []struct {
@@ -29,12 +38,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, 2, func(b *harness) {
-				b.fleet.Takes = func(id docket.TaskID) time.Duration {
-					if id.Job == "0000000000000001" {
-						return 20 * time.Second
-					}
-					return 700 * time.Millisecond
-				}
+				b.fleet.Takes = backgroundAndShort
 				background := long(8, 4000)
 				c.change(background)
 				first := b.submitWith(2, background)
@@ -61,12 +65,7 @@
 // A task that was preempted once is left alone when more urgent work arrives.
 func TestTasksArePreemptedOnce(t *testing.T) {
 	run(t, 1, func(b *harness) {
-		b.fleet.Takes = func(id docket.TaskID) time.Duration {
-			if id.Job == "0000000000000001" {
-				return 20 * time.Second
-			}
-			return 700 * time.Millisecond
-		}
+		b.fleet.Takes = backgroundAndShort
 		background := long(1, 16000)
 		background.Checkpointing = true
 		b.submitWith(2, background)
@@ -91,12 +90,7 @@
 
 func preemptForSeveral(t *testing.T, background *wire.DocketStep) {
 	run(t, 1, func(b *harness) {
-		b.fleet.Takes = func(id docket.TaskID) time.Duration {
-			if id.Job == "0000000000000001" {
-				return 20 * time.Second
-			}
-			return 700 * time.Millisecond
-		}
+		b.fleet.Takes = backgroundAndShort
 		background.Checkpointing = true
 		b.submitWith(2, background)
 		time.Sleep(3 * time.Second)
@@ -113,12 +107,7 @@
 		starts   int
 	}{{2, 16 + 8 + 16}, {1, 16}} {
 		run(t, 4, func(b *harness) {
-			b.fleet.Takes = func(id docket.TaskID) time.Duration {
-				if id.Job == "0000000000000001" {
-					return 20 * time.Second
-				}
-				return 700 * time.Millisecond
-			}
+			b.fleet.Takes = backgroundAndShort
 			background := long(16, 4000)
 			background.Checkpointing = true
 			b.submitWith(c.priority, background)
--- a/preemption/preemption.go
+++ b/preemption/preemption.go
@@ -4,6 +4,7 @@
 // Usage:
 //
 //	victims, ok := preemption.Victims(demand, free, running)
+//	victims, left := preemption.MakeRoom(preemption.Need{Demand: d, Tasks: n, Gain: g}, free, running)
 //	for _, v := range victims { act on v.Attempt.Task with v.Action }
 package preemption
 
--- /dev/null
+++ b/preemption/room.go
@@ -0,0 +1,69 @@
+package preemption
+
+import (
+	"slices"
+
+	"persimmonworks.example/persimmonworks/packing"
+	"persimmonworks.example/persimmonworks/resource"
+)
+
+// Need is the room that the tasks of one step need.
+type Need struct {
+	Demand     resource.Vector // of each task
+	Tasks      int
+	Gain       float64 // core seconds that may be lost for each task that gets room
+	MaxVictims int
+}
+
+// MakeRoom chooses running batch attempts whose end makes room for as many tasks as
+// possible, where the loss is worth the gain, and returns them with the number of tasks
+// for which there is no room. free holds the free resources of each worker that may be
+// used, and is changed.
+//
+// It answers bursts of short urgent tasks, and wide gangs, on workers full of long tasks.
+func MakeRoom(n Need, free map[string]resource.Vector, running []Attempt) (victims []Victim, left int) {
+	running = slices.Clone(running)
+	for left = n.Tasks; left > 0 && len(victims) < n.MaxVictims; left-- {
+		if takeRoom(free, n.Demand) {
+			continue // beside a task that a victim has made room for
+		}
+		next, ok := Victims(n.Demand, free, running)
+		if !ok {
+			break
+		}
+		worker := next[0].Attempt.Worker
+		room := packing.Bin{Free: free[worker], MaxTasks: -1}
+		for _, v := range next {
+			room.Free = room.Free.Add(v.Freed)
+		}
+		if lostWork(next) > n.Gain*float64(room.Fits(n.Demand, left)) {
+			break
+		}
+		free[worker] = room.Free.Sub(n.Demand)
+		victims = append(victims, next...)
+		running = slices.DeleteFunc(running, func(a Attempt) bool {
+			return slices.ContainsFunc(next, func(v Victim) bool { return v.Attempt.Task == a.Task })
+		})
+	}
+	return victims, left
+}
+
+// takeRoom subtracts a demand from the free resources of a worker that covers it. It
+// returns false if none does.
+func takeRoom(free map[string]resource.Vector, demand resource.Vector) bool {
+	for worker, v := range free {
+		if v.Covers(demand) {
+			free[worker] = v.Sub(demand)
+			return true
+		}
+	}
+	return false
+}
+
+func lostWork(victims []Victim) float64 {
+	sum := 0.0
+	for _, v := range victims {
+		sum += v.LostWork
+	}
+	return sum
+}
