--- a/cell/objective.go
+++ b/cell/objective.go
@@ -51,6 +51,9 @@
 // comes back while an answer is still of use. Spread, from 0 to 1, keeps the callers from
 // coming back all at once; the caller draws it at random.
 func ReturnAfter(job *wire.DocketAccepted, spread float64) time.Duration {
-	mean := min(max(minReturn, time.Duration(returnShare*float64(objective(job)))), maxReturn)
+	mean := min(time.Duration(returnShare*float64(objective(job))), maxReturn)
+	if mean <= minReturn {
+		return minReturn // callers get whole seconds, rounded up: a second more is too long for a short job
+	}
 	return time.Duration((returnSpreadLow + returnSpread*spread) * float64(mean))
 }
--- a/cell/objective_test.go
+++ b/cell/objective_test.go
@@ -57,7 +57,7 @@
 	}
 	short := job(700 * time.Millisecond)
 	for range 100 {
-		if d := ReturnAfter(short, rng.Float64()); d > 1300*time.Millisecond {
+		if d := ReturnAfter(short, rng.Float64()); d > time.Second {
 			t.Errorf("the caller of a short job is sent away for %v", d)
 		}
 	}
