--- a/cell/worker.go
+++ b/cell/worker.go
@@ -47,6 +47,7 @@
 	unansweredStarts     []unansweredStart
 	startsSuspendedUntil time.Time // no starts are sent before
 	unlistedSince        time.Time // when the worker left the list
+	crashLogged          bool      // the end of this incarnation's process was logged
 }
 
 func (c *Cell) workerByID(id string) *worker {
@@ -205,7 +206,7 @@
 	w.unresponsive = err != nil
 	if err != nil {
 		if errors.Is(err, ErrWorkerRestarted) {
-			c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "worker has restarted")
+			c.logCrash(w, "another process answers at its address")
 		}
 		return holdRetryInterval
 	}
@@ -292,6 +293,7 @@
 // handleRestart processes a restart of the worker, which ends its runs.
 func (c *Cell) handleRestart(w *worker, incarnation int64) {
 	c.Log.Emit(event.WorkerRestarted, "worker", w.host.ID, "life", w.incarnation, "next", incarnation, "runs", len(w.runs))
+	c.logCrash(w, "it has started again")
 	for _, x := range w.runs {
 		if x.phase != committing && (x.startUnanswered || x.startMayArrive || !x.listed) {
 			// The start may still arrive and would then be executed by the restarted
@@ -304,7 +306,7 @@
 		}
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "worker restarted")
 	}
-	w.incarnation, w.reconciled = incarnation, false
+	w.incarnation, w.reconciled, w.crashLogged = incarnation, false, false
 	w.endsSeen, w.endsStored = 0, 0
 	w.leaseDeadlineMS, w.clockMS = 0, 0
 	w.lastHeard = time.Time{}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -129,6 +129,7 @@
 	AdviceFailed       = define(2232, Warn, "advice-failed", "A request to the advisory service failed; it is retried.", "If it continues, check the advisory service.")
 	WorkerRestarted    = define(2241, Warn, "worker-restarted", "A worker has restarted; the runs that it had are lost.", "none")
 	WorkerUnlisted     = define(2242, Warn, "worker-unlisted", "A worker is no longer in the list of workers.", "none")
+	WorkerCrashed      = define(2243, Warn, "worker-crashed", "The process of a worker has ended without notice: see `proof`. `recent` are the runs that it had not reported as running yet, of `runs` in all.", "Follow the tasks under `recent`: one that is there again and again may be the cause.")
 	StoreLost          = define(2251, Warn, "store-lost", "The store does not respond to this process.", "Check the store and the network path to it.")
 	StoreRegained      = define(2252, Info, "store-regained", "The store responds again.", "none")
 	OwnerUnreachable   = define(2253, Warn, "owner-unreachable", "The owner of the docket does not respond to this process.", "Check the network path between the hosts.")
