cell: failing tests of tasks that crash their workers

A lost run is started again without a limit. Change: the stand-in fleet crashes a worker after the start of given tasks and brings it back after 3 s, under its name or another one at the same address; its ledger counts starts after three crashes. Seen: 'started 3 times more after it had crashed 3 workers', 6 to 11 crashes.

--- /dev/null
+++ b/cell/crash_test.go
@@ -0,0 +1,137 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	maxCrashesOfTask = 2 // of workers, by one task beside work that crashes none
+	givenUpWithin    = 25 * time.Second
+)
+
+// crashing makes the tasks with index 1 of the jobs crash their workers.
+func (b *harness) crashing(after time.Duration, jobs ...string) {
+	b.fleet.Crashes = func(t docket.TaskID) time.Duration {
+		for _, job := range jobs {
+			if t.Job == job && t.Index == 1 {
+				return after
+			}
+		}
+		return 0
+	}
+}
+
+func lasting(s *wire.DocketStep) *wire.DocketStep {
+	s.LongRunning = true
+	return s
+}
+
+// A task that crashes each worker that starts it was started again after each lease,
+// without a limit, and took its neighbours with it.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	cases := []struct {
+		name     string
+		priority uint32
+		after    time.Duration // from the start to the crash
+		step     *wire.DocketStep
+	}{
+		{"task", 1, 5 * time.Millisecond, tasks(3, 1000)},
+		{"urgent task", 0, 5 * time.Millisecond, tasks(3, 1000)},
+		{"while the start is answered", 1, time.Millisecond, tasks(2, 1000)},
+		{"later", 1, 400 * time.Millisecond, tasks(2, 1000)},
+		{"gang", 1, 5 * time.Millisecond, gang(4, 6000)},
+		{"lasting task", 1, 5 * time.Millisecond, lasting(tasks(3, 1000))},
+		{"speculative task", 1, 5 * time.Millisecond, &wire.DocketStep{Count: 3, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000, Speculative: true}},
+	}
+	for _, c := range cases {
+		for _, keep := range []bool{false, true} {
+			name := c.name + ", new names"
+			if keep {
+				name = c.name + ", names kept"
+			}
+			t.Run(name, func(t *testing.T) {
+				run(t, 6, func(b *harness) {
+					b.fleet.KeepNames = keep
+					b.crashing(c.after, "0000000000000002")
+					innocent := b.submit(tasks(30, 2000))
+					deadly := b.submitWith(c.priority, c.step)
+					b.waitForState(deadly, docket.Failed, givenUpWithin)
+					b.waitForState(innocent, docket.Completed, givenUpWithin)
+					if n := b.fleet.Crashed(); n > maxCrashesOfTask {
+						t.Errorf("%d workers crashed, want at most %d", n, maxCrashesOfTask)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Work that only shared its workers with tasks that crash them is done, however often
+// it was hit.
+func TestBystandersOfCrashesAreDone(t *testing.T) {
+	run(t, 6, func(b *harness) {
+		b.crashing(5*time.Millisecond, "0000000000000003", "0000000000000004", "0000000000000005", "0000000000000006")
+		b.fleet.Takes = func(t docket.TaskID) time.Duration {
+			if t.Job == "0000000000000007" {
+				return time.Hour
+			}
+			return 3 * time.Second
+		}
+		jobs := []string{b.submit(tasks(20, 2000)), b.submit(gang(4, 6000))}
+		for range 4 {
+			time.Sleep(700 * time.Millisecond)
+			b.submit(tasks(3, 500))
+		}
+		lasts := b.submit(lasting(tasks(6, 500)))
+		for _, job := range jobs {
+			b.waitForState(job, docket.Completed, time.Minute)
+		}
+		if n := b.fleet.Running(lasts); n != 6 {
+			t.Errorf("%d of 6 lasting tasks run", n)
+		}
+		b.waitForState(lasts, docket.Running, time.Second)
+	})
+}
+
+// The count of crashes outlives the owner that saw them.
+func TestCrashesCountAfterTakeover(t *testing.T) {
+	for _, pause := range []time.Duration{2 * time.Millisecond, 30 * time.Millisecond, time.Second, 4 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			run(t, 6, func(b *harness) {
+				b.crashing(5*time.Millisecond, "0000000000000001")
+				b.submit(tasks(3, 1000))
+				for range 4 {
+					seen := b.fleet.Crashed()
+					for begun := time.Now(); b.fleet.Crashed() == seen && time.Since(begun) < 15*time.Second; {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(pause)
+					b.stop()
+					b.takeOver()
+				}
+				b.waitForState("0000000000000001", docket.Failed, givenUpWithin)
+				const most = maxCrashesOfTask + 1 // an owner that dies may take the proof of one crash with it
+				if n := b.fleet.Crashed(); n > most {
+					t.Errorf("%d workers crashed, want at most %d", n, most)
+				}
+			})
+		})
+	}
+}
+
+// Once the address of a worker answers for another process, nothing runs in the first
+// any more, and its work need not wait for the end of the lease.
+func TestWorkOfEndedProcessRunsAgainAtOnce(t *testing.T) {
+	run(t, 3, func(b *harness) {
+		b.crashing(5*time.Millisecond, "0000000000000002")
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 2 * time.Second }
+		job := b.submit(tasks(12, 3000))
+		time.Sleep(500 * time.Millisecond)
+		b.submit(tasks(2, 500))
+		b.waitForState(job, docket.Completed, 8*time.Second)
+	})
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -32,13 +32,22 @@
 	// before the first start; both may be nil.
 	Takes func(docket.TaskID) time.Duration
 	Fails func(t docket.TaskID, worker string, run uint32) bool
+	// Crashes says how long after its start a task crashes its worker, 0 for never. Set
+	// it before the first start; it may be nil.
+	Crashes func(docket.TaskID) time.Duration
+	// KeepNames lets workers come back under their names after such a crash, instead of
+	// under new ones at the same addresses.
+	KeepNames bool
+
+	crashes map[docket.TaskID]*crashRecord
+	crashed int
 }
 
 // New returns workers of one service, "jobs", four to a rack.
 func New(count int, milliCPU, memoryMB int64) *Fleet {
 	f := &Fleet{
 		jobs: map[string]*wire.DocketAccepted{}, done: map[docket.TaskID]bool{}, noted: map[docket.TaskID]bool{},
-		failures: map[docket.TaskID]uint32{}, cancels: map[string]time.Time{},
+		failures: map[docket.TaskID]uint32{}, cancels: map[string]time.Time{}, crashes: map[docket.TaskID]*crashRecord{},
 	}
 	for i := range count {
 		w := &Worker{fleet: f, host: cell.Host{
@@ -191,6 +200,7 @@
 	if at, ok := f.cancels[o.Task.Job]; ok && time.Since(at) > 3*time.Second {
 		f.fault("%v: %v after its job was cancelled", o.Task, time.Since(at))
 	}
+	f.judgeCrashes(w, o.Task)
 	w.running[o.Task] = x
 	x.timer = time.AfterFunc(f.takes(o.Task), func() {
 		f.mu.Lock()
@@ -325,13 +335,13 @@
 // Start implements cell.WorkerClient.
 func (f *Fleet) Start(ctx context.Context, h *cell.Host, o cell.StartRequest) (cell.StartResponse, error) {
 	w := f.at(h.Address)
-	return deliver(ctx, w, func() (cell.StartResponse, error) { return w.start(o), nil })
+	return deliver(ctx, w, h, func() (cell.StartResponse, error) { return w.start(o), nil })
 }
 
 // Stop implements cell.WorkerClient.
 func (f *Fleet) Stop(ctx context.Context, h *cell.Host, o cell.StopRequest) error {
 	w := f.at(h.Address)
-	_, err := deliver(ctx, w, func() (struct{}, error) { w.stop(o); return struct{}{}, nil })
+	_, err := deliver(ctx, w, h, func() (struct{}, error) { w.stop(o); return struct{}{}, nil })
 	return err
 }
 
@@ -342,7 +352,7 @@
 	wait, news := w.wake, len(w.ended) > 0 && w.ended[len(w.ended)-1].Sequence > o.Confirmed
 	reach, life := w.up && !w.cut, w.born
 	f.mu.Unlock()
-	r, err := deliver(ctx, w, func() (cell.HoldResponse, error) { return w.hold(o) })
+	r, err := deliver(ctx, w, h, func() (cell.HoldResponse, error) { return w.hold(o) })
 	if err != nil || o.Wait == 0 || news || !reach || len(r.Ended) > 0 {
 		return r, err
 	}
@@ -352,7 +362,7 @@
 	case <-ctx.Done():
 	}
 	o.DeadlineMS = 0
-	return deliver(ctx, w, func() (cell.HoldResponse, error) {
+	return deliver(ctx, w, h, func() (cell.HoldResponse, error) {
 		if w.born != life {
 			return cell.HoldResponse{}, fmt.Errorf("%w: connection reset", cell.ErrUnanswered)
 		}
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -38,6 +38,9 @@
 	barred   map[docket.TaskID]uint32 // runs up to it are refused
 	wake     chan struct{}
 	lapse    *time.Timer
+	lives    int             // processes so far that had a name of their own
+	roomWas  resource.Vector // capacity that still counts until roomTill, after the worker has shrunk
+	roomTill time.Time
 }
 
 // work is a run on a worker.
@@ -169,6 +172,9 @@
 
 func (w *Worker) free() resource.Vector {
 	left := w.host.Capacity
+	if time.Now().Before(w.roomTill) {
+		left = w.roomWas
+	}
 	for _, x := range w.running {
 		left = left.Sub(x.demand)
 	}
@@ -281,12 +287,15 @@
 }
 
 // deliver carries an order to the worker and its answer back. do needs the lock.
-func deliver[T any](ctx context.Context, w *Worker, do func() (T, error)) (T, error) {
+func deliver[T any](ctx context.Context, w *Worker, h *cell.Host, do func() (T, error)) (T, error) {
 	var zero T
 	f := w.fleet
 	sleep(ctx, callTime)
 	f.mu.Lock()
 	switch {
+	case w.up && !w.cut && !w.refusing && w.host.ID != h.ID:
+		f.mu.Unlock()
+		return zero, fmt.Errorf("worker %s at %s: %w", h.ID, h.Address, cell.ErrWorkerRestarted)
 	case w.cut:
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -299,7 +308,7 @@
 		time.AfterFunc(w.lateFor, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if w.up {
+			if w.up && w.host.ID == h.ID {
 				_, _ = do() // nobody hears the answer
 			}
 		})
