cell, docket, crash: crashes count for the tasks that were there, and their cause is given up

Callers saw: one task crashed worker after worker, and with it whatever shared them. Cause: a run that ended with its worker's process counted as lost, and lost runs have no limit and leave no trace in the docket: nothing distinguished the next start from the first. A process has ended if the worker starts again, or its address answers for another process where the worker itself had answered before.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -4,28 +4,115 @@
 	"slices"
 	"time"
 
+	"persimmonworks.example/persimmonworks/crash"
+	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 )
 
-// maxLoggedRuns bounds the length of a log line.
-const maxLoggedRuns = 8
+const (
+	maxLoggedTasks = 8 // in a log line
+	// lastingRun is how long a run has to last so that a crash after it is no evidence
+	// against its task.
+	lastingRun = 30 * time.Second
+)
+
+// handleMisdirected processes an answer of another process at the address of a worker.
+// If the worker has answered there before, its process has ended.
+func (c *Cell) handleMisdirected(w *worker, h *Host) {
+	if w.processEnded || h.Address != w.host.Address || !c.answeredAt(w, h.Address) {
+		return
+	}
+	c.judgeCrash(w, "another process answers at its address")
+	w.processEnded = true
+}
+
+// answeredAt reports whether the incarnation of the worker that is known has answered at
+// the address, to this owner or an earlier one. An entry of the list may name an address
+// that is not the worker's.
+func (c *Cell) answeredAt(w *worker, address string) bool {
+	if w.answeredAt != "" {
+		return w.answeredAt == address
+	}
+	stored, startedAt, ok := c.Docket.WorkerAddress(w.host.ID)
+	return ok && stored == address && (w.incarnation == 0 || w.incarnation == startedAt)
+}
 
-// logCrash logs, once for each incarnation, that the process of a worker has ended, and
-// the runs that were on it.
-func (c *Cell) logCrash(w *worker, proof string) {
-	if w.crashLogged || w.host.Draining {
+// judgeCrash counts the end of a worker's process for the tasks that were on it, and
+// gives up those that are the cause. A worker that leaves as announced is no evidence.
+func (c *Cell) judgeCrash(w *worker, proof string) {
+	if w.processEnded || w.host.Draining {
 		return
 	}
-	w.crashLogged = true
-	var recent []string
-	for id, x := range w.runs {
-		if !x.listed {
-			recent = append(recent, id.String())
+	runs := c.runsAtCrash(w)
+	judged := make([]crash.Run, len(runs))
+	for i, x := range runs {
+		judged[i] = crash.Run{Job: x.task.Job, Reported: x.listed, History: c.crashHistory(x.task)}
+	}
+	verdicts := crash.Judge(judged)
+	var suspects []string
+	for i, x := range runs {
+		x.crashJudged = true
+		if verdicts[i] != crash.Bystander {
+			suspects = append(suspects, x.task.String())
 		}
 	}
-	slices.Sort(recent)
 	c.Meter.Count("worker-crashes", "detected")
 	c.Log.Emit(event.WorkerCrashed, "worker", w.host.ID, "address", w.host.Address, "life", w.incarnation, "epoch", c.Epoch(),
-		"proof", proof, "runs", len(w.runs), "recent-runs", len(recent), "recent", recent[:min(len(recent), maxLoggedRuns)],
+		"proof", proof, "runs", len(runs), "suspects", len(suspects), "tasks", suspects[:min(len(suspects), maxLoggedTasks)],
 		"silent-ms", time.Since(w.lastHeard).Milliseconds())
+	for i, x := range runs {
+		c.recordCrash(x, verdicts[i])
+	}
+}
+
+// runsAtCrash returns the runs that may have been on the worker when its process ended,
+// but for those that a crash was counted for, in the order of their tasks.
+func (c *Cell) runsAtCrash(w *worker) []*run {
+	var runs []*run
+	for _, x := range w.runs {
+		if x.mayHaveBegun() && !x.crashJudged {
+			runs = append(runs, x)
+		}
+	}
+	runs = append(runs, w.expired...)
+	runs = slices.DeleteFunc(runs, func(x *run) bool {
+		j, ok := c.Docket.Job(x.task.Job)
+		return !ok || j.Task(x.task) == nil || x.listed && x.phase != adopted && w.lastHeard.Sub(x.startedAt) > lastingRun
+	})
+	slices.SortFunc(runs, func(a, b *run) int { return a.task.Compare(b.task) })
+	return runs
+}
+
+// mayHaveBegun reports whether the worker may have got the start.
+func (x *run) mayHaveBegun() bool {
+	return x.phase != committing && (x.phase != stopping || x.stopSent)
+}
+
+func (c *Cell) crashHistory(t docket.TaskID) crash.History {
+	j, ok := c.Docket.Job(t.Job)
+	if !ok {
+		return crash.History{}
+	}
+	return historyOf(j.Task(t))
+}
+
+func historyOf(t *docket.Task) crash.History {
+	crashes, suspicions := t.Crashes()
+	return crash.History{Crashes: crashes, Suspicions: suspicions}
+}
+
+// recordCrash stores that a worker crashed under a run.
+func (c *Cell) recordCrash(x *run, v crash.Verdict) {
+	if !c.append(docket.Crash(x.task, x.number, v != crash.Bystander, v == crash.Cause, time.Now().UnixMilli()), nil) {
+		return
+	}
+	c.Meter.Count("crashed-under", v.String())
+	j, ok := c.Docket.Job(x.task.Job)
+	if v != crash.Cause || !ok || j.State() != docket.Failed {
+		return
+	}
+	h := c.crashHistory(x.task)
+	c.Log.Emit(event.TaskGivenUp, "job", x.task.Job, "task", x.task.String(), "run", x.number, "worker", x.worker.host.ID,
+		"crashes", h.Crashes, "suspicions", h.Suspicions)
+	c.withdrawJob(j)
 }
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -57,6 +57,12 @@
 				run(t, 6, func(b *harness) {
 					b.fleet.KeepNames = keep
 					b.crashing(c.after, "0000000000000002")
+					b.fleet.Takes = func(t docket.TaskID) time.Duration {
+						if t.Job == "0000000000000002" {
+							return time.Hour // a lasting task does not end by itself
+						}
+						return time.Second
+					}
 					innocent := b.submit(tasks(30, 2000))
 					deadly := b.submitWith(c.priority, c.step)
 					b.waitForState(deadly, docket.Failed, givenUpWithin)
--- a/cell/place.go
+++ b/cell/place.go
@@ -64,17 +64,21 @@
 	if s.queue.GetAdvice() != nil {
 		ticketed = slices.DeleteFunc(slices.Clone(room), func(w *worker) bool { return !s.hasValidTicket(w, now) })
 	}
+	onTrial := 0
 	if s.shape.GetGang() {
 		if c.startGang(s, indices, ticketed, now) {
 			return
 		}
 	} else {
-		indices = c.startTasks(s, indices, ticketed, now)
+		plain, trials := s.splitTrials(indices)
+		plain = c.startTasks(s, plain, ticketed, now)
+		trials = c.startTrials(s, trials, ticketed, now)
+		indices, onTrial = append(plain, trials...), len(trials)
 		if len(indices) == 0 {
 			return
 		}
 	}
-	c.preempt(s, len(indices), workers, now)
+	c.preempt(s, len(indices)-onTrial, workers, now)
 	if mayAsk {
 		c.requestAdvice(s, indices, room, workers, now)
 	}
@@ -86,7 +90,7 @@
 	amount := demand(s.shape)
 	var room []*worker
 	for _, w := range workers {
-		if w.free().Covers(amount) && s.mayUse(w) {
+		if w.free().Covers(amount) && s.mayUse(w) && w.openTo(s) {
 			room = append(room, w)
 		}
 	}
@@ -181,6 +185,7 @@
 
 // startGang starts all members of a gang, or none.
 func (c *Cell) startGang(s *readyStep, indices []uint32, workers []*worker, now time.Time) bool {
+	workers = c.trialWorkers(s, workers, now)
 	counts, ok := c.fitGang(s, len(indices), workers)
 	if !ok {
 		return false
@@ -236,7 +241,7 @@
 	id := s.id.Task(index)
 	x := &run{
 		task: id, number: number, shape: s.shape, queue: s.queue.GetName(), gang: s.shape.GetGang(), priority: s.queue.GetPriority(),
-		incarnation: w.incarnation, phase: committing, startedAt: now, ticket: s.tickets[w.host.ID].value,
+		incarnation: w.incarnation, phase: committing, startedAt: now, ticket: s.tickets[w.host.ID].value, trial: s.trialOf(index),
 	}
 	if !c.append(docket.Start(id, number, w.host.ID, w.incarnation), func() { c.sendStart(x) }) {
 		return
--- a/cell/run.go
+++ b/cell/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"persimmonworks.example/persimmonworks/crash"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/quarantine"
@@ -49,6 +50,8 @@
 	startedAt       time.Time
 	percent         int
 	ticket          string
+	trial           crash.Trial
+	crashJudged     bool // a crash was counted for the run
 }
 
 // assignRun adds the run to a worker and reserves its resources there.
@@ -56,6 +59,7 @@
 	x.worker = w
 	w.runs[x.task] = x
 	w.used = w.used.Add(demand(x.shape))
+	w.addToCounts(x)
 	c.runs[x.task] = x
 }
 
@@ -68,6 +72,7 @@
 	delete(w.runs, x.task)
 	delete(c.runs, x.task)
 	w.used = w.used.Sub(demand(x.shape))
+	w.removeFromCounts(x)
 	now := time.Now()
 	c.append(docket.End(x.task, x.number, outcome, checkpoint, now.UnixMilli()), nil)
 	c.Log.Emit(event.TaskEnded, "job", x.task.Job, "task", x.task.String(), "run", x.number, "worker", w.host.ID,
@@ -120,7 +125,8 @@
 // handleRunning processes the report of a worker that the run is running.
 func (c *Cell) handleRunning(x *run, t RunningTask) {
 	x.percent = t.Percent
-	x.startUnanswered, x.startConfirmed, x.listed = false, true, true
+	x.startUnanswered, x.startConfirmed = false, true
+	x.worker.noteReport(x)
 	if x.phase == adopted {
 		x.phase = running
 		j, ok := c.Docket.Job(x.task.Job)
--- /dev/null
+++ b/cell/trial.go
@@ -0,0 +1,187 @@
+package cell
+
+import (
+	"time"
+
+	"persimmonworks.example/persimmonworks/crash"
+	"persimmonworks.example/persimmonworks/packing"
+)
+
+const (
+	maxKeptForTrials = 0.1             // share of the workers that may be kept for trials at a time
+	trialKeepTime    = time.Second     // for which a worker is kept for a trial after a pass
+	maxGangTrialWait = 3 * time.Second // of a gang for workers on which it is alone
+)
+
+// addToCounts counts a run that the worker was given.
+func (w *worker) addToCounts(x *run) {
+	w.unreported++
+	if x.trial != crash.None {
+		w.trials++
+	}
+}
+
+// noteReport records that the worker has reported the run as running. With it ends the
+// trial of a run that only had to be apart.
+func (w *worker) noteReport(x *run) {
+	if x.listed {
+		return
+	}
+	x.listed = true
+	w.unreported--
+	if x.trial == crash.Apart {
+		w.trials--
+	}
+}
+
+// forgetReport takes noteReport back: the next incarnation has not reported the run.
+func (w *worker) forgetReport(x *run) {
+	if !x.listed {
+		return
+	}
+	x.listed = false
+	w.unreported++
+	if x.trial == crash.Apart {
+		w.trials++
+	}
+}
+
+// removeFromCounts takes back what was counted for a run that has ended.
+func (w *worker) removeFromCounts(x *run) {
+	if !x.listed {
+		w.unreported--
+	}
+	if x.trial == crash.Alone || x.trial == crash.Apart && !x.listed {
+		w.trials--
+	}
+}
+
+// openTo reports whether a task of the step may start on the worker beside the trials
+// there, and beside those that wait for it.
+func (w *worker) openTo(s *readyStep) bool {
+	return w.trials == 0 && (w.keptFor == s.id || !time.Now().Before(w.keptUntil))
+}
+
+// admits reports whether a task may start on the worker under the trial.
+func (w *worker) admits(t crash.Trial) bool {
+	switch t {
+	case crash.Apart:
+		return w.unreported == 0
+	case crash.Alone:
+		return len(w.runs) == 0
+	}
+	return true
+}
+
+// trialOf returns the trial of a task. The members of a gang are on trial together.
+func (s *readyStep) trialOf(index uint32) crash.Trial {
+	tasks := s.state.Tasks()
+	if !s.shape.GetGang() {
+		return crash.TrialFor(historyOf(&tasks[index]))
+	}
+	trial := crash.None
+	for i := range tasks {
+		trial = max(trial, crash.TrialFor(historyOf(&tasks[i])))
+	}
+	return trial
+}
+
+// splitTrials separates the tasks that are on trial from the others.
+func (s *readyStep) splitTrials(indices []uint32) (plain, trials []uint32) {
+	for _, i := range indices {
+		if s.trialOf(i) == crash.None {
+			plain = append(plain, i)
+			continue
+		}
+		trials = append(trials, i)
+	}
+	return plain, trials
+}
+
+// startTrials starts the tasks that are on trial, each on a worker of its own where the
+// least is lost if it crashes, and returns those that have to wait. A worker is kept for
+// one that waits, so that it becomes quiet.
+func (c *Cell) startTrials(s *readyStep, indices []uint32, workers []*worker, now time.Time) []uint32 {
+	var waiting []uint32
+	for _, index := range indices {
+		w := c.trialWorker(s, s.trialOf(index), workers)
+		if w == nil {
+			waiting = append(waiting, index)
+			continue
+		}
+		c.startRun(s, index, s.state.Tasks()[index].Run()+1, w, now)
+	}
+	if len(waiting) > 0 {
+		c.keepForTrial(s, workers, now)
+	}
+	return waiting
+}
+
+// trialWorker returns the worker for a trial, or nil if there is none.
+func (c *Cell) trialWorker(s *readyStep, t crash.Trial, workers []*worker) *worker {
+	var best *worker
+	amount := demand(s.shape)
+	for _, w := range workers {
+		b := c.workerBin(s, w)
+		if !w.openTo(s) || !w.admits(t) || b.Fits(amount, 1) == 0 {
+			continue
+		}
+		if best == nil || len(w.runs) < len(best.runs) {
+			best = w
+		}
+	}
+	return best
+}
+
+// keepForTrial keeps the worker with the fewest runs from other work for a while.
+func (c *Cell) keepForTrial(s *readyStep, workers []*worker, now time.Time) {
+	kept := 0
+	for _, w := range c.workers {
+		if now.Before(w.keptUntil) {
+			if w.keptFor == s.id {
+				w.keptUntil = now.Add(trialKeepTime)
+				return
+			}
+			kept++
+		}
+	}
+	if float64(kept) >= max(1, maxKeptForTrials*float64(len(c.workers))) {
+		return
+	}
+	var best *worker
+	for _, w := range workers {
+		if w.openTo(s) && (best == nil || len(w.runs) < len(best.runs)) {
+			best = w
+		}
+	}
+	if best != nil {
+		best.keptFor, best.keptUntil = s.id, now.Add(trialKeepTime)
+	}
+}
+
+// trialWorkers returns the workers that a gang may use. One on trial starts beside nothing
+// that was not reported, unless it has waited too long for that: then the next crash
+// tells less, but a gang needs many workers at once.
+func (c *Cell) trialWorkers(s *readyStep, workers []*worker, now time.Time) []*worker {
+	trial := s.trialOf(0)
+	if trial == crash.None {
+		return workers
+	}
+	if s.trialSince.IsZero() {
+		s.trialSince = now
+	}
+	var usable []*worker
+	for _, w := range workers {
+		if w.admits(trial) {
+			usable = append(usable, w)
+		}
+	}
+	if _, ok := packing.FitAll(c.workerBins(s, usable), demand(s.shape), len(s.state.Tasks())); ok {
+		s.trialSince = time.Time{}
+		return usable
+	}
+	if now.Sub(s.trialSince) < maxGangTrialWait {
+		return nil
+	}
+	return workers
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -45,9 +45,15 @@
 	endsStored           uint64    // ends up to this number are durable
 	wake                 chan struct{}
 	unansweredStarts     []unansweredStart
-	startsSuspendedUntil time.Time // no starts are sent before
-	unlistedSince        time.Time // when the worker left the list
-	crashLogged          bool      // the end of this incarnation's process was logged
+	startsSuspendedUntil time.Time     // no starts are sent before
+	unlistedSince        time.Time     // when the worker left the list
+	answeredAt           string        // address at which this incarnation has answered
+	processEnded         bool          // this incarnation's process has certainly ended
+	expired              []*run        // runs of this incarnation that were lost with its lease
+	unreported           int           // runs that the worker has not listed
+	trials               int           // runs beside which nothing may start, see crash.Trial
+	keptFor              docket.StepID // a step on trial that waits for the worker until keptUntil
+	keptUntil            time.Time
 }
 
 func (c *Cell) workerByID(id string) *worker {
@@ -206,7 +212,7 @@
 	w.unresponsive = err != nil
 	if err != nil {
 		if errors.Is(err, ErrWorkerRestarted) {
-			c.logCrash(w, "another process answers at its address")
+			c.handleMisdirected(w, h)
 		}
 		return holdRetryInterval
 	}
@@ -222,7 +228,7 @@
 	if w.incarnation == 0 {
 		w.incarnation = r.StartedMS
 	}
-	w.lastHeard, w.clockMS = now, r.ClockMS
+	w.lastHeard, w.clockMS, w.answeredAt = now, r.ClockMS, h.Address
 	for _, e := range r.Ended {
 		if e.Sequence > w.endsSeen {
 			c.handleEnded(w, e)
@@ -293,20 +299,22 @@
 // handleRestart processes a restart of the worker, which ends its runs.
 func (c *Cell) handleRestart(w *worker, incarnation int64) {
 	c.Log.Emit(event.WorkerRestarted, "worker", w.host.ID, "life", w.incarnation, "next", incarnation, "runs", len(w.runs))
-	c.logCrash(w, "it has started again")
+	c.judgeCrash(w, "it has started again")
 	for _, x := range w.runs {
 		if x.phase != committing && (x.startUnanswered || x.startMayArrive || !x.listed) {
 			// The start may still arrive and would then be executed by the restarted
 			// worker, or was executed before the restart became known here.
 			x.phase = stopping
-			x.stopAnsweredAt, x.listed = time.Time{}, false
+			x.stopAnsweredAt = time.Time{}
+			w.forgetReport(x)
 			x.incarnation = incarnation
 			c.sendStop(x)
 			continue
 		}
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "worker restarted")
 	}
-	w.incarnation, w.reconciled, w.crashLogged = incarnation, false, false
+	w.incarnation, w.reconciled = incarnation, false
+	w.answeredAt, w.processEnded, w.expired = "", false, nil
 	w.endsSeen, w.endsStored = 0, 0
 	w.leaseDeadlineMS, w.clockMS = 0, 0
 	w.lastHeard = time.Time{}
@@ -329,6 +337,7 @@
 			continue // not sent yet; sendStart will end the run
 		}
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "lease expired")
+		w.expired = append(w.expired, x)
 	}
 	w.reconciled = false
 }
@@ -347,7 +356,7 @@
 
 // acceptsStarts reports whether tasks may be started on the worker.
 func (c *Cell) acceptsStarts(w *worker, now time.Time) bool {
-	return (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) &&
+	return (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
 		c.quarantine.Allow(w.host.ID, len(w.runs), now)
 }
 
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -112,6 +112,8 @@
 	case e.GetWorker() != nil:
 		d.recordWorker(e.GetWorker())
 		return nil
+	case e.GetCrashed() != nil:
+		return d.recordCrash(e.GetCrashed(), sequence)
 	}
 	return fmt.Errorf("docket entry %v: unknown kind", e)
 }
@@ -262,6 +264,29 @@
 	}
 }
 
+// recordCrash counts the end of a worker's process under a run, once for each run, and
+// fails the job if the task is given up. The end of the run itself is another entry.
+func (d *Docket) recordCrash(c *wire.DocketCrashed, sequence uint64) error {
+	j, _, t, err := d.lookupTask(c.GetTask())
+	if err != nil {
+		return err
+	}
+	if c.GetRun() <= t.crashedRun || c.GetRun() > t.run {
+		return fmt.Errorf("task %v: crash under run %d after one under run %d of %d", taskID(c.GetTask()), c.GetRun(), t.crashedRun, t.run)
+	}
+	t.crashedRun = c.GetRun()
+	t.crashes++
+	if c.GetSuspect() {
+		t.suspicions++
+	}
+	j.changed = sequence
+	if c.GetGivenUp() && !t.done && !j.Terminal() {
+		t.givenUp = true
+		d.endJob(j, Failed, c.GetAtMs())
+	}
+	return nil
+}
+
 func (d *Docket) cancelJob(c *wire.DocketCancelled, sequence uint64) error {
 	j, ok := d.jobs[c.GetJob()]
 	if !ok {
--- a/docket/docket_test.go
+++ b/docket/docket_test.go
@@ -20,7 +20,9 @@
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 	task := docket.TaskID{Job: name, Step: rapid.Uint32Range(0, 1).Draw(t, "step"), Index: rapid.Uint32Range(0, 2).Draw(t, "index")}
 	run := rapid.Uint32Range(1, 4).Draw(t, "run")
-	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	switch rapid.IntRange(0, 12).Draw(t, "kind") {
+	case 12:
+		return docket.Crash(task, run, rapid.Bool().Draw(t, "suspect"), rapid.Bool().Draw(t, "given-up"), 10)
 	case 10:
 		return docket.Move(name, 1)
 	case 11:
@@ -49,7 +51,8 @@
 			s := j.Step(0, uint32(step))
 			for i := range shape.GetCount() {
 				t := &s.Tasks()[i]
-				text += fmt.Sprintf(" [%d %d %v %v %q]", t.Run(), t.Failures(), t.Done(), t.Active(), t.Checkpoint())
+				crashes, suspicions := t.Crashes()
+				text += fmt.Sprintf(" [%d %d %v %v %q %d %d]", t.Run(), t.Failures(), t.Done(), t.Active(), t.Checkpoint(), crashes, suspicions)
 			}
 			text += fmt.Sprintf(" active %d done %v;", s.Active(), s.Done())
 		}
@@ -128,3 +131,33 @@
 		}
 	}
 }
+
+// A snapshot keeps the crashes under a task, so that the next owner does not start
+// counting anew.
+func TestSnapshotKeepsCrashes(t *testing.T) {
+	d := docket.New()
+	task := docket.TaskID{Job: "a"}
+	for i, e := range []*wire.DocketEntry{
+		docket.Accept(newJob("a", 3, &wire.DocketStep{Count: 1})),
+		docket.Start(task, 1, "w", 1),
+		docket.End(task, 1, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", 10),
+		docket.Crash(task, 1, true, false, 10),
+	} {
+		if err := d.Apply(e, uint64(i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.Apply(docket.Crash(task, 1, true, true, 10), 5); err == nil {
+		t.Error("one run counts for two crashes")
+	}
+	restored := docket.New()
+	for i, e := range d.Snapshot() {
+		if err := restored.Apply(e, uint64(i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j, _ := restored.Job("a")
+	if crashes, suspicions := j.Task(task).Crashes(); crashes != 1 || suspicions != 1 {
+		t.Errorf("%d crashes, %d suspicions after a snapshot, want 1 and 1", crashes, suspicions)
+	}
+}
--- a/docket/entry.go
+++ b/docket/entry.go
@@ -22,6 +22,14 @@
 	}}
 }
 
+// Crash returns the entry that records that the process of a worker ended while a run was
+// on it. A task that is given up fails its job.
+func Crash(t TaskID, run uint32, suspect, givenUp bool, atMS int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Crashed{
+		Crashed: &wire.DocketCrashed{Task: t.Name(), Run: run, Suspect: suspect, GivenUp: givenUp, AtMs: atMS},
+	}}
+}
+
 // Cancel returns the entry that cancels a job.
 func Cancel(job string, atMS int64) *wire.DocketEntry {
 	return &wire.DocketEntry{Kind: &wire.DocketEntry_Cancelled{Cancelled: &wire.DocketCancelled{Job: job, AtMs: atMS}}}
--- a/docket/job.go
+++ b/docket/job.go
@@ -36,6 +36,11 @@
 
 var _ fmt.Stringer = TaskID{}
 
+// Compare orders task IDs by step and index.
+func (t TaskID) Compare(u TaskID) int {
+	return cmp.Or(t.StepID().Compare(u.StepID()), cmp.Compare(t.Index, u.Index))
+}
+
 // StepID identifies one occurrence of a step.
 type StepID struct {
 	Job        string
@@ -98,6 +103,10 @@
 	workerStartedAt int64
 	checkpoint      string
 	failedOn        string
+	crashes         uint32 // of workers under the task
+	suspicions      uint32 // crashes that the task may have caused
+	crashedRun      uint32 // the newest run under which a worker crashed
+	givenUp         bool
 }
 
 // Run returns the number of the newest run, or 0 if there was none.
@@ -122,6 +131,10 @@
 // FailedOn returns the worker of the newest failed run, or "" if there is none.
 func (t *Task) FailedOn() string { return t.failedOn }
 
+// Crashes returns how many workers have crashed under the task, and how many of these
+// crashes it may have caused.
+func (t *Task) Crashes() (all, suspicions int) { return int(t.crashes), int(t.suspicions) }
+
 // Step is the durable state of one occurrence of a step.
 type Step struct {
 	tasks  []Task
--- a/docket/snapshot.go
+++ b/docket/snapshot.go
@@ -61,6 +61,7 @@
 	return &wire.DocketTask{
 		Task: id.Name(), Run: t.run, Failures: t.failures, Done: t.done, Active: t.active,
 		Worker: t.worker, BornMs: t.workerStartedAt, Checkpoint: t.checkpoint, AtMs: endedAt,
+		Crashes: t.crashes, Suspicions: t.suspicions, CrashedRun: t.crashedRun, GivenUp: t.givenUp,
 	}
 }
 
@@ -74,6 +75,7 @@
 		return fmt.Errorf("task %v: already restored", taskID(r.GetTask()))
 	}
 	t.run, t.failures, t.worker, t.workerStartedAt, t.checkpoint = r.GetRun(), r.GetFailures(), r.GetWorker(), r.GetBornMs(), r.GetCheckpoint()
+	t.crashes, t.suspicions, t.crashedRun, t.givenUp = r.GetCrashes(), r.GetSuspicions(), r.GetCrashedRun(), r.GetGivenUp()
 	if j.state == Pending {
 		j.state = Running
 	}
@@ -93,6 +95,8 @@
 	case j.Terminal():
 	case j.openSteps == 0:
 		d.endJob(j, Completed, r.GetAtMs())
+	case t.givenUp:
+		d.endJob(j, Failed, r.GetAtMs())
 	case !t.done && t.failures >= j.accepted.GetQueue().GetMaxAttempts() && !j.StepDefinition(r.GetTask().GetStep()).GetLongRunning():
 		d.endJob(j, Failed, r.GetAtMs())
 	}
