cell, crash: a run is no bystander before it has been reported for a while

Cause: a task crashes its worker some 10 ms after its start, and a hold answer in between already lists it; it then passed for a bystander, and a neighbour on trial was the only suspect. That neighbour's first crash was none: its start was never answered. A start that may not have arrived counts as a crash under its task only if it was the only suspect. A third suspicion in company is no proof any more.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -141,3 +142,33 @@
 		b.waitForState(job, docket.Completed, 8*time.Second)
 	})
 }
+
+// A short task that only shared workers with tasks that crash them was given up: its
+// neighbour had been reported as running a moment before it crashed the worker.
+func TestNeighbourOfCauseIsNotGivenUp(t *testing.T) {
+	run(t, 8, func(b *harness) {
+		deadly := map[string]bool{}
+		b.fleet.Crashes = func(t docket.TaskID) time.Duration {
+			if deadly[t.Job] {
+				return 200 * time.Millisecond
+			}
+			return 0
+		}
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 500 * time.Millisecond }
+		var innocent []string
+		for i := range 240 {
+			if i%8 == 0 {
+				deadly[fmt.Sprintf("%016x", b.jobs+1)] = true
+				b.submit(tasks(1, 1000))
+			}
+			innocent = append(innocent, b.submit(tasks(2, 1500)))
+			time.Sleep(40 * time.Millisecond)
+		}
+		for job := range deadly {
+			b.waitForState(job, docket.Failed, 2*time.Minute)
+		}
+		for _, job := range innocent {
+			b.waitForState(job, docket.Completed, time.Minute)
+		}
+	})
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -194,6 +194,7 @@
 	for i := range s.state.Tasks() {
 		lastRun = max(lastRun, s.state.Tasks()[i].Run())
 	}
+	s.trialSince = time.Time{}
 	next := 0
 	for i, w := range workers {
 		for range counts[i] {
--- a/cell/run.go
+++ b/cell/run.go
@@ -51,6 +51,7 @@
 	percent         int
 	ticket          string
 	trial           crash.Trial
+	settled         bool // the worker has reported the run as running for a while
 	crashJudged     bool // a crash was counted for the run
 }
 
@@ -125,8 +126,10 @@
 // handleRunning processes the report of a worker that the run is running.
 func (c *Cell) handleRunning(x *run, t RunningTask) {
 	x.percent = t.Percent
-	x.startUnanswered, x.startConfirmed = false, true
-	x.worker.noteReport(x)
+	x.startUnanswered, x.startConfirmed, x.listed = false, true, true
+	if time.Since(x.startedAt) >= settleTime {
+		x.worker.settle(x)
+	}
 	if x.phase == adopted {
 		x.phase = running
 		j, ok := c.Docket.Job(x.task.Job)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -50,7 +50,7 @@
 	answeredAt           string        // address at which this incarnation has answered
 	processEnded         bool          // this incarnation's process has certainly ended
 	expired              []*run        // runs of this incarnation that were lost with its lease
-	unreported           int           // runs that the worker has not listed
+	unsettled            int           // runs that have not settled, see package crash
 	trials               int           // runs beside which nothing may start, see crash.Trial
 	keptFor              docket.StepID // a step on trial that waits for the worker until keptUntil
 	keptUntil            time.Time
@@ -305,8 +305,7 @@
 			// The start may still arrive and would then be executed by the restarted
 			// worker, or was executed before the restart became known here.
 			x.phase = stopping
-			x.stopAnsweredAt = time.Time{}
-			w.forgetReport(x)
+			x.stopAnsweredAt, x.listed = time.Time{}, false
 			x.incarnation = incarnation
 			c.sendStop(x)
 			continue
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -275,7 +275,9 @@
 		return fmt.Errorf("task %v: crash under run %d after one under run %d of %d", taskID(c.GetTask()), c.GetRun(), t.crashedRun, t.run)
 	}
 	t.crashedRun = c.GetRun()
-	t.crashes++
+	if c.GetCounts() {
+		t.crashes++
+	}
 	if c.GetSuspect() {
 		t.suspicions++
 	}
--- a/docket/entry.go
+++ b/docket/entry.go
@@ -22,12 +22,20 @@
 	}}
 }
 
-// Crash returns the entry that records that the process of a worker ended while a run was
-// on it. A task that is given up fails its job.
-func Crash(t TaskID, run uint32, suspect, givenUp bool, atMS int64) *wire.DocketEntry {
-	return &wire.DocketEntry{Kind: &wire.DocketEntry_Crashed{
-		Crashed: &wire.DocketCrashed{Task: t.Name(), Run: run, Suspect: suspect, GivenUp: givenUp, AtMs: atMS},
-	}}
+// CrashRecord is what the end of a worker's process means for a run that was on it.
+type CrashRecord struct {
+	Run     uint32
+	Counts  bool // as a crash under the task; the run had begun
+	Suspect bool // the run may have been the cause
+	GivenUp bool // the task is given up, and its job fails
+}
+
+// Crash returns the entry that records that the process of a worker ended while a run of
+// the task was on it.
+func Crash(t TaskID, r CrashRecord, atMS int64) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Crashed{Crashed: &wire.DocketCrashed{
+		Task: t.Name(), Run: r.Run, Counts: r.Counts, Suspect: r.Suspect, GivenUp: r.GivenUp, AtMs: atMS,
+	}}}
 }
 
 // Cancel returns the entry that cancels a job.
