cell: work of a worker whose process has certainly ended runs again at once

Cause: the answer 421 of another process at the worker's address was logged and not used. Ruled out: that the answer may come for a worker that runs on: an address in the list may be another worker's, so it proves something only where this incarnation has answered, to this owner or, as stored, to an earlier one. A refused connection still proves nothing (TestRefusedConnectionsProveNothing, unchanged). Test: TestWorkOfEndedProcessRunsAgainAtOnce and TestBystandersOfCrashesAreDone were red.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -7,6 +7,7 @@
 	"persimmonworks.example/persimmonworks/crash"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
@@ -20,13 +21,19 @@
 )
 
 // handleMisdirected processes an answer of another process at the address of a worker.
-// If the worker has answered there before, its process has ended.
+// If the worker has answered there before, its process has ended, and so have its runs.
 func (c *Cell) handleMisdirected(w *worker, h *Host) {
 	if w.processEnded || h.Address != w.host.Address || !c.answeredAt(w, h.Address) {
 		return
 	}
 	c.judgeCrash(w, "another process answers at its address")
-	w.processEnded = true
+	w.processEnded, w.reconciled, w.unansweredStarts, w.expired = true, false, nil, nil
+	for _, x := range w.runs {
+		if x.phase == committing {
+			continue // not sent yet; sendStart will end the run
+		}
+		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "the worker's process has ended")
+	}
 }
 
 // answeredAt reports whether the incarnation of the worker that is known has answered at
