cell: a start that waited for the store is not sent to a worker that has shrunk

Cause: room was checked when the start was decided, and the start is sent once it is durable, which takes as long as the store is away. Ruled out: placement after a shrink (TestCapacityShrinksAndGrows was green before), runs that are being stopped (they count until their end is listed). Change: room is checked again when the start is sent; a start that no longer fits ends as refused, a gang with it. Test: TestStartWaitsForStoreWhileWorkerShrinks, red before (no room on w-00).

--- a/cell/run.go
+++ b/cell/run.go
@@ -160,6 +160,9 @@
 	case x.phase == stopping:
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "stopped before the start was sent")
 		return
+	case w.free().Negative():
+		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "worker has shrunk before the start was sent")
+		return
 	}
 	x.phase = starting
 	t := j.Task(x.task)
