rack, job: in the older scheduler, a task that crashes its workers is parked too

Callers saw: the same fault in the project's own interface: an attempt that was lost with its worker was granted again without a limit.

--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -340,6 +340,12 @@
 		Worker: a.Worker, Reason: a.Reason, Result: a.Result, Checkpoint: a.Checkpoint,
 		RunTime: time.Duration(a.RanMs) * time.Millisecond, MayHaveRun: true,
 	}
+	switch a.CrashSuspicion {
+	case wire.CrashSuspicion_CRASH_SUSPICION_AMONG_OTHERS:
+		end.CrashEvidence = job.EvidenceAmongOthers
+	case wire.CrashSuspicion_CRASH_SUSPICION_ALONE:
+		end.CrashEvidence = job.EvidenceAlone
+	}
 	switch a.State {
 	case wire.AttemptState_ATTEMPT_STATE_DONE:
 		end.Outcome = job.Done
--- a/job/book.go
+++ b/job/book.go
@@ -193,6 +193,7 @@
 		t.FailedOn = append(t.FailedOn, e.Worker)
 		t.FailedOn = t.FailedOn[max(0, len(t.FailedOn)-maxFailedWorkers):]
 	}
+	t.CrashEvidence += e.CrashEvidence
 	if len(e.Checkpoint) > 0 {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -298,8 +299,18 @@
 	Result     []byte
 	RunTime    time.Duration
 	Checkpoint []byte
+	// CrashEvidence is set for a lost attempt that may have ended its worker's process.
+	CrashEvidence int
 }
 
+// Evidence that an attempt has ended the process of its worker. The sum over the attempts
+// of a task decides when it is parked.
+const (
+	EvidenceAmongOthers = 1 // one of several attempts that may
+	EvidenceAlone       = 3 // the only attempt that may
+	maxCrashEvidence    = 9 // three crashes as the only suspect; hosts are also lost by themselves
+)
+
 // EndEntry returns the entry that records the end of an attempt. It either ends the
 // task or grants its next attempt. ok is false if the attempt is not the granted
 // one, so there is nothing to record.
@@ -310,7 +321,7 @@
 	}
 	e = Entry{
 		Kind: EntryEnd, Job: j.ID, Task: t.Index, Attempt: attempt, Worker: end.Worker, Reason: end.Reason,
-		RunTime: end.RunTime, Checkpoint: end.Checkpoint, Failure: end.Outcome == Failed,
+		RunTime: end.RunTime, Checkpoint: end.Checkpoint, Failure: end.Outcome == Failed, CrashEvidence: end.CrashEvidence,
 	}
 	switch {
 	case end.Outcome == Done:
@@ -326,6 +337,9 @@
 	case end.Outcome == Failed && t.Failures+1 >= j.MaxAttempts():
 		e.State = Parked
 		e.Reason = fmt.Sprintf("failed %d times of %d allowed; last on worker %s: %s", t.Failures+1, j.MaxAttempts(), end.Worker, end.Reason)
+	case t.CrashEvidence+end.CrashEvidence >= maxCrashEvidence:
+		e.State = Parked
+		e.Reason = fmt.Sprintf("workers crash when it runs, the last one was %s: %s", end.Worker, end.Reason)
 	default:
 		e.Kind = EntryRetry
 	}
--- a/job/book_test.go
+++ b/job/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +18,9 @@
 // have ended.
 func TestEnded(t *testing.T) {
 	ran := func(s job.State) job.AttemptEnd { return job.AttemptEnd{Outcome: s, MayHaveRun: true} }
+	crashed := func(evidence int) job.AttemptEnd {
+		return job.AttemptEnd{Outcome: job.Unknown, MayHaveRun: true, CrashEvidence: evidence}
+	}
 	refused := job.AttemptEnd{Outcome: job.Waiting}
 	nonIdempotent := job.Spec{NonIdempotent: true}
 	cases := []struct {
@@ -31,6 +35,9 @@
 		{"failed once", job.Spec{}, false, []job.AttemptEnd{ran(job.Failed)}, job.Waiting, 2},
 		{"failed too often", job.Spec{MaxAttempts: 2}, false, []job.AttemptEnd{ran(job.Failed), ran(job.Failed)}, job.Parked, 2},
 		{"lost, preempted and refused attempts do not count as failures", job.Spec{MaxAttempts: 1}, false, []job.AttemptEnd{ran(job.Unknown), ran(job.Waiting), refused}, job.Waiting, 4},
+		{"lost beside others in crashes", job.Spec{}, false, slices.Repeat([]job.AttemptEnd{crashed(job.EvidenceAmongOthers)}, 5), job.Waiting, 6},
+		{"crashes each worker", job.Spec{}, false, slices.Repeat([]job.AttemptEnd{crashed(job.EvidenceAlone)}, 3), job.Parked, 3},
+		{"service that crashes each worker", job.Spec{Class: class.Service}, false, slices.Repeat([]job.AttemptEnd{crashed(job.EvidenceAlone)}, 3), job.Parked, 3},
 		{"service", job.Spec{Class: class.Service, MaxAttempts: 1}, false, []job.AttemptEnd{ran(job.Failed), ran(job.Failed)}, job.Waiting, 3},
 		{"cancelled and stopped", job.Spec{}, true, []job.AttemptEnd{ran(job.Waiting)}, job.Cancelled, 1},
 		{"cancelled too late", job.Spec{}, true, []job.AttemptEnd{ran(job.Done)}, job.Done, 1},
--- a/job/entry.go
+++ b/job/entry.go
@@ -58,4 +58,6 @@
 	// or preempted.
 	Failure    bool   `json:"failure,omitempty"`
 	Checkpoint []byte `json:"checkpoint,omitempty"`
+	// CrashEvidence is that of AttemptEnd.
+	CrashEvidence int `json:"crash-evidence,omitempty"`
 }
--- a/job/image.go
+++ b/job/image.go
@@ -29,6 +29,7 @@
 	CancelRequested bool          `json:"cancel-asked,omitempty"`
 	IntentRecorded  bool          `json:"intended,omitempty"`
 	Checkpoint      []byte        `json:"checkpoint,omitempty"`
+	CrashEvidence   int           `json:"crash-evidence,omitempty"`
 }
 
 // Snapshot returns a snapshot of the durable state of b, encoded as JSON.
@@ -41,7 +42,7 @@
 			if !state.Final() {
 				state = Waiting
 			}
-			snapshot.Tasks[i] = taskSnapshot{t.Attempt, state, t.Worker, t.Reason, t.Result, t.RunTime, t.Failures, t.FailedOn, t.CancelRequested, t.IntentRecorded, t.Checkpoint}
+			snapshot.Tasks[i] = taskSnapshot{t.Attempt, state, t.Worker, t.Reason, t.Result, t.RunTime, t.Failures, t.FailedOn, t.CancelRequested, t.IntentRecorded, t.Checkpoint, t.CrashEvidence}
 		}
 		jobs = append(jobs, snapshot)
 	}
@@ -68,7 +69,7 @@
 			j.tasks[i] = Task{
 				Index: i, Attempt: t.Attempt, State: Waiting, Worker: t.Worker, Reason: t.Reason, Result: t.Result,
 				RunTime: t.RunTime, Failures: t.Failures, FailedOn: t.FailedOn, CancelRequested: t.CancelRequested, IntentRecorded: t.IntentRecorded,
-				Checkpoint: t.Checkpoint,
+				Checkpoint: t.Checkpoint, CrashEvidence: t.CrashEvidence,
 			}
 			j.setState(&j.tasks[i], t.State)
 		}
--- a/job/job.go
+++ b/job/job.go
@@ -130,6 +130,9 @@
 	// Running is set once a worker has reported the granted attempt as running.
 	Running  bool
 	Failures int // attempts that ran and failed
+	// CrashEvidence is the sum of the evidence that attempts have ended the processes of
+	// their workers.
+	CrashEvidence int
 	// FailedOn lists the workers of the last failed attempts, the latest last.
 	FailedOn []string
 	// CancelRequested is set if the job was cancelled while the granted attempt may
--- a/rack/group.go
+++ b/rack/group.go
@@ -264,6 +264,12 @@
 		Task: a.Task, Attempt: a.Ref.Attempt, Worker: a.Worker, Reason: a.Reason, Organisation: a.Organisation,
 		Class: a.Class, Demand: VectorToWire(a.Demand), Shard: r.Name, RanMs: uint64(a.LastReport.Ran.Milliseconds()), Used: VectorToWire(a.LastReport.Used),
 	}
+	switch a.Suspicion {
+	case Suspected:
+		w.CrashSuspicion = wire.CrashSuspicion_CRASH_SUSPICION_AMONG_OTHERS
+	case SoleSuspect:
+		w.CrashSuspicion = wire.CrashSuspicion_CRASH_SUSPICION_ALONE
+	}
 	switch a.State {
 	case Starting:
 		w.State = wire.AttemptState_ATTEMPT_STATE_STARTING
--- a/rack/lease_test.go
+++ b/rack/lease_test.go
@@ -109,6 +109,9 @@
 	if err != nil || len(changed) != 1 || changed[0].State != Lost {
 		t.Errorf("changed %v, %v, want the attempt lost", changed, err)
 	}
+	if changed[0].Suspicion != SoleSuspect {
+		t.Errorf("suspicion %v of the only attempt, want %v", changed[0].Suspicion, SoleSuspect)
+	}
 	if s, _ = r.NextSync("w1", now); len(s.Starts) > 0 || s.BootID != "b2" {
 		t.Errorf("sent %+v to the rebooted worker", s)
 	}
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -66,6 +66,8 @@
 	LastReport worker.Attempt
 	// Reason describes why the attempt was lost or refused.
 	Reason string
+	// Suspicion says whether a lost attempt may have ended its worker's process.
+	Suspicion Suspicion
 
 	stopRequest     *worker.Stop
 	throttlePercent int
@@ -74,6 +76,16 @@
 	placedAt        time.Time
 }
 
+// Suspicion says whether an attempt may have ended the process of its worker.
+type Suspicion int
+
+// Suspicions.
+const (
+	Unsuspected Suspicion = iota
+	Suspected             // one of several attempts that may
+	SoleSuspect           // the only one that may
+)
+
 // Final reports whether the attempt has reached a terminal state.
 func (a *Attempt) Final() bool { return a.State != Starting && a.State != Running }
 
--- a/rack/sync.go
+++ b/rack/sync.go
@@ -75,6 +75,9 @@
 	if report.Leaving {
 		m.leaving = true
 	}
+	if rebooted {
+		suspectCrash(m, now)
+	}
 	changed := r.reconcile(m, s, report, firstReport)
 	r.updateAvailability(m)
 	return changed, nil
