crash: a start that may not have arrived is no crash under its task, also of the only suspect

Cause: the only suspect of a crash was counted although its start had no answer. Change: only runs that have certainly begun count; a task whose starts are never answered is the cause as the only suspect for the fourth time, which is within the three further starts that the operators allow.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -6,7 +6,9 @@
 // are the suspects and all others are bystanders; if there are none, all are suspects.
 // The cause is a suspect
 //
-//   - that was the only one, but for runs of its own job, and was suspected before,
+//   - that was the only one, but for runs of its own job, at the second crash under its
+//     task, and was suspected before,
+//   - or was the only one for the fourth time, although no worker ever answered its start,
 //   - or was the only run on the worker at the fourth crash under its task.
 //
 // The next run of a suspect is therefore a trial, which tells it from the other suspects:
@@ -16,14 +18,14 @@
 //   - a task under which three workers have crashed runs on a worker with nothing else.
 //
 // A start that was not answered may never have arrived. Its run is a suspect like
-// others, but the crash does not count as one under its task unless it was the only one.
+// others, but the crash does not count as one under its task.
 //
 // Invariants, as long as runs are placed by TrialFor:
 //
-//   - no task is given up before the second crash under it;
+//   - no task is given up before the second crash under it, or the fourth suspicion;
 //   - a task that crashes each worker at its start is given up with the second crash
-//     under it, if the workers answer its starts; one that crashes its worker later,
-//     with the fourth at the latest.
+//     under it, if the workers answer its starts; any other task that crashes its
+//     workers, with the fourth at the latest.
 //
 // The functions are pure. Counts belong to the caller, who has to keep them for the
 // next owner of the tasks.
@@ -42,6 +44,7 @@
 	aloneAfter       = 3 // crashes under a task, after which it runs alone
 	minCrashesAlone  = 4 // under a task that was alone on the worker and never suspected before
 	minCrashesToFail = 2 // under a task before it may be given up
+	maxSuspicions    = 3 // before a task is the cause whose starts were never answered
 )
 
 // History is what is known of a task from earlier crashes.
@@ -95,23 +98,27 @@
 		if judgements[i].Verdict != Suspect {
 			continue
 		}
-		judgements[i].Counts = r.Begun || oneJob
-		if isCause(r, judgements[i].Counts, oneJob, len(runs) == 1) {
+		if isCause(r, oneJob, len(runs) == 1) {
 			judgements[i].Verdict = Cause
 		}
 	}
 	return judgements
 }
 
-// isCause reports whether a suspect is the cause. counts says that the crash is one
-// under its task, oneJob that all suspects belong to its job, and alone that nothing
-// else was on the worker.
-func isCause(r Run, counts, oneJob, alone bool) bool {
+// isCause reports whether a suspect is the cause. oneJob says that all suspects belong
+// to its job, alone that nothing else was on the worker.
+func isCause(r Run, oneJob, alone bool) bool {
 	crashes := r.Crashes
-	if counts {
+	if r.Begun {
 		crashes++
 	}
-	return oneJob && r.Suspicions > 0 && crashes >= minCrashesToFail || alone && crashes >= minCrashesAlone
+	switch {
+	case oneJob && r.Suspicions > 0 && crashes >= minCrashesToFail:
+		return true
+	case oneJob && r.Suspicions >= maxSuspicions:
+		return true
+	}
+	return alone && crashes >= minCrashesAlone
 }
 
 // Trial is how a task has to be started so that the next crash tells more.
