soak: tasks that crash workers, workers that shrink, jobs that failed without a cause

Change: one task in 80 crashes each worker that starts it, up to 0.5 s after the start; workers come back under their names (even seeds) or others; a fault lets a worker shrink and grow again; a job that is shown as failed needs a task that has used up its attempts or under which two workers have crashed. Seeds give other runs than before, since a kind of fault was added.

--- a/fleettest/crash.go
+++ b/fleettest/crash.go
@@ -18,6 +18,9 @@
 	// shrunkAfter is how long a capacity that has shrunk may still be used: the time until
 	// everybody must have read it, and one report of the worker.
 	shrunkAfter = 4500 * time.Millisecond
+	// minCrashesToFail is how many workers have to crash under a task before its job may be
+	// shown as failed.
+	minCrashesToFail = 2
 )
 
 // crashRecord counts the workers that a task has crashed.
@@ -101,8 +104,30 @@
 	defer w.fleet.mu.Unlock()
 	next := resource.Vector{MilliCPU: milliCPU, MemoryMB: memoryMB}
 	if !next.Covers(w.host.Capacity) {
-		w.roomWas, w.roomTill = w.host.Capacity, time.Now().Add(shrunkAfter)
+		was := w.host.Capacity
+		if time.Now().Before(w.roomTill) {
+			was = was.Max(w.roomWas)
+		}
+		w.roomWas, w.roomTill = was, time.Now().Add(shrunkAfter)
 	}
 	w.host.Capacity = next
 	w.fleet.announce()
 }
+
+// HasFailed reports whether a job may be shown as failed: a task of it has used up its
+// attempts, or may be given up.
+func (f *Fleet) HasFailed(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for t, n := range f.failures {
+		if t.Job == job && n >= f.jobs[job].GetQueue().GetMaxAttempts() {
+			return true
+		}
+	}
+	for t, n := range f.crashesUnder {
+		if t.Job == job && n >= minCrashesToFail {
+			return true
+		}
+	}
+	return false
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -41,6 +41,11 @@
 
 	crashes map[docket.TaskID]*crashRecord
 	crashed int
+	// noOwnerSince is when all processes were last killed at once. Nobody can give up a
+	// gang whose starts were sent before.
+	noOwnerSince time.Time
+	// crashesUnder counts the workers that crashed while a task ran there.
+	crashesUnder map[docket.TaskID]int
 }
 
 // New returns workers of one service, "jobs", four to a rack.
@@ -48,6 +53,7 @@
 	f := &Fleet{
 		jobs: map[string]*wire.DocketAccepted{}, done: map[docket.TaskID]bool{}, noted: map[docket.TaskID]bool{},
 		failures: map[docket.TaskID]uint32{}, cancels: map[string]time.Time{}, crashes: map[docket.TaskID]*crashRecord{},
+		crashesUnder: map[docket.TaskID]int{},
 	}
 	for i := range count {
 		w := &Worker{fleet: f, host: cell.Host{
@@ -162,6 +168,13 @@
 	return count
 }
 
+// AllProcessesKilled tells the ledger that no process is left.
+func (f *Fleet) AllProcessesKilled() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noOwnerSince = time.Now()
+}
+
 func (f *Fleet) fault(format string, args ...any) {
 	f.broken = append(f.broken, fmt.Sprintf("%s: ", time.Now().Format("05.000"))+fmt.Sprintf(format, args...))
 }
@@ -175,7 +188,7 @@
 		return
 	}
 	shape := job.GetSteps()[o.Task.Step]
-	x := &work{run: o.Run, gang: shape.GetGang(), demand: resource.Vector{MilliCPU: shape.GetMilliCpu(), MemoryMB: shape.GetMemoryMb()}}
+	x := &work{run: o.Run, began: time.Now(), gang: shape.GetGang(), demand: resource.Vector{MilliCPU: shape.GetMilliCpu(), MemoryMB: shape.GetMemoryMb()}}
 	for _, other := range f.workers {
 		if y := other.running[o.Task]; y != nil && other.up {
 			f.fault("%v: run %d on %s while run %d is on %s", o.Task, o.Run, w.host.ID, y.run, other.host.ID)
@@ -278,7 +291,7 @@
 	case wire.DocketOutcome_DOCKET_OUTCOME_FAILED:
 		f.failures[t]++
 	}
-	if alone {
+	if alone && !f.noOwnerSince.After(x.began) {
 		f.fault("%v: run %d waited alone on %s", t, x.run, w.host.ID)
 	}
 	if !x.gang {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -52,6 +52,7 @@
 	timer      *time.Timer
 	stopping   bool
 	checkpoint string
+	began      time.Time
 	worksFrom  time.Time // when it began to work; zero while it waits for its gang
 }
 
@@ -130,8 +131,9 @@
 
 func (w *Worker) crash() {
 	w.up = false
-	for _, x := range w.running {
+	for t, x := range w.running {
 		x.timer.Stop()
+		w.fleet.crashesUnder[t]++
 	}
 	w.running = map[docket.TaskID]*work{}
 }
@@ -173,7 +175,7 @@
 func (w *Worker) free() resource.Vector {
 	left := w.host.Capacity
 	if time.Now().Before(w.roomTill) {
-		left = w.roomWas
+		left = left.Max(w.roomWas)
 	}
 	for _, x := range w.running {
 		left = left.Sub(x.demand)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -67,6 +67,13 @@
 		w.Restart()
 		return nil
 	}},
+	{"a worker shrinks", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
+		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
+		w.SetCapacity(rng.Int64N(workerMilliCPU), workerMemoryMB)
+		pause(ctx, length)
+		w.SetCapacity(workerMilliCPU, workerMemoryMB)
+		return nil
+	}},
 	{"orders are carried out late", func(_ context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
 		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
 		w.DelayOrders(1+rng.IntN(ordersMost), time.Duration(rng.Int64N(int64(lateMost))))
@@ -88,6 +95,7 @@
 	for _, h := range r.hosts {
 		h.kill()
 	}
+	r.fleet.AllProcessesKilled()
 	pause(ctx, length/2)
 	for _, h := range r.hosts {
 		if err := h.start(); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,7 +39,9 @@
 	startUp        = 4 * time.Second  // until the processes have divided the workers
 	settle         = 40 * time.Second // for all jobs to end once nothing is broken any more
 	look           = 200 * time.Millisecond
-	failEvery      = 40 // one run in so many fails
+	crashEvery     = 80                     // one task in so many crashes each worker that starts it
+	crashMost      = 500 * time.Millisecond // after the start
+	failEvery      = 40                     // one run in so many fails
 )
 
 // Soak is one run. All fields must be set.
@@ -82,7 +84,7 @@
 	records := fleettest.NewStore()
 	r := &run{Soak: s, store: records.Path(), fleet: fleettest.New(s.Workers, workerMilliCPU, workerMemoryMB)}
 	r.fleet.Takes = r.takes
-	r.fleet.Fails = r.fails
+	r.fleet.Fails, r.fleet.Crashes, r.fleet.KeepNames = r.fails, r.crashes, s.Seed%2 == 0
 	r.platform = &counterpart.Platform{Records: records, Store: r.store, Fleet: r.fleet}
 	if err := os.MkdirAll(s.Directory, 0o755); err != nil {
 		return Report{}, fmt.Errorf("soak: %w", err)
@@ -160,6 +162,9 @@
 		for _, j := range c.accepted {
 			for ctx.Err() == nil {
 				state := docket.State(c.ask(ctx, j))
+				if state == docket.Failed && !r.fleet.HasFailed(j.GetJob()) {
+					r.fault("job %s is shown as failed without a cause", j.GetJob())
+				}
 				if state == docket.Completed || state == docket.Failed || state == docket.Cancelled {
 					break
 				}
@@ -183,6 +188,15 @@
 	return r.draw(fmt.Sprint(t, worker, number)).IntN(failEvery) == 0
 }
 
+// crashes says how long after its start a task crashes its worker.
+func (r *run) crashes(t docket.TaskID) time.Duration {
+	rng := r.draw("crash " + t.String())
+	if rng.IntN(crashEvery) > 0 {
+		return 0
+	}
+	return time.Duration(1 + rng.Int64N(int64(crashMost)))
+}
+
 func (r *run) draw(name string) *rand.Rand {
 	sum := r.Seed
 	for _, b := range []byte(name) {
