cell: room that preempted runs made for a gang is earmarked for it

Cause: preempted runs do not all end in the same pass; a gang that needs more than half of the workers is never earmarked, so the runs that were stopped started again in the room that they had made. Evidence: log of a red run: 16 runs stopped, 16 started again, the gang never. Change: a worker on which runs were preempted for a gang is earmarked for it until they should have stopped and 0.2 s more. Urgent work may use it as it may use any earmark. Test: TestGangPreemptsLowerPriority, green in 150 of 150.

--- a/cell/earmark.go
+++ b/cell/earmark.go
@@ -21,8 +21,19 @@
 	soon map[*worker]vector // free resources at the end of earmarkHorizon
 }
 
-func newEarmarks() *earmarks {
-	return &earmarks{kept: map[*worker]docket.StepID{}, soon: map[*worker]vector{}}
+// newEarmarks returns the earmarks of workers on which runs were preempted for a gang that
+// still waits.
+func newEarmarks(workers []*worker, steps map[docket.StepID]*readyStep, now time.Time) *earmarks {
+	e := &earmarks{kept: map[*worker]docket.StepID{}, soon: map[*worker]vector{}}
+	for _, w := range workers {
+		if !now.Before(w.clearedUntil) {
+			continue
+		}
+		if s, ok := steps[w.clearedFor]; ok && len(s.startableTasks()) > 0 {
+			e.kept[w] = s.id
+		}
+	}
+	return e
 }
 
 // roomSoon returns the resources of the worker that are expected to be free at the end
--- a/cell/pass_bench_test.go
+++ b/cell/pass_bench_test.go
@@ -56,7 +56,7 @@
 		b.Run(fmt.Sprintf("%d-workers-%d-steps", size.workers, size.steps), func(b *testing.B) {
 			c, workers, steps := fullCell(size.workers, size.steps, now)
 			for b.Loop() {
-				earmarked := newEarmarks()
+				earmarked := newEarmarks(nil, nil, now)
 				for _, s := range steps {
 					c.placeStep(s, earmarked.usableBy(s, workers, now), now)
 					c.earmark(s, earmarked, workers, now)
--- a/cell/place.go
+++ b/cell/place.go
@@ -33,7 +33,7 @@
 		steps = append(steps, s)
 	}
 	sortSteps(steps, now)
-	earmarked := newEarmarks()
+	earmarked := newEarmarks(accepting, c.readySteps, now)
 	for _, s := range steps {
 		c.placeStep(s, earmarked.usableBy(s, accepting, now), now)
 		if float64(len(earmarked.kept)) < maxEarmarkedShare*float64(len(accepting)) {
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -17,7 +17,10 @@
 	gangPreemptionWait = 400 * time.Millisecond
 	// preemptionGain is how many core seconds preemption may cost for each core second
 	// of urgent work that it lets start.
-	preemptionGain  = 2.0
+	preemptionGain = 2.0
+	// clearedRoomKept is how long the room that runs made for a gang is kept for it after
+	// they should have stopped.
+	clearedRoomKept = 200 * time.Millisecond
 	lastingDuration = 30 * time.Second // for which a lasting task counts
 )
 
@@ -147,6 +150,10 @@
 	c.Log.Emit(event.TaskPreempted, "job", x.task.Job, "task", x.task.String(), "run", x.number, "worker", x.worker.host.ID,
 		"for", s.id.String(), "ran-ms", time.Since(x.startedAt).Milliseconds())
 	c.stopRun(x, "preempted")
+	if s.shape.GetGang() {
+		// The runs do not all end at once, and the gang starts only when they have.
+		x.worker.clearedFor, x.worker.clearedUntil = s.id, time.Now().Add(c.Limits.StopTime+clearedRoomKept)
+	}
 }
 
 func coreSeconds(v vector, d time.Duration) float64 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -52,7 +52,9 @@
 	expired              []*run        // runs of this incarnation that were lost with its lease
 	unsettled            int           // runs that have not settled, see package crash
 	trials               int           // runs beside which nothing may start, see crash.Trial
-	keptFor              docket.StepID // a step on trial that waits for the worker until keptUntil
+	clearedFor           docket.StepID // a gang for which runs were preempted, and the worker is earmarked until clearedUntil
+	clearedUntil         time.Time
+	keptFor              docket.StepID // a step for which the worker is kept until keptUntil
 	keptUntil            time.Time
 }
 
