layout: a pool that is large enough has two dockets

Cause: one owner and one part of the store stand for everything. Change: two dockets where each has 150 workers or more and the second strongest host can handle them; unchanged elsewhere (48 and 1,100 workers, one strong host among weak ones).

--- a/layout/layout.go
+++ b/layout/layout.go
@@ -33,6 +33,9 @@
 	maxWorkersPerDocket = 550
 	// minWorkersPerDocket leaves room for gangs, of whose workers a part may be allowed.
 	minWorkersPerDocket = 60
+	// A pool that gives each of two dockets so many workers is divided, so that work goes on
+	// while an owner or the docket's part of the store does not respond.
+	workersToDivide = 150
 	// workersPerCore is how many workers a process handles for each core that its callers
 	// leave.
 	workersPerCore = 750
@@ -50,7 +53,7 @@
 }
 
 // New returns a layout without racks. It has as few dockets as the hosts can handle, since
-// a gang has to fit into one docket. Cores holds the processor cores of the known hosts
+// a gang has to fit into one docket, but two where both are large. Cores holds the processor cores of the known hosts
 // in any order.
 func New(workers int, cores []float64) *Layout {
 	strongest := slices.Sorted(slices.Values(cores))
@@ -60,6 +63,9 @@
 	for dockets < most && workers > handled(strongest[dockets-1])*dockets {
 		dockets++
 	}
+	if half := (workers + 1) / 2; dockets == 1 && most > 1 && half >= workersToDivide && half <= handled(strongest[1]) {
+		dockets = 2
+	}
 	return &Layout{dockets: min(dockets, MaxDockets)}
 }
 
