changelog, platform: reading a docket goes on where it stopped

Cause: a docket of 1,200 rows takes longer to read over a link of 2 Mbit/s than one attempt may take (1.7 s); each attempt began anew, on all 19 hosts, for ever. A replica whose load had failed also passed for loaded. Ruled out: the store (it answered others), processor time.

--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -31,26 +31,56 @@
 	version     uint64 // of the head row
 	sequence    uint64 // of the newest applied row
 	feedVersion uint64 // store version after which the next feed call starts
+	base        uint64 // of the snapshot that was read
+	partsRead   uint32 // parts of that snapshot that were applied
+	loaded      bool   // all rows up to the head were applied once
 }
 
-// Docket returns the state up to the newest applied row, or nil before Load.
+// Docket returns the state up to the newest applied row, or nil before Load. It is
+// incomplete until Load or TakeOver has succeeded.
 func (r *Replica) Docket() *docket.Docket { return r.docket }
 
+// Loaded reports whether the state was complete once; Follow keeps it so.
+func (r *Replica) Loaded() bool { return r.loaded }
+
 // Head returns the newest head that was read. The result must not be modified.
 func (r *Replica) Head() *wire.DocketHead { return r.head }
 
 // Version returns the version of the head row, which increases with each change.
 func (r *Replica) Version() uint64 { return r.version }
 
-// Load reads the whole docket: the head, its snapshot and all later rows.
+// Load reads the whole docket: the head, its snapshot and all later rows. After an error
+// the next call goes on where this one stopped, since reading everything may take longer
+// than one call may.
 func (r *Replica) Load(ctx context.Context) error {
 	head, version, newest, err := readHead(ctx, r.Table)
 	if err != nil {
 		return err
 	}
-	r.docket, r.head, r.version, r.sequence, r.feedVersion = docket.New(), head, version, head.GetBase(), newest
-	for part := range head.GetSnapshotParts() {
-		key := snapshotKey(head.GetBase(), part)
+	if !r.canGoOn(head) {
+		r.docket, r.sequence, r.base, r.partsRead = docket.New(), head.GetBase(), head.GetBase(), 0
+	}
+	r.loaded, r.head, r.version, r.feedVersion = false, head, version, newest
+	err = r.readAll(ctx)
+	if errors.Is(err, errMissingRow) {
+		r.docket = nil // a newer snapshot has replaced what was to be read
+	}
+	r.loaded = err == nil
+	return err
+}
+
+// canGoOn reports whether the rows and the parts of a snapshot that were applied so far
+// are a beginning of what the head stands for.
+func (r *Replica) canGoOn(head *wire.DocketHead) bool {
+	if r.docket == nil || r.sequence > head.GetSequence() {
+		return false
+	}
+	return r.base == head.GetBase() || r.loaded && r.sequence >= head.GetBase()
+}
+
+func (r *Replica) readAll(ctx context.Context) error {
+	for r.base == r.head.GetBase() && r.partsRead < r.head.GetSnapshotParts() {
+		key := snapshotKey(r.base, r.partsRead)
 		page, err := r.Table.Read(ctx, key, key+"\x00")
 		if err != nil {
 			return fmt.Errorf("read snapshot: %w", err)
@@ -58,7 +88,8 @@
 		if len(page.Rows) == 0 {
 			return fmt.Errorf("read snapshot %s: %w", key, errMissingRow)
 		}
-		r.applyBatch(page.Rows[0].Value, head.GetBase())
+		r.applyBatch(page.Rows[0].Value, r.base)
+		r.partsRead++
 	}
 	return r.readRows(ctx)
 }
@@ -87,7 +118,7 @@
 // Follow applies the rows written since the last call, and waits up to wait for one. It
 // loads the whole docket again if the store no longer has all changes since then.
 func (r *Replica) Follow(ctx context.Context, wait time.Duration) error {
-	if r.docket == nil {
+	if !r.loaded {
 		return r.Load(ctx)
 	}
 	page, err := r.Table.Feed(ctx, r.feedVersion, wait)
@@ -168,7 +199,7 @@
 // if the head is newer than the one that the replica has read. The replica can then
 // follow on and try again.
 func (r *Replica) TakeOver(ctx context.Context, o Owner) (*Writer, error) {
-	if r.docket == nil || r.sequence != r.head.GetSequence() {
+	if !r.loaded || r.sequence != r.head.GetSequence() {
 		if err := r.Load(ctx); err != nil {
 			return nil, err
 		}
--- a/fleettest/table.go
+++ b/fleettest/table.go
@@ -28,7 +28,8 @@
 )
 
 const (
-	answerTime  = 9 * time.Millisecond   // of the store
+	answerTime  = 9 * time.Millisecond // of the store
+	pageRows    = 500
 	callTimeout = 900 * time.Millisecond // after which a call without an answer fails
 )
 
@@ -48,6 +49,7 @@
 	calls   int           // commits that were called
 	hang    int           // commits to leave without an answer
 	slow    time.Duration // time of a call; commits take it one after the other
+	page    int           // rows of a page, pageRows if 0
 	turn    chan struct{} // holds one value while no slow commit is carried out
 }
 
@@ -90,6 +92,13 @@
 	t.slow = d
 }
 
+// SetPage sets how many rows a page has.
+func (t *Table) SetPage(rows int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.page = rows
+}
+
 // CommitCalls returns how many commits were called, carried out or not.
 func (t *Table) CommitCalls() int {
 	t.mu.Lock()
@@ -152,7 +161,10 @@
 		}
 	}
 	slices.SortFunc(p.Rows, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
-	const most = 500
+	most := t.page
+	if most == 0 {
+		most = pageRows
+	}
 	if len(p.Rows) > most {
 		p.Rows, p.More = p.Rows[:most], true
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -22,6 +22,7 @@
 	storeRetryDelay          = 200 * time.Millisecond
 	ownerLostFeedWait        = 150 * time.Millisecond // feedWait while the owner or the store does not answer
 	feedTimeoutMargin        = 1200 * time.Millisecond
+	loadTimeout              = 5 * time.Second         // of one attempt to read a docket; the next one goes on where it stopped
 	probeTimeout             = 100 * time.Millisecond  // the store must answer this fast for a takeover on request
 	ownerTimeout             = 1500 * time.Millisecond // an owner that has not changed the head for this long is presumed dead
 	unreachableOwnerTimeout  = 800 * time.Millisecond  // ownerTimeout if the owner does not answer this process either
@@ -121,7 +122,9 @@
 	if p.needsOwnerLookup() {
 		wait = ownerLostFeedWait
 	}
-	if head := p.replica.Head(); head != nil && (head.GetVacant() || requested != 0 && requested == head.GetEpoch()) {
+	if !p.replica.Loaded() {
+		limit = loadTimeout
+	} else if head := p.replica.Head(); head != nil && (head.GetVacant() || requested != 0 && requested == head.GetEpoch()) {
 		wait, limit = 0, probeTimeout
 	}
 	call, cancel := context.WithTimeout(ctx, limit)
