entry: the drain test drains a rack on which attempts run that can move

Callers saw: nothing. Cause: the test's. Ruled out: a plan made before hosts report: it waits for 12 running attempts, and it said 12. Change: the rack with more than the four attempts that cannot move is drained; every check is as before.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -36,13 +36,14 @@
 	})
 	time.Sleep(2 * time.Second) // a checkpoint must save much more time than a timer may be late
 
-	status, _, text := b.send(0, b.planner, http.MethodPost, "/v1/operator/plans", "text/plain", intent.Intent{Kind: intent.DrainRack, Target: "dc1-r1"})
+	rack := b.rackToDrain()
+	status, _, text := b.send(0, b.planner, http.MethodPost, "/v1/operator/plans", "text/plain", intent.Intent{Kind: intent.DrainRack, Target: rack})
 	if status != http.StatusCreated || !strings.Contains(string(text), "nothing changes until it is confirmed") {
 		t.Fatalf("plan as text: status %d: %s", status, text)
 	}
 	var done console.Confirmed
 	b.waitFor("confirmed", func() bool {
-		proposed := ask[console.Proposed](b, 0, http.MethodPost, "/plans", intent.Intent{Kind: intent.DrainRack, Target: "dc1-r1", Why: "floor work"})
+		proposed := ask[console.Proposed](b, 0, http.MethodPost, "/plans", intent.Intent{Kind: intent.DrainRack, Target: rack, Why: "floor work"})
 		if len(proposed.Missing) > 0 {
 			return false
 		}
@@ -69,7 +70,7 @@
 		return ask[console.Progress](b, 1, http.MethodGet, "/plans/"+done.Digest+"/progress", nil).Done
 	})
 	for _, h := range ask[console.Gathered[console.Host]](b, 1, http.MethodGet, "/hosts", nil).Items {
-		if h.Rack == "dc1-r1" && (h.Running != 0 || h.Drained != "ivana") {
+		if h.Rack == rack && (h.Running != 0 || h.Drained != "ivana") {
 			t.Errorf("host %s: %d attempts, drained by %q", h.ID, h.Running, h.Drained)
 		}
 	}
@@ -81,6 +82,21 @@
 	checkDrain(t, b.platform.Ledger().Entries(), checks)
 }
 
+// rackToDrain returns a rack on which attempts run. All of them may have been placed in
+// one rack, which has room for them.
+func (b *cluster) rackToDrain() string {
+	b.t.Helper()
+	running := map[string]int{}
+	for _, h := range ask[console.Gathered[console.Host]](b, 1, http.MethodGet, "/hosts", nil).Items {
+		running[h.Rack] += h.Running
+	}
+	// The four attempts that cannot be checkpointed may be alone in a rack.
+	if running["dc1-r1"] > 4 {
+		return "dc1-r1"
+	}
+	return "dc1-r2"
+}
+
 // waitForJob waits until all tasks of a job are done.
 func (b *cluster) waitForJob(i int, id string) {
 	b.t.Helper()
