--- a/keys/store_test.go
+++ b/keys/store_test.go
@@ -166,3 +166,37 @@
 		t.Error("a short digest was accepted")
 	}
 }
+
+// A key of a withdrawn authority is refused by a process that starts again with the new
+// one, also when the process had accepted it before.
+func TestWithdrawnKeyIsRefusedAfterRestart(t *testing.T) {
+	dir := t.TempDir()
+	old, fresh := newTestCA(t, "entry-1", "entry-2"), newTestCA(t, "entry-1", "entry-2")
+	start := func() *Store {
+		s := &Store{
+			Authority:   filepath.Join(dir, "ca.pem"),
+			Certificate: filepath.Join(dir, "entry-1.pem"),
+			Key:         filepath.Join(dir, "entry-1.key"),
+		}
+		if err := s.Load(); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	if err := old.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := handshake(t, start(), old.Store("entry-2")); err != nil {
+		t.Fatalf("a valid key: %v", err)
+	}
+	if err := fresh.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	restarted := start()
+	if _, _, err := handshake(t, restarted, old.Store("entry-2")); err == nil {
+		t.Error("a withdrawn key is accepted after a restart")
+	}
+	if _, _, err := handshake(t, restarted, fresh.Store("entry-2")); err != nil {
+		t.Errorf("a key of the new authority: %v", err)
+	}
+}
