--- a/cell/advice.go
+++ b/cell/advice.go
@@ -223,7 +223,7 @@
 	c.Log.Emit(event.Advised, "job", s.id.Job, "step", s.id.String(), "asked", len(names), "allowed", len(permits),
 		"helper", h.Name, "took-ms", now.Sub(sent).Milliseconds())
 	if _, ok := c.readySteps[s.id]; ok {
-		c.placeStep(s, c.earmarked.usableBy(s, c.schedulableWorkers(now), now), now)
+		c.placeStep(s, c.schedulableWorkers(now), now)
 	}
 	c.requestPass()
 }
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -91,8 +91,7 @@
 	quarantine      quarantine.Tracker
 	dirty           bool
 	nextPassAt      time.Time
-	earmarked       *earmarks // of the latest pass
-	passScheduled   bool      // a placement pass is due
+	passScheduled   bool // a placement pass is due
 	durations       durationModel
 	startTimes      map[string]time.Time // when open jobs were accepted
 	timedJobs       []string             // jobs with occurrences that are not due yet
@@ -116,7 +115,6 @@
 	c.readySteps = map[docket.StepID]*readyStep{}
 	c.startTimes = map[string]time.Time{}
 	c.startedAt = time.Now()
-	c.earmarked = newEarmarks(nil, nil, c.startedAt)
 	c.commits.wake = make(chan struct{}, 1)
 	c.commits.lastCommitSentAt = time.Now()
 	// All entries found in the docket are durable. They are numbered by rows.
--- a/cell/earmark.go
+++ b/cell/earmark.go
@@ -9,16 +9,13 @@
 )
 
 const (
-	earmarkHorizon = 2500 * time.Millisecond // resources expected to come free within this time are counted
-	// earmarkCost makes urgent tasks use a worker that is kept for a gang only if they fit
-	// nowhere else.
-	earmarkCost       = 10.0
-	maxEarmarkedShare = 0.5 // share of the workers that may be earmarked at a time
+	earmarkHorizon    = 2500 * time.Millisecond // resources expected to come free within this time are counted
+	maxEarmarkedShare = 0.5                     // share of the workers that may be earmarked at a time
 )
 
 // earmarks are the workers that a pass keeps for waiting gangs, so that smaller tasks
-// do not take the resources there as they come free one by one. Urgent tasks may use
-// them if they fit nowhere else.
+// do not take the resources there as they come free one by one. Urgent tasks ignore
+// earmarks.
 type earmarks struct {
 	kept map[*worker]docket.StepID
 	soon map[*worker]vector // free resources at the end of earmarkHorizon
@@ -64,12 +61,6 @@
 	return rest
 }
 
-// keptFromStep reports whether the worker is kept for another step.
-func (e *earmarks) keptFromStep(w *worker, s *readyStep) bool {
-	id, kept := e.kept[w]
-	return kept && id != s.id
-}
-
 // earmark marks the workers on which a waiting gang will fit soonest.
 func (c *Cell) earmark(s *readyStep, e *earmarks, workers []*worker, now time.Time) {
 	members := len(s.startableTasks())
--- a/cell/pass_bench_test.go
+++ b/cell/pass_bench_test.go
@@ -13,7 +13,7 @@
 // fullCell returns a cell with busy workers and steps that wait for room, most of
 // which already have permits for some of the workers.
 func fullCell(workers, steps int, now time.Time) (*Cell, []*worker, []*readyStep) {
-	c := &Cell{workers: map[string]*worker{}, runs: map[docket.TaskID]*run{}, readySteps: map[docket.StepID]*readyStep{}, startTimes: map[string]time.Time{}, earmarked: newEarmarks(nil, nil, now)}
+	c := &Cell{workers: map[string]*worker{}, runs: map[docket.TaskID]*run{}, readySteps: map[docket.StepID]*readyStep{}, startTimes: map[string]time.Time{}}
 	list := make([]*worker, 0, workers)
 	for i := range workers {
 		w := c.workerByID(fmt.Sprintf("i-%010x", i*7919))
--- a/cell/place.go
+++ b/cell/place.go
@@ -33,11 +33,11 @@
 		steps = append(steps, s)
 	}
 	sortSteps(steps, now)
-	c.earmarked = newEarmarks(accepting, c.readySteps, now)
+	earmarked := newEarmarks(accepting, c.readySteps, now)
 	for _, s := range steps {
-		c.placeStep(s, c.earmarked.usableBy(s, accepting, now), now)
-		if float64(len(c.earmarked.kept)) < maxEarmarkedShare*float64(len(accepting)) {
-			c.earmark(s, c.earmarked, accepting, now)
+		c.placeStep(s, earmarked.usableBy(s, accepting, now), now)
+		if float64(len(earmarked.kept)) < maxEarmarkedShare*float64(len(accepting)) {
+			c.earmark(s, earmarked, accepting, now)
 		}
 	}
 	took := time.Since(now)
@@ -124,9 +124,6 @@
 
 func (c *Cell) workerBin(s *readyStep, w *worker) packing.Bin {
 	b := packing.Bin{Free: w.free(), Capacity: w.host.Capacity, MaxTasks: -1, Cost: c.durations.slowdown(w.host.ID)}
-	if c.earmarked.keptFromStep(w, s) {
-		b.Cost += earmarkCost
-	}
 	if maxTasks := s.shape.GetAntiAffinity(); maxTasks > 0 {
 		b.MaxTasks = int(maxTasks) - w.countTasks(s.id)
 	}
