--- a/cell/trial_test.go
+++ b/cell/trial_test.go
@@ -18,7 +18,9 @@
 	for i, e := range []func() error{
 		func() error { return d.Apply(docket.Accept(s.job.Accepted()), 1) },
 		func() error { return d.Apply(docket.Start(task, 1, "w", 1), 2) },
-		func() error { return d.Apply(docket.Crash(task, docket.CrashRecord{Run: 1, Counts: true, Suspect: true}, 1), 3) },
+		func() error {
+			return d.Apply(docket.Crash(task, docket.CrashRecord{Run: 1, Counts: true, Suspect: true}, 1), 3)
+		},
 	} {
 		if err := e(); err != nil {
 			t.Fatalf("entry %d: %v", i, err)
