--- a/command/node.go
+++ b/command/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -81,6 +82,9 @@
 	}
 	store := &platform.Store{Address: s.Store}
 	routes := &platform.Routes{Store: store, Log: log}
+	if err := gaugeConfiguration(flow, routes); err != nil {
+		return nil, err
+	}
 	n := &node.Node{
 		Identity: exchange.Hello{
 			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre, Cores: s.Cores,
@@ -101,3 +105,12 @@
 		Log:      log,
 	}, nil
 }
+
+// gaugeConfiguration adds what tells whether this process has the newest configuration.
+func gaugeConfiguration(m *meter.DynamicMeter, r *platform.Routes) error {
+	return errors.Join(
+		m.Gauge("configuration.version", "", func() float64 { return float64(r.Version()) }),
+		m.Gauge("configuration.age", "s", func() float64 { return r.Age().Seconds() }),
+		m.Gauge("configuration.silence", "s", func() float64 { return r.Silence().Seconds() }),
+	)
+}
--- a/meter/flow.go
+++ b/meter/flow.go
@@ -84,3 +84,16 @@
 	}
 	h.Record(context.Background(), d.Seconds())
 }
+
+// Gauge adds a gauge that is read whenever the metrics are. unit may be empty.
+func (f *DynamicMeter) Gauge(name, unit string, read func() float64) error {
+	_, err := f.meter.Float64ObservableGauge("persimmonworks."+name, metric.WithUnit(unit),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("gauge %s: %w", name, err)
+	}
+	return nil
+}
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -87,3 +87,22 @@
 		t.Error("a meter serves the shards of another")
 	}
 }
+
+func TestGaugeIsReadWhenTheMetricsAre(t *testing.T) {
+	m := &DynamicMeter{}
+	if err := m.Open(); err != nil {
+		t.Fatal(err)
+	}
+	value := 7.0
+	if err := m.Gauge("configuration.silence", "s", func() float64 { return value }); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"persimmonworks_configuration_silence_seconds 7", "persimmonworks_configuration_silence_seconds 8.5"} {
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("%q is missing in:\n%s", want, w.Body)
+		}
+		value = 8.5
+	}
+}
