--- a/soak/faults.go
+++ b/soak/faults.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
 
 const (
@@ -42,9 +44,9 @@
 	})},
 	{"all processes are killed", killAll},
 	{"the way to the store is broken", onHost(func(ctx context.Context, h *host, length time.Duration) error {
-		h.proxy.set(way(1 + int(length)%(len(wayNames)-1)))
+		h.proxy.Set(counterpart.Way(1 + int(length)%(int(counterpart.Ways)-1)))
 		pause(ctx, length)
-		h.proxy.set(pass)
+		h.proxy.Set(counterpart.Pass)
 		return nil
 	})},
 	{"the store is away", func(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
@@ -124,7 +126,7 @@
 	r.store.SetAway(false)
 	for _, h := range r.hosts {
 		h.signal(syscall.SIGCONT)
-		h.proxy.set(pass)
+		h.proxy.Set(counterpart.Pass)
 		if failed := h.start(); err == nil {
 			err = failed
 		}
--- a/soak/host.go
+++ b/soak/host.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+
+	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
 
 const settingsText = `[process]
@@ -38,7 +40,7 @@
 	settings string // file
 	binary   string
 	log      string // file
-	proxy    *proxy // its way to the store
+	proxy    *counterpart.Proxy // its way to the store
 
 	mu      sync.Mutex
 	process *exec.Cmd // nil while none runs
@@ -46,7 +48,7 @@
 
 // newHost writes the settings of a process that listens on the given ports.
 func newHost(r *run, number int, ports []int) (*host, error) {
-	p, err := newProxy(r.platform.StoreAddress())
+	p, err := counterpart.NewProxy(r.platform.StoreAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +59,7 @@
 	}
 	const centres = 3
 	text := fmt.Sprintf(settingsText, name, number%centres, h.front, fmt.Sprintf("127.0.0.1:%d", ports[1]),
-		ports[2], ports[2], p.address(), r.platform.AdvisorAddress())
+		ports[2], ports[2], p.Address(), r.platform.AdvisorAddress())
 	if err := os.WriteFile(h.settings, []byte(text), 0o644); err != nil {
 		return nil, fmt.Errorf("host %s: %w", name, err)
 	}
