--- a/soak/host.go
+++ b/soak/host.go
@@ -39,7 +39,7 @@
 	front    string // ip:port for callers
 	settings string // file
 	binary   string
-	log      string // file
+	log      string             // file
 	proxy    *counterpart.Proxy // its way to the store
 
 	mu      sync.Mutex
