transport: a call whose deadline passes closes the idle connections to its host

Cause: when all open connections go silent, a feed that got no answer took the next idle connection of the pool, silent like the first, and lost its wait and timeout again, 2.4 s for each of up to eight. Ruled out: the feed waiting for a connection (the test has one call at a time). Why it works: what is left idle after a timeout is as old as the connection that failed, and a new one costs a round trip.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -16,6 +16,7 @@
 	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/transport"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -34,10 +35,9 @@
 }
 
 func (c *Client) initClient() {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.client = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxConnsPerHost: maxConnsPerHost, MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: connBufferSize, WriteBufferSize: connBufferSize,
+	c.client = &http.Client{Transport: &transport.Transport{
+		DialTimeout: dialTimeout, MaxConns: maxConnsPerHost, MaxIdleConns: maxIdleConnsPerHost, IdleTimeout: idleTimeout,
+		BufferBytes: connBufferSize,
 	}}
 }
 
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,116 @@
+// Package transport keeps HTTP connections to many hosts, in a pool for each.
+//
+// Open connections may go silent, without a reset, while new ones work: after a failure
+// of a router or of a firewall, all connections to a host do so at the same moment. A
+// call whose deadline passes without an answer therefore closes the idle connections to
+// its host, so that the next call opens a new one. Calls in progress are left alone,
+// since the host may just be slow.
+//
+// Usage:
+//
+//	t := &transport.Transport{DialTimeout: 400 * time.Millisecond, MaxConns: 8, MaxIdleConns: 8, IdleTimeout: time.Minute}
+//	c := &http.Client{Transport: t}
+//	q, err := http.NewRequestWithContext(ctx, ...)   // with a deadline
+//	a, err := c.Do(q)
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Transport is an http.RoundTripper for plain HTTP/1.1. Set the exported fields before
+// the first call. It is safe for concurrent use.
+type Transport struct {
+	DialTimeout  time.Duration
+	MaxConns     int           // to one host, 0 for no limit
+	MaxIdleConns int           // to one host
+	IdleTimeout  time.Duration // after which an idle connection is closed
+	BufferBytes  int           // of reading and of writing, for each connection; 0 for the usual size
+
+	mu    sync.Mutex
+	hosts map[string]*pool // by ip:port
+}
+
+// pool holds the connections to one host.
+type pool struct {
+	*http.Transport
+	used time.Time // start of the newest call
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
+	p := t.pool(q.URL.Host, time.Now())
+	a, err := p.RoundTrip(q)
+	if err != nil {
+		p.closeAfter(q.Context())
+		return nil, err
+	}
+	a.Body = &body{ReadCloser: a.Body, pool: p, ctx: q.Context()}
+	return a, nil
+}
+
+// pool returns the pool of a host.
+func (t *Transport) pool(host string, now time.Time) *pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.hosts[host]
+	if !ok {
+		t.dropUnused(now)
+		p = t.newPool()
+		t.hosts[host] = p
+	}
+	p.used = now
+	return p
+}
+
+// dropUnused drops the pools of hosts that were not called for long: hosts come and go.
+// The caller must hold t.mu.
+func (t *Transport) dropUnused(now time.Time) {
+	if t.hosts == nil {
+		t.hosts = map[string]*pool{}
+	}
+	for host, p := range t.hosts {
+		if now.Sub(p.used) > t.IdleTimeout {
+			p.CloseIdleConnections()
+			delete(t.hosts, host)
+		}
+	}
+}
+
+func (t *Transport) newPool() *pool {
+	dialer := &net.Dialer{Timeout: t.DialTimeout}
+	return &pool{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxConnsPerHost: t.MaxConns, MaxIdleConnsPerHost: t.MaxIdleConns,
+		IdleConnTimeout: t.IdleTimeout, DisableCompression: true,
+		ReadBufferSize: t.BufferBytes, WriteBufferSize: t.BufferBytes,
+	}}
+}
+
+// closeAfter closes the idle connections if the deadline of a call has passed.
+func (p *pool) closeAfter(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.CloseIdleConnections()
+	}
+}
+
+// body is the body of an answer, which may go silent as well.
+type body struct {
+	io.ReadCloser
+	pool *pool
+	ctx  context.Context
+}
+
+// Read implements io.Reader.
+func (b *body) Read(into []byte) (int, error) {
+	n, err := b.ReadCloser.Read(into)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.pool.closeAfter(b.ctx)
+	}
+	return n, err
+}
