--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/settings"
+	"persimmonworks.example/persimmonworks/transport"
 	"persimmonworks.example/persimmonworks/upkeep"
 	"persimmonworks.example/persimmonworks/worker"
 )
@@ -253,7 +254,7 @@
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Controller{MaxQueued: s.Limits.MaxQueue},
 		Pool: &p.runners, PeerRunners: &p.peerSlots, Budget: &runner.RetryBudget{}, PeerForwarder: &peerForwarder{p},
-		RunnerClient: runnerClient(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}),
+		RunnerClient: runnerClient(&transport.Transport{MaxIdleConns: 64, IdleTimeout: time.Minute}),
 		Table:        p.Table, PlatformReachable: p.session.PlatformReachable, Configuration: p.configuration, SessionValid: p.session.Valid,
 		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes, Observer: &requestObserver{p},
 	}
@@ -262,7 +263,7 @@
 }
 
 // runnerClient returns a client that returns redirects instead of following them.
-func runnerClient(t *http.Transport) *http.Client {
+func runnerClient(t http.RoundTripper) *http.Client {
 	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -9,6 +9,7 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/ownership"
 	"persimmonworks.example/persimmonworks/rack"
+	"persimmonworks.example/persimmonworks/transport"
 	"persimmonworks.example/persimmonworks/worker"
 )
 
@@ -133,7 +134,7 @@
 
 // workerClient keeps idle connections to all workers of the racks that a process may
 // own. The default client keeps 100 in all and two per address.
-var workerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute}}
+var workerClient = &http.Client{Transport: &transport.Transport{MaxIdleConns: 32, IdleTimeout: time.Minute}}
 
 func (p *Process) agentAt(address string) worker.Agent {
 	if a, ok := p.agent.Load(address); ok {
