revision: processes tell each other the version in force, and catch up from the store or from each other

What callers see: a process that the store refuses, or whose way to it is silent, goes on with an old configuration for as long as that lasts: 404 for a route that all others serve. Cause: the store's feed was the only source of the configuration, and nothing in the process knew that it was behind, though it talked to processes that were not. Class: one follower of one source, without a second opinion. Change: hellos and their answers carry the version; package revision waits 0.3 s for the feed, reads the row, and asks the process that has the version; a new call /configuration between processes. It mends a notice that was missed and a row that was read wrong once as well (TestCatchUp).

--- a/command/node.go
+++ b/command/node.go
@@ -19,6 +19,7 @@
 	"persimmonworks.example/persimmonworks/node"
 	"persimmonworks.example/persimmonworks/platform"
 	"persimmonworks.example/persimmonworks/process"
+	"persimmonworks.example/persimmonworks/revision"
 )
 
 const (
@@ -85,12 +86,14 @@
 	if err := gaugeConfiguration(flow, routes); err != nil {
 		return nil, err
 	}
+	newest := &revision.Follower{Source: routes, Peers: &exchange.Client{}, Log: log}
 	n := &node.Node{
 		Identity: exchange.Hello{
 			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre, Cores: s.Cores,
 		},
 		Tables: store.Table, WriteRate: s.Writes, Orders: &platform.Orders{}, Advisor: &platform.Advisor{Address: s.Advisor},
 		Fleet: &platform.Fleet{Store: store, Log: log}, Log: log, Meter: flow, Limits: s.Limits,
+		Configuration: sharedRoutes{routes, newest},
 	}
 	n.Prepare()
 	peers := &exchange.Server{Service: n}
@@ -101,11 +104,21 @@
 		Metrics:  flow.Handler(),
 		Known:    routes.Ready,
 		Node:     n,
-		Tasks:    []func(context.Context) error{routes.Run},
+		Tasks:    []func(context.Context) error{routes.Run, newest.Run},
 		Log:      log,
 	}, nil
 }
 
+// sharedRoutes is what processes tell each other of the configuration. It implements
+// node.Configuration.
+type sharedRoutes struct {
+	*platform.Routes
+	newest *revision.Follower
+}
+
+// Announce implements node.Configuration.
+func (r sharedRoutes) Announce(version uint64, address string) { r.newest.Announce(version, address) }
+
 // gaugeConfiguration adds what tells whether this process has the newest configuration.
 func gaugeConfiguration(m *meter.DynamicMeter, r *platform.Routes) error {
 	return errors.Join(
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -127,14 +127,14 @@
 func (c *Client) Hello(ctx context.Context, address string, hello Hello, known []Owner) (Welcome, error) {
 	in := &wire.ExchangeHello{
 		Process: hello.Name, Incarnation: hello.Incarnation, Address: hello.Address, DataCentre: hello.DataCentre, Cores: hello.Cores,
-		Owners: encodeOwners(known), SkipPeers: hello.SkipPeers,
+		Owners: encodeOwners(known), SkipPeers: hello.SkipPeers, Configuration: hello.Configuration,
 	}
 	for _, d := range hello.AdvisedDockets {
 		in.Helps = append(in.Helps, uint32(d))
 	}
 	out := &wire.ExchangeWelcome{}
 	err := c.call(ctx, address, pathHello, in, out)
-	welcome := Welcome{Owners: decodeOwners(out.GetOwners())}
+	welcome := Welcome{Owners: decodeOwners(out.GetOwners()), Configuration: out.GetConfiguration()}
 	for _, p := range out.GetPeers() {
 		welcome.Peers = append(welcome.Peers, Peer{p.GetAddress(), p.GetCores()})
 	}
@@ -157,6 +157,13 @@
 	return out
 }
 
+// Configuration implements revision.Peers.
+func (c *Client) Configuration(ctx context.Context, address string, above uint64) ([]byte, error) {
+	out := &wire.ExchangeConfiguration{}
+	err := c.call(ctx, address, pathConfiguration, &wire.ExchangeConfigurationAbove{Version: above}, out)
+	return out.GetValue(), err
+}
+
 // RequestTakeover asks a process to take a docket over from the owner of the given
 // epoch.
 func (c *Client) RequestTakeover(ctx context.Context, address string, docket int, epoch uint64) error {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -42,6 +42,7 @@
 	Cores          float64 // processor cores available to the process
 	AdvisedDockets []int   // dockets for whose owners the process queries the advisory service
 	SkipPeers      bool    // the process needs no peers in the answer
+	Configuration  uint64  // version in force in the process, 0 for none
 }
 
 // Peer is a process that the sender knows of.
@@ -60,8 +61,9 @@
 
 // Welcome is the answer to a Hello: what the answering process knows of others.
 type Welcome struct {
-	Owners []Owner
-	Peers  []Peer
+	Owners        []Owner
+	Peers         []Peer
+	Configuration uint64 // version in force in the answering process, 0 for none
 }
 
 // Service handles the requests of other processes. The methods named Local return
@@ -76,6 +78,9 @@
 	// HandleTakeoverRequest asks this process to take a docket over from the owner of
 	// the given epoch. It reports whether the process will try.
 	HandleTakeoverRequest(docket int, epoch uint64) bool
+	// ConfigurationAbove returns the configuration in force, as it is stored, or nothing if
+	// its version is not above the given one.
+	ConfigurationAbove(version uint64) []byte
 	advice.Advisor
 }
 
@@ -88,6 +93,8 @@
 	pathAdvise  = "/advise"
 	pathYield   = "/yield"
 
+	pathConfiguration = "/configuration"
+
 	maxMessageBytes = 1 << 20
 	contentType     = "application/protobuf"
 	idleTimeout     = 30 * time.Second
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -44,13 +44,16 @@
 		return encodeAnswer("", 0, &cell.RefusedError{Reason: "the store does not answer here either"})
 	})
 	handle(r, pathAdvise, s.advise)
+	handle(r, pathConfiguration, func(_ context.Context, m *wire.ExchangeConfigurationAbove) proto.Message {
+		return &wire.ExchangeConfiguration{Value: s.Service.ConfigurationAbove(m.GetVersion())}
+	})
 	return r
 }
 
 func (s *Server) hello(ctx context.Context, m *wire.ExchangeHello) proto.Message {
 	hello := Hello{
 		Name: m.GetProcess(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Cores: m.GetCores(),
-		SkipPeers: m.GetSkipPeers(),
+		SkipPeers: m.GetSkipPeers(), Configuration: m.GetConfiguration(),
 	}
 	for _, d := range m.GetHelps() {
 		hello.AdvisedDockets = append(hello.AdvisedDockets, int(d))
@@ -59,7 +62,7 @@
 	if err != nil {
 		return &wire.ExchangeWelcome{}
 	}
-	out := &wire.ExchangeWelcome{Owners: encodeOwners(welcome.Owners)}
+	out := &wire.ExchangeWelcome{Owners: encodeOwners(welcome.Owners), Configuration: welcome.Configuration}
 	for _, p := range welcome.Peers {
 		out.Peers = append(out.Peers, &wire.ExchangePeer{Address: p.Address, Cores: p.Cores})
 	}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -155,6 +155,7 @@
 	known := n.owners()
 	hello := n.Identity
 	hello.AdvisedDockets = n.advisedDockets()
+	hello.Configuration = n.configurationVersion()
 	hello.SkipPeers = skipPeers && len(n.peerList()) > followersPerDocket
 	call, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
@@ -200,6 +201,7 @@
 	}
 	n.mu.Unlock()
 	n.updateOwners(welcome.Owners)
+	n.announceConfiguration(welcome.Configuration, address)
 }
 
 func (n *Node) updateOwners(owners []exchange.Owner) {
@@ -328,7 +330,8 @@
 func (n *Node) HandleHello(ctx context.Context, hello exchange.Hello, known []exchange.Owner) (exchange.Welcome, error) {
 	n.recordCaller(hello, time.Now())
 	n.updateOwners(known)
-	welcome := exchange.Welcome{}
+	n.announceConfiguration(hello.Configuration, hello.Address)
+	welcome := exchange.Welcome{Configuration: n.configurationVersion()}
 	if !hello.SkipPeers {
 		welcome.Peers = n.activePeers()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -36,17 +36,27 @@
 	"persimmonworks.example/persimmonworks/layout"
 )
 
+// Configuration is the operators' configuration in force in this process.
+type Configuration interface {
+	Version() uint64 // 0 if none is in force
+	Value() []byte   // as it is stored
+	// Announce notes that the process at an address has a version in force.
+	Announce(version uint64, address string)
+}
+
 // Node is one process. Set the exported fields, then call Prepare and Run.
 type Node struct {
-	Identity  exchange.Hello
-	Tables    func(name string) changelog.Table
-	Orders    cell.WorkerClient
-	Advisor   advice.Advisor
-	Fleet     cell.Fleet
-	Log       event.Emitter
-	Meter     cell.Meter
-	Limits    cell.Limits
-	WriteRate float64 // limit of write calls a second to the store, of all processes together; 0 means no limit
+	Identity exchange.Hello
+	Tables   func(name string) changelog.Table
+	Orders   cell.WorkerClient
+	Advisor  advice.Advisor
+	Fleet    cell.Fleet
+	Log      event.Emitter
+	Meter    cell.Meter
+	Limits   cell.Limits
+	// Configuration may be nil; then processes do not tell each other their versions.
+	Configuration Configuration
+	WriteRate     float64 // limit of write calls a second to the store, of all processes together; 0 means no limit
 
 	client    exchange.Client
 	leaving   chan struct{}
