platform: a process that does not hear from the store does not say that a queue does not exist

Cause: no decision looked at how old its knowledge was. While the store is away for all, requests for queues that never existed get 503 as well.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -143,5 +143,5 @@
 	EntryUnreadable    = define(2272, Error, "entry-unreadable", "A configuration or an entry of the store cannot be read; the previous one stays in force.", "Check who wrote it.")
 	RoutesInForce      = define(2273, Info, "routes-in-force", "A newer configuration is in force in this process.", "none")
 	RoutesBehind       = define(2275, Warn, "routes-behind", "Another process has a newer configuration than this one, which asked `from`, the store or that process, for it.", "If `in-force` stays below `version`, check the paths to the store and to `process`.")
-	RouteUnknown       = define(2274, Info, "route-unknown", "A request matches no queue of the configuration `version`, in force for `age-ms`; it was answered 404.", "If the queue exists, compare `version` with the stored configuration and look for feed-lost.")
+	RouteUnknown       = define(2274, Info, "route-unknown", "A request matches no queue of the configuration `version`, in force for `age-ms`; it was answered 404, or 503 if the store has not answered for `silent-ms`.", "If the queue exists, compare `version` with the stored configuration and look for feed-lost.")
 )
