--- a/node/layout.go
+++ b/node/layout.go
@@ -229,6 +229,7 @@
 		return nil
 	}
 	table, after := n.Tables(layoutTable), n.layoutVersion
+	failures := 0
 	for ctx.Err() == nil {
 		page, err := table.Feed(ctx, after, layoutFeedWait)
 		if errors.Is(err, changelog.ErrHistoryGone) {
@@ -238,6 +239,7 @@
 			err = n.applyLayoutRows(page.Rows)
 			after = max(after, page.Version)
 		}
+		failures = n.logLayoutFeed(ctx, failures, err)
 		if err != nil {
 			sleep(ctx, layoutRetry)
 		}
@@ -245,6 +247,21 @@
 	return nil
 }
 
+// logLayoutFeed logs when the feed of the layout is lost and when it is back. It returns
+// the number of calls that have failed since the last answer.
+func (n *Node) logLayoutFeed(ctx context.Context, failures int, err error) int {
+	switch {
+	case err == nil && failures > 0:
+		n.Log.Emit(event.FeedRegained, "table", layoutTable, "failures", failures)
+		return 0
+	case err == nil || ctx.Err() != nil:
+		return failures
+	case failures == 0:
+		n.Log.Emit(event.FeedLost, "table", layoutTable, "error", err)
+	}
+	return failures + 1
+}
+
 // docketFleet restricts the list of workers to those assigned to one docket. It
 // implements cell.Fleet.
 type docketFleet struct {
