soak: the operator adds and drops queues, and which version a process has in force is judged

The stand-in wrote one configuration for ever, so no seed judged that a change is in force in time, that a process never goes back to an older one and that an added queue is served. Connections to the store go silent as one more fault.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -49,7 +49,12 @@
 		h.proxy.Set(counterpart.Pass)
 		return nil
 	})},
+	{"connections to the store go silent", onHost(func(_ context.Context, h *host, _ time.Duration) error {
+		h.proxy.Silence()
+		return nil
+	})},
 	{"the store is away", func(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
+		defer r.disturbAll()()
 		r.store.SetAway(true)
 		pause(ctx, length)
 		r.store.SetAway(false)
@@ -89,11 +94,28 @@
 
 func onHost(f func(ctx context.Context, h *host, length time.Duration) error) func(context.Context, *run, *rand.Rand, time.Duration) error {
 	return func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
-		return f(ctx, r.hosts[rng.IntN(len(r.hosts))], length)
+		h := r.hosts[rng.IntN(len(r.hosts))]
+		h.disturb(true)
+		defer h.disturb(false)
+		return f(ctx, h, length)
+	}
+}
+
+// disturbAll notes that a fault touches all hosts, until the function that it returns is
+// called.
+func (r *run) disturbAll() func() {
+	for _, h := range r.hosts {
+		h.disturb(true)
+	}
+	return func() {
+		for _, h := range r.hosts {
+			h.disturb(false)
+		}
 	}
 }
 
 func killAll(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
+	defer r.disturbAll()()
 	for _, h := range r.hosts {
 		h.kill()
 	}
--- a/soak/host.go
+++ b/soak/host.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
@@ -42,8 +43,30 @@
 	log      string             // file
 	proxy    *counterpart.Proxy // its way to the store
 
-	mu      sync.Mutex
-	process *exec.Cmd // nil while none runs
+	mu          sync.Mutex
+	process     *exec.Cmd // nil while none runs
+	life        int       // how many processes were started
+	disturbed   int       // faults that last
+	disturbedAt time.Time // end of the newest fault
+}
+
+// disturb notes the begin of a fault that touches the host, or its end.
+func (h *host) disturb(begins bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if begins {
+		h.disturbed++
+		return
+	}
+	h.disturbed--
+	h.disturbedAt = time.Now()
+}
+
+// state returns which life of the process this is, and whether the host is in touch.
+func (h *host) state() (life int, calm bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life, h.disturbed == 0 && time.Since(h.disturbedAt) > touchTime
 }
 
 // newHost writes the settings of a process that listens on the given ports.
@@ -98,6 +121,7 @@
 		return fmt.Errorf("host %s: %w", h.name, err)
 	}
 	h.process = c
+	h.life++
 	return nil
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,12 +2,13 @@
 // platform and breaks things from outside, by a plan drawn from a seed: processes
 // are killed, stopped, paused and restarted, connections to the store delayed,
 // reset, silenced or cut one way, workers cut off, restarted, or made to carry
-// orders out late or to lose answers.
+// orders out late or to lose answers, and the operator adds and drops queues.
 //
 // What callers and workers see is judged while it runs: an accepted job is never
 // unknown and ends, a refused one never runs, no task runs twice at a time or after
 // its end was confirmed, no worker holds more than it has room for, steps keep
-// their order, gangs are whole.
+// their order, gangs are whole, a configuration is in force in time wherever nothing is
+// broken, and no process goes back to an older one.
 //
 // Usage:
 //
@@ -59,6 +60,7 @@
 	Seed                          uint64
 	Accepted, Refused, Unanswered int // jobs
 	Starts                        int // of tasks
+	Probes                        int // answers that were judged by the configuration
 	Faults                        []string
 	Broken                        []string // promises, empty if all were kept
 }
@@ -71,6 +73,7 @@
 	platform *counterpart.Platform
 	hosts    []*host
 	clients  []*client
+	operator *operator
 	stuck    bool // an accepted job has not ended
 
 	mu     sync.Mutex
@@ -147,6 +150,9 @@
 		r.clients = append(r.clients, c)
 		group.Go(func() error { return c.call(calling) })
 	}
+	r.operator = newOperator(r)
+	group.Go(func() error { return r.operator.change(calling) })
+	group.Go(func() error { return r.operator.probe(calling) })
 	group.Go(func() error { return r.breakThings(calling) })
 	if err := group.Wait(); err != nil {
 		return err
@@ -220,6 +226,9 @@
 		report.Refused += c.refused
 		report.Unanswered += c.unanswered
 	}
+	if r.operator != nil {
+		report.Probes = r.operator.probes
+	}
 	return report
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,13 +22,16 @@
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
-		t.Logf("seed %d: %d accepted, %d refused, %d unanswered, %d starts, %d faults",
-			seed, r.Accepted, r.Refused, r.Unanswered, r.Starts, len(r.Faults))
+		t.Logf("seed %d: %d accepted, %d refused, %d unanswered, %d starts, %d probes, %d faults",
+			seed, r.Accepted, r.Refused, r.Unanswered, r.Starts, r.Probes, len(r.Faults))
 		for _, b := range r.Broken {
 			t.Errorf("seed %d: %s", seed, b)
 		}
 		if r.Accepted == 0 {
 			t.Errorf("seed %d: nothing was accepted", seed)
 		}
+		if r.Probes == 0 {
+			t.Errorf("seed %d: no answer told which configuration is in force", seed)
+		}
 	}
 }
