cell: a worker that has started again before the next owner hears from it has crashed under its runs

Cause: a new owner that found an adopted run missing from the worker's list took it for a start that had never arrived, also where the worker's incarnation was another one than that of the start. With names kept nothing else tells of the crash. Change: before the lists are compared for the first time, adopted runs of an earlier incarnation are judged as at a crash and end as lost. Why it works: the incarnation is stored with the start, so the end of that process is certain whoever sees it. Users could be served worse: a task that shared workers restarted beside four takeovers in a row, as the only suspect each time, is given up.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -53,7 +54,13 @@
 	if w.processEnded || w.host.Draining {
 		return
 	}
-	runs := c.runsAtCrash(w)
+	runs := slices.Collect(maps.Values(w.runs))
+	c.judgeRuns(w, append(runs, w.expired...), proof)
+}
+
+// judgeRuns judges runs that were on a worker when its process ended.
+func (c *Cell) judgeRuns(w *worker, runs []*run, proof string) {
+	runs = c.runsAtCrash(w, runs)
 	judged := make([]crash.Run, len(runs))
 	for i, x := range runs {
 		judged[i] = crash.Run{Job: x.task.Job, Begun: x.startConfirmed, Settled: x.settled, History: c.crashHistory(x.task)}
@@ -75,19 +82,13 @@
 	}
 }
 
-// runsAtCrash returns the runs that may have been on the worker when its process ended,
-// but for those that a crash was counted for, in the order of their tasks.
-func (c *Cell) runsAtCrash(w *worker) []*run {
-	var runs []*run
-	for _, x := range w.runs {
-		if x.mayHaveBegun() && !x.crashJudged {
-			runs = append(runs, x)
-		}
-	}
-	runs = append(runs, w.expired...)
+// runsAtCrash returns those of the runs that the worker may have had when its process
+// ended, but for those that a crash was counted for, in the order of their tasks.
+func (c *Cell) runsAtCrash(w *worker, runs []*run) []*run {
 	runs = slices.DeleteFunc(runs, func(x *run) bool {
 		j, ok := c.Docket.Job(x.task.Job)
-		return !ok || j.Task(x.task) == nil || x.settled && w.lastHeard.Sub(x.startedAt) > lastingRun
+		return !x.mayHaveBegun() || x.crashJudged || !ok || j.Task(x.task) == nil ||
+			x.settled && w.lastHeard.Sub(x.startedAt) > lastingRun
 	})
 	slices.SortFunc(runs, func(a, b *run) int { return a.task.Compare(b.task) })
 	return runs
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -139,6 +139,33 @@
 	}
 }
 
+// A worker that had crashed and started again under its name before the next owner
+// heard from it counted as one that had never begun its runs, so a task crashed a worker
+// under each owner.
+func TestCrashBehindTakeoverCounts(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		t.Run(fmt.Sprintf("names kept %v", keep), func(t *testing.T) {
+			run(t, 6, func(b *harness) {
+				b.fleet.KeepNames = keep
+				b.crashing(5*time.Millisecond, "0000000000000001")
+				b.submit(tasks(3, 1000))
+				for seen := 0; seen <= maxCrashesUnseen; seen++ {
+					for begun := time.Now(); b.fleet.Crashed() == seen && time.Since(begun) < 15*time.Second; {
+						time.Sleep(time.Millisecond)
+					}
+					b.stop()
+					time.Sleep(4 * time.Second) // the worker is back
+					b.takeOver()
+				}
+				b.waitForState("0000000000000001", docket.Failed, givenUpWithin)
+				if n := b.fleet.Crashed(); n > maxCrashesUnseen {
+					t.Errorf("%d workers crashed, want at most %d", n, maxCrashesUnseen)
+				}
+			})
+		})
+	}
+}
+
 // Once the address of a worker answers for another process, nothing runs in the first
 // any more, and its work need not wait for the end of the lease.
 func TestWorkOfEndedProcessRunsAgainAtOnce(t *testing.T) {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -269,6 +269,9 @@
 func (c *Cell) reconcile(w *worker, r HoldResponse, sent time.Time) {
 	first := !w.reconciled
 	w.reconciled = true
+	if first {
+		c.endEarlierRuns(w)
+	}
 	listedRuns := make(map[docket.TaskID]RunningTask, len(r.Running))
 	for _, t := range r.Running {
 		listedRuns[t.Task] = t
@@ -298,6 +301,24 @@
 	}
 }
 
+// endEarlierRuns ends the adopted runs that were started on an earlier incarnation of the
+// worker, which has ended before this owner could hear from it.
+func (c *Cell) endEarlierRuns(w *worker) {
+	var earlier []*run
+	for _, x := range w.runs {
+		if x.phase == adopted && x.incarnation != 0 && x.incarnation < w.incarnation {
+			earlier = append(earlier, x)
+		}
+	}
+	if len(earlier) == 0 {
+		return
+	}
+	c.judgeRuns(w, earlier, "it has started again under an earlier owner")
+	for _, x := range earlier {
+		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "worker restarted")
+	}
+}
+
 // handleRestart processes a restart of the worker, which ends its runs.
 func (c *Cell) handleRestart(w *worker, incarnation int64) {
 	c.Log.Emit(event.WorkerRestarted, "worker", w.host.ID, "life", w.incarnation, "next", incarnation, "runs", len(w.runs))
