--- a/node/layout.go
+++ b/node/layout.go
@@ -24,7 +24,6 @@
 	hostTable         = "hosts"
 	hostsEnd          = "~" // greater than the name of any process
 	layoutRetry       = 200 * time.Millisecond
-	layoutFeedWait    = 1500 * time.Millisecond // longest wait of one feed call for a change
 	workersSettleTime = 1500 * time.Millisecond // the list of workers counts as complete when its length has not changed for this long
 	maxWorkersWait    = 7 * time.Second         // after this the layout is created for the workers known so far
 )
@@ -221,47 +220,6 @@
 	return nil
 }
 
-// followLayout applies changes of the stored layout until ctx ends. A layout with a
-// single docket never changes.
-func (n *Node) followLayout(ctx context.Context) error {
-	l, _ := n.currentLayout()
-	if l == nil || l.Dockets() == 1 {
-		return nil
-	}
-	table, after := n.Tables(layoutTable), n.layoutVersion
-	failures := 0
-	for ctx.Err() == nil {
-		page, err := table.Feed(ctx, after, layoutFeedWait)
-		if errors.Is(err, changelog.ErrHistoryGone) {
-			page, err = table.Read(ctx, layoutKey, layoutKey+"\x00")
-		}
-		if err == nil {
-			err = n.applyLayoutRows(page.Rows)
-			after = max(after, page.Version)
-		}
-		failures = n.logLayoutFeed(ctx, failures, err)
-		if err != nil {
-			sleep(ctx, layoutRetry)
-		}
-	}
-	return nil
-}
-
-// logLayoutFeed logs when the feed of the layout is lost and when it is back. It returns
-// the number of calls that have failed since the last answer.
-func (n *Node) logLayoutFeed(ctx context.Context, failures int, err error) int {
-	switch {
-	case err == nil && failures > 0:
-		n.Log.Emit(event.FeedRegained, "table", layoutTable, "failures", failures)
-		return 0
-	case err == nil || ctx.Err() != nil:
-		return failures
-	case failures == 0:
-		n.Log.Emit(event.FeedLost, "table", layoutTable, "error", err)
-	}
-	return failures + 1
-}
-
 // docketFleet restricts the list of workers to those assigned to one docket. It
 // implements cell.Fleet.
 type docketFleet struct {
