--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,6 +53,13 @@
 		h.proxy.Silence()
 		return nil
 	})},
+	{"all connections to the store go silent", func(_ context.Context, r *run, _ *rand.Rand, _ time.Duration) error {
+		defer r.disturbAll()()
+		for _, h := range r.hosts {
+			h.proxy.Silence()
+		}
+		return nil
+	}},
 	{"the store is away", func(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
 		defer r.disturbAll()()
 		r.store.SetAway(true)
