--- a/cell/balance.go
+++ b/cell/balance.go
@@ -10,6 +10,7 @@
 
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -126,7 +127,7 @@
 				c.loop.Post(func() { c.append(docket.ConfirmMove(job.GetJob(), time.Now().UnixMilli()), nil) })
 				return nil
 			}
-			sleep(c.ctx, transferRetryInterval)
+			pause.For(c.ctx, transferRetryInterval)
 		}
 		return nil
 	})
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -6,6 +6,7 @@
 
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -114,7 +115,7 @@
 			if err != nil {
 				return err
 			}
-			sleep(ctx, c.Limits.MinCommitInterval-time.Since(begun))
+			pause.For(ctx, c.Limits.MinCommitInterval-time.Since(begun))
 			if !more {
 				break
 			}
@@ -123,16 +124,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (c *Cell) commitBatch(ctx context.Context) (more bool, err error) {
 	var batch []*wire.DocketEntry
 	var checks []func()
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -44,6 +44,7 @@
 	"persimmonworks.example/persimmonworks/estimate"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/job"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/queue"
 	"persimmonworks.example/persimmonworks/wire"
@@ -226,14 +227,7 @@
 		if d.Loop.Do(d.ctx, func() { lost = !d.isCurrent(s) }) != nil || lost {
 			return
 		}
-		sleep(d.ctx, retryDelay)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		pause.For(d.ctx, retryDelay)
 	}
 }
 
@@ -360,6 +354,6 @@
 		if err != nil || pending == 0 || ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, tickInterval)
+		pause.For(ctx, tickInterval)
 	}
 }
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -9,6 +9,7 @@
 	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -385,7 +386,7 @@
 
 // Advise implements advice.Advisor: every worker is allowed.
 func (f *Fleet) Advise(ctx context.Context, _ docket.StepID, workers []string) ([]advice.Permit, error) {
-	sleep(ctx, 10*time.Millisecond)
+	pause.For(ctx, 10*time.Millisecond)
 	permits := make([]advice.Permit, len(workers))
 	for i, w := range workers {
 		permits[i] = advice.Permit{Worker: w, Ticket: "t-" + w}
--- a/fleettest/table.go
+++ b/fleettest/table.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"persimmonworks.example/persimmonworks/changelog"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/provider"
 )
 
@@ -133,7 +134,7 @@
 	away, takes := t.away, max(answerTime, t.slow)
 	t.mu.Unlock()
 	if away {
-		sleep(ctx, callTimeout)
+		pause.For(ctx, callTimeout)
 		return fmt.Errorf("%w: no answer", provider.ErrOutcomeUnknown)
 	}
 	select {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -7,6 +7,7 @@
 
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/resource"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -292,7 +293,7 @@
 func deliver[T any](ctx context.Context, w *Worker, h *cell.Host, do func() (T, error)) (T, error) {
 	var zero T
 	f := w.fleet
-	sleep(ctx, callTime)
+	pause.For(ctx, callTime)
 	f.mu.Lock()
 	switch {
 	case w.up && !w.cut && !w.refusing && w.host.ID != h.ID:
@@ -328,13 +329,6 @@
 		<-ctx.Done()
 		return zero, fmt.Errorf("%w: %w", cell.ErrUnanswered, ctx.Err())
 	}
-	sleep(ctx, callTime)
+	pause.For(ctx, callTime)
 	return v, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/forward/request.go
+++ b/forward/request.go
@@ -17,6 +17,7 @@
 	"persimmonworks.example/persimmonworks/class"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/gateway"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/pool"
 	"persimmonworks.example/persimmonworks/runner"
 	"persimmonworks.example/persimmonworks/wire"
@@ -212,7 +213,7 @@
 		} else {
 			retries++
 		}
-		if !sleep(ctx, f.delay(ctx, refusals+retries)) {
+		if !pause.For(ctx, f.delay(ctx, refusals+retries)) {
 			return last
 		}
 	}
@@ -224,15 +225,6 @@
 	return d
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (f *Forwarder) mayRetry(ctx context.Context, q *request, o runner.Outcome) bool {
 	if !runner.RetryAllowed(q.nonIdempotent, o) {
 		return false
--- a/node/candidate.go
+++ b/node/candidate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/changelog"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -70,7 +71,7 @@
 func (p *participant) waitForStrongerHost(ctx context.Context, w *changelog.Writer) bool {
 	since := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, strongerCheckInterval)
+		pause.For(ctx, strongerCheckInterval)
 		now, cores := time.Now(), p.Identity.Cores
 		strongest := cores
 		for _, other := range p.activePeers() {
--- a/node/follow.go
+++ b/node/follow.go
@@ -13,6 +13,7 @@
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -50,7 +51,7 @@
 		if err := p.followOnce(ctx, requested); err != nil {
 			changedAt = time.Time{} // measure the owner's silence from the store's next answer
 			p.recordStoreFailure(err)
-			sleep(ctx, storeRetryDelay)
+			pause.For(ctx, storeRetryDelay)
 			continue
 		}
 		now := time.Now()
@@ -72,7 +73,7 @@
 		}
 		if err := p.ownDocket(ctx); err != nil {
 			p.Log.Emit(event.DocketLost, "docket", p.docket, "error", err)
-			sleep(ctx, storeRetryDelay)
+			pause.For(ctx, storeRetryDelay)
 		}
 		changedAt = time.Time{}
 	}
@@ -95,7 +96,7 @@
 	cancel()
 	if err != nil {
 		p.recordStoreFailure(err)
-		sleep(ctx, storeRetryDelay)
+		pause.For(ctx, storeRetryDelay)
 		return
 	}
 	p.recordStoreAnswer(time.Now())
@@ -149,7 +150,7 @@
 	silence -= delay
 	switch {
 	case head.GetEpoch() == 0 || head.GetVacant():
-		sleep(ctx, delay+rand.N(maxVacantJitter))
+		pause.For(ctx, delay+rand.N(maxVacantJitter))
 		return true
 	case head.GetOwner() == p.Identity.Name && head.GetIncarnation() < p.Identity.Incarnation:
 		return true
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -12,6 +12,7 @@
 
 	"persimmonworks.example/persimmonworks/advice"
 	"persimmonworks.example/persimmonworks/exchange"
+	"persimmonworks.example/persimmonworks/pause"
 )
 
 const (
@@ -48,7 +49,7 @@
 				break
 			}
 		}
-		sleep(ctx, helloInterval(len(n.peerList()), len(n.docketsByOwner())))
+		pause.For(ctx, helloInterval(len(n.peerList()), len(n.docketsByOwner())))
 	}
 	return nil
 }
--- a/node/layout.go
+++ b/node/layout.go
@@ -14,6 +14,7 @@
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/layout"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/provider"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -43,7 +44,7 @@
 		known, err := n.readLayout(ctx)
 		if err != nil {
 			n.recordStoreFailure(err)
-			sleep(ctx, layoutRetry)
+			pause.For(ctx, layoutRetry)
 			continue
 		}
 		n.recordStoreAnswer(time.Now())
@@ -57,7 +58,7 @@
 		}
 		if err := n.storeLayout(ctx, first, 0); err != nil && !errors.Is(err, provider.ErrConflict) {
 			n.recordStoreFailure(err)
-			sleep(ctx, layoutRetry)
+			pause.For(ctx, layoutRetry)
 		}
 	}
 	n.mu.Lock()
@@ -308,7 +309,7 @@
 			n.Log.Emit(event.LayoutNotStored, "error", err)
 		}
 		if _, err := n.readLayout(ctx); err != nil {
-			sleep(ctx, layoutRetry)
+			pause.For(ctx, layoutRetry)
 		}
 	}
 }
--- a/node/layout_test.go
+++ b/node/layout_test.go
@@ -13,6 +13,7 @@
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/fleettest"
 	"persimmonworks.example/persimmonworks/layout"
+	"persimmonworks.example/persimmonworks/pause"
 )
 
 // deafTable is a table whose feed tells of no change, or has no history.
@@ -32,7 +33,7 @@
 	if t.gone {
 		return changelog.Page{}, changelog.ErrHistoryGone
 	}
-	sleep(ctx, wait)
+	pause.For(ctx, wait)
 	return changelog.Page{Version: after}, ctx.Err()
 }
 
--- a/node/layoutfeed.go
+++ b/node/layoutfeed.go
@@ -7,6 +7,7 @@
 
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/pause"
 )
 
 const (
@@ -32,7 +33,7 @@
 	}
 	f := &layoutFeed{Node: n, table: n.Tables(layoutTable), after: n.layoutVersion, readAt: time.Now()}
 	for ctx.Err() == nil {
-		sleep(ctx, f.next(ctx))
+		pause.For(ctx, f.next(ctx))
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -195,12 +195,3 @@
 	defer n.mu.Unlock()
 	return n.storeAnsweredAt, !n.storeUnavailable
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/requests.go
+++ b/node/requests.go
@@ -15,6 +15,7 @@
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/exchange"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -78,7 +79,7 @@
 		if !moved.InTransit || !errors.Is(err, cell.ErrNoJob) {
 			return err
 		}
-		sleep(ctx, ownerRetryInterval) // the other docket accepts it soon
+		pause.For(ctx, ownerRetryInterval) // the other docket accepts it soon
 		if ctx.Err() != nil {
 			return fmt.Errorf("%w: the job is between two dockets", cell.ErrUndecided)
 		}
--- a/ownership/cluster_test.go
+++ b/ownership/cluster_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"persimmonworks.example/persimmonworks/pause"
 )
 
 // node is one start of a process.
@@ -99,8 +101,8 @@
 
 func (p *peerCalls) dial(ctx context.Context, peer string) (*node, error) {
 	p.link.waitWhilePaused()
-	if err := sleep(ctx, time.Millisecond); err != nil {
-		return nil, err
+	if !pause.For(ctx, time.Millisecond) {
+		return nil, ctx.Err()
 	}
 	p.cluster.mu.Lock()
 	n := p.cluster.current[peer]
--- a/ownership/fake_test.go
+++ b/ownership/fake_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/provider"
 )
 
@@ -140,9 +141,12 @@
 	if l.active(&l.cutUntil) {
 		d = time.Hour
 	}
-	err := sleep(ctx, d)
+	goesOn := pause.For(ctx, d)
 	l.waitWhilePaused()
-	return err
+	if !goesOn {
+		return ctx.Err()
+	}
+	return nil
 }
 
 func (l *link) Get(ctx context.Context, key string) (provider.Row, error) {
--- a/ownership/session.go
+++ b/ownership/session.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/provider"
 )
 
@@ -116,14 +117,15 @@
 // not wait for the round.
 func (s *Session) waitForNextRound(ctx context.Context, until time.Time) error {
 	if due := s.nextExpiry(time.Now()); s.isRegistered() && !due.IsZero() && due.Before(until) {
-		if err := sleep(ctx, time.Until(due)); err != nil {
-			return err
+		if !pause.For(ctx, time.Until(due)) {
+			return ctx.Err()
 		}
 		if err := s.observeMembers(ctx); err != nil && ctx.Err() == nil {
 			s.reportError(err)
 		}
 	}
-	return sleep(ctx, time.Until(until))
+	pause.For(ctx, time.Until(until))
+	return ctx.Err()
 }
 
 // round registers or renews the session once, then reads the other sessions if
@@ -315,14 +317,3 @@
 	defer s.mu.Unlock()
 	return d - time.Duration(s.Rand.Int64N(int64(d)/4+1))
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/provider"
 )
 
@@ -127,8 +128,8 @@
 	first := true
 	for batch := range slices.Chunk(cs, h.BatchSize) {
 		if !first {
-			if err := sleep(ctx, h.CommitInterval); err != nil {
-				return err
+			if !pause.For(ctx, h.CommitInterval) {
+				return ctx.Err()
 			}
 		}
 		first = false
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/pause"
 )
 
 const (
@@ -95,7 +96,7 @@
 			return nil
 		}
 		version, _, _ := f.Behind()
-		sleep(ctx, feedTime)
+		pause.For(ctx, feedTime)
 		if f.Source.Version() < version {
 			f.catchUp(ctx)
 		}
@@ -119,7 +120,7 @@
 		f.Log.Emit(event.RoutesBehind, "version", version, "process", address, "from", from, "in-force", f.Source.Version(),
 			"behind-ms", time.Since(begun).Milliseconds(), "error", failure)
 		if f.Source.Version() < version {
-			sleep(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 		}
 	}
 }
@@ -139,12 +140,3 @@
 	}
 	return f.Source.Apply(value)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/soak/client.go
+++ b/soak/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/platform/counterpart"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -47,7 +48,7 @@
 func (c *client) call(ctx context.Context) error {
 	for ctx.Err() == nil {
 		c.handIn(ctx, c.job())
-		pause(ctx, betweenJobs)
+		pause.For(ctx, betweenJobs)
 		c.lookAtOne(ctx)
 	}
 	return nil
@@ -95,7 +96,7 @@
 		default:
 			open = true
 		}
-		pause(ctx, betweenJobs)
+		pause.For(ctx, betweenJobs)
 	}
 	if open {
 		c.unanswered++
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
 
@@ -29,7 +30,7 @@
 var faults = []fault{
 	{"a process is killed", onHost(func(ctx context.Context, h *host, length time.Duration) error {
 		h.kill()
-		pause(ctx, length)
+		pause.For(ctx, length)
 		return h.start()
 	})},
 	{"a process is stopped", onHost(func(_ context.Context, h *host, _ time.Duration) error {
@@ -38,14 +39,14 @@
 	})},
 	{"a process is paused", onHost(func(ctx context.Context, h *host, length time.Duration) error {
 		h.signal(syscall.SIGSTOP)
-		pause(ctx, length)
+		pause.For(ctx, length)
 		h.signal(syscall.SIGCONT)
 		return nil
 	})},
 	{"all processes are killed", killAll},
 	{"the way to the store is broken", onHost(func(ctx context.Context, h *host, length time.Duration) error {
 		h.proxy.Set(counterpart.Way(1 + int(length)%(int(counterpart.Ways)-1)))
-		pause(ctx, length)
+		pause.For(ctx, length)
 		h.proxy.Set(counterpart.Pass)
 		return nil
 	})},
@@ -63,28 +64,28 @@
 	{"the store is away", func(ctx context.Context, r *run, _ *rand.Rand, length time.Duration) error {
 		defer r.disturbAll()()
 		r.store.SetAway(true)
-		pause(ctx, length)
+		pause.For(ctx, length)
 		r.store.SetAway(false)
 		return nil
 	}},
 	{"a worker is cut off", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
 		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
 		w.SetCut(true)
-		pause(ctx, length)
+		pause.For(ctx, length)
 		w.SetCut(false)
 		return nil
 	}},
 	{"a worker restarts", func(ctx context.Context, r *run, rng *rand.Rand, _ time.Duration) error {
 		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
 		w.Crash()
-		pause(ctx, downLeast+time.Duration(rng.Int64N(int64(downLeast))))
+		pause.For(ctx, downLeast+time.Duration(rng.Int64N(int64(downLeast))))
 		w.Restart()
 		return nil
 	}},
 	{"a worker shrinks", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
 		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
 		w.SetCapacity(rng.Int64N(workerMilliCPU), workerMemoryMB)
-		pause(ctx, length)
+		pause.For(ctx, length)
 		w.SetCapacity(workerMilliCPU, workerMemoryMB)
 		return nil
 	}},
@@ -127,7 +128,7 @@
 		h.kill()
 	}
 	r.fleet.AllProcessesKilled()
-	pause(ctx, length/2)
+	pause.For(ctx, length/2)
 	for _, h := range r.hosts {
 		if err := h.start(); err != nil {
 			return err
@@ -149,7 +150,7 @@
 		r.faults = append(r.faults, fmt.Sprintf("%v %s, %v", time.Since(begun).Round(time.Millisecond), f.name, length.Round(time.Millisecond)))
 		r.mu.Unlock()
 		group.Go(func() error { return f.do(ctx, r, drawn, length) })
-		pause(ctx, time.Duration(rng.Int64N(int64(betweenFaults))))
+		pause.For(ctx, time.Duration(rng.Int64N(int64(betweenFaults))))
 	}
 	err := group.Wait()
 	r.store.SetAway(false)
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
 
@@ -60,7 +61,7 @@
 			return fmt.Errorf("configuration %d: %w", o.version, err)
 		}
 		o.acknowledge(x, dropped)
-		pause(ctx, time.Duration(o.rng.Int64N(int64(betweenChanges))))
+		pause.For(ctx, time.Duration(o.rng.Int64N(int64(betweenChanges))))
 	}
 	return nil
 }
@@ -107,7 +108,7 @@
 	const stream = 3
 	rng := rand.New(rand.NewPCG(o.Seed, stream))
 	for ctx.Err() == nil {
-		pause(ctx, betweenProbes)
+		pause.For(ctx, betweenProbes)
 		o.mu.Lock()
 		recent := o.paths[max(0, len(o.paths)-pathsProbed):]
 		o.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,7 @@
 
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/fleettest"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
 
@@ -141,7 +142,7 @@
 // story lets the processes start, breaks things while callers call, and waits for
 // all that was accepted.
 func (r *run) story(ctx context.Context) error {
-	pause(ctx, startUp)
+	pause.For(ctx, startUp)
 	calling, stop := context.WithTimeout(ctx, r.Length)
 	defer stop()
 	var group errgroup.Group
@@ -179,7 +180,7 @@
 					r.fault("job %s was accepted and is %q %v after the last fault", j.GetJob(), state, settle)
 					break
 				}
-				pause(ctx, look)
+				pause.For(ctx, look)
 			}
 		}
 	}
@@ -231,12 +232,3 @@
 	}
 	return report
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
