fleettest, soak: an end that was confirmed after the worker's lease had lapsed does not bind for good

Cause: the machine stood still for 5 s twice (logs of all six processes have the same gaps). Change: the ledger keeps up to which end the lease had lapsed; a lease that has lapsed is noticed also where the timer is late, so a stand-in works no longer than its lease. The soak takes a machine that stood still for a pause of all processes, for the promises in time.

--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -277,6 +277,7 @@
 }
 
 func (f *Fleet) finish(w *Worker, t docket.TaskID, x *work) {
+	w.checkLease()
 	how := wire.DocketOutcome_DOCKET_OUTCOME_DONE
 	if f.Fails != nil && f.Fails(t, w.host.ID, x.run) {
 		how = wire.DocketOutcome_DOCKET_OUTCOME_FAILED
@@ -314,8 +315,10 @@
 	}
 }
 
-func (f *Fleet) confirmed(_ *Worker, e cell.EndedTask) {
-	if e.Outcome == wire.DocketOutcome_DOCKET_OUTCOME_DONE {
+// confirmed notes that an end was confirmed. It counts for good unless the worker's lease
+// lapsed in between: then the task may have been started elsewhere before.
+func (f *Fleet) confirmed(w *Worker, e cell.EndedTask) {
+	if e.Outcome == wire.DocketOutcome_DOCKET_OUTCOME_DONE && e.Sequence > w.lapsedThrough {
 		f.noted[e.Task] = true
 	}
 }
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -36,12 +36,14 @@
 	running  map[docket.TaskID]*work
 	ended    []cell.EndedTask
 	number   uint64
-	barred   map[docket.TaskID]uint32 // runs up to it are refused
-	wake     chan struct{}
-	lapse    *time.Timer
-	lives    int             // processes so far that had a name of their own
-	roomWas  resource.Vector // capacity that still counts until roomTill, after the worker has shrunk
-	roomTill time.Time
+	// lapsedThrough is the last end that was listed when the lease lapsed.
+	lapsedThrough uint64
+	barred        map[docket.TaskID]uint32 // runs up to it are refused
+	wake          chan struct{}
+	lapse         *time.Timer
+	lives         int             // processes so far that had a name of their own
+	roomWas       resource.Vector // capacity that still counts until roomTill, after the worker has shrunk
+	roomTill      time.Time
 }
 
 // work is a run on a worker.
@@ -159,7 +161,7 @@
 	w.up, w.started = true, time.Now()
 	w.born = time.Now().UnixMilli()
 	w.host.StartedMS = w.born
-	w.fence, w.number, w.deadline = 0, 0, time.Time{}
+	w.fence, w.number, w.lapsedThrough, w.deadline = 0, 0, 0, time.Time{}
 	w.running, w.ended, w.barred = map[docket.TaskID]*work{}, nil, map[docket.TaskID]uint32{}
 	w.wake = make(chan struct{})
 }
@@ -186,6 +188,7 @@
 
 // extend takes a deadline on the worker's clock.
 func (w *Worker) extend(deadlineMS int64) {
+	w.checkLease()
 	if deadlineMS == 0 {
 		return
 	}
@@ -203,15 +206,25 @@
 	w.lapse = time.AfterFunc(time.Until(w.deadline), func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
-		if w.born != life || !w.up || time.Now().Before(w.deadline) {
-			return
-		}
-		for t, x := range w.running {
-			w.end(t, x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, false)
+		if w.born == life && w.up {
+			w.checkLease()
 		}
 	})
 }
 
+// checkLease ends what runs here if the lease has lapsed, also where the timer is late.
+// Ends that are listed by then do not count as confirmed later.
+func (w *Worker) checkLease() {
+	if w.deadline.IsZero() || time.Now().Before(w.deadline) {
+		return
+	}
+	w.deadline = time.Time{}
+	for t, x := range w.running {
+		w.end(t, x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, false)
+	}
+	w.lapsedThrough = w.number
+}
+
 // end needs the lock.
 func (w *Worker) end(t docket.TaskID, x *work, how wire.DocketOutcome, alone bool) {
 	if w.running[t] != x {
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -15,6 +15,7 @@
 const (
 	betweenChanges = 1200 * time.Millisecond // at most
 	betweenProbes  = 60 * time.Millisecond
+	stalledAfter   = 500 * time.Millisecond // by so much a pause is too long if the machine stands still
 	probeTimeout   = time.Second
 	pathsMost      = 4               // that exist beside those of the callers
 	pathsProbed    = 12              // the newest ones
@@ -108,7 +109,7 @@
 	const stream = 3
 	rng := rand.New(rand.NewPCG(o.Seed, stream))
 	for ctx.Err() == nil {
-		pause.For(ctx, betweenProbes)
+		o.pauseProbes(ctx)
 		o.mu.Lock()
 		recent := o.paths[max(0, len(o.paths)-pathsProbed):]
 		o.mu.Unlock()
@@ -126,6 +127,16 @@
 	return nil
 }
 
+// pauseProbes waits between two probes. A machine that stands still meanwhile has paused
+// all processes.
+func (o *operator) pauseProbes(ctx context.Context) {
+	begun := time.Now()
+	pause.For(ctx, betweenProbes)
+	if time.Since(begun) > betweenProbes+stalledAfter {
+		o.disturbAll()()
+	}
+}
+
 // judge judges whether the answer to a request for a path, served or not, can be that of
 // the version that has to be in force.
 func (o *operator) judge(h *host, life int, calm bool, x *path, sent time.Time, served bool) {
