--- a/cell/isolate_test.go
+++ b/cell/isolate_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,28 +31,36 @@
 		batchEvery  = 5 // ticks
 	)
 	rng := rand.New(rand.NewPCG(4, 4))
-	crashes, durations := map[string]bool{}, map[string]time.Duration{}
+	var crashes, durations sync.Map // by job: read by the workers
 	b.fleet.Crashes = func(t docket.TaskID) time.Duration {
-		if crashes[t.Job] {
+		if _, ok := crashes.Load(t.Job); ok {
 			return 10 * time.Millisecond
 		}
 		return 0
 	}
-	b.fleet.Takes = func(t docket.TaskID) time.Duration { return durations[t.Job] }
-	next := func(takes time.Duration) string {
-		name := fmt.Sprintf("%016x", b.jobs+1)
-		durations[name] = takes
-		return name
+	b.fleet.Takes = func(t docket.TaskID) time.Duration {
+		d, ok := durations.Load(t.Job)
+		if !ok {
+			return 3 * time.Second
+		}
+		return d.(time.Duration)
+	}
+	next := func(takes time.Duration) (job string) {
+		job = fmt.Sprintf("%016x", b.jobs+1)
+		durations.Store(job, takes)
+		return job
 	}
 	var innocent []string
 	begun := time.Now()
 	for n := 0; time.Since(begun) < calm+lasts; n++ {
-		name := next(700 * time.Millisecond)
-		crashes[name] = time.Since(begun) > calm && rng.Float64() < deadly
-		switch job, err := b.trySubmit(f.queueOf(n), 0, tasks(2, 1400)); {
+		job, kills := next(700*time.Millisecond), time.Since(begun) > calm && rng.Float64() < deadly
+		if kills {
+			crashes.Store(job, true)
+		}
+		switch _, err := b.trySubmit(f.queueOf(n), 0, tasks(2, 1400)); {
 		case err != nil:
 			f.refused++
-		case crashes[job]:
+		case kills:
 			f.accepted++
 		default:
 			f.accepted++
@@ -96,8 +105,6 @@
 		f.play(b)
 		const fades = 20 * time.Second // of the evidence, and of what is refused meanwhile
 		time.Sleep(fades)
-		b.fleet.Crashes = nil
-		b.fleet.Takes = func(docket.TaskID) time.Duration { return 3 * time.Second }
 		job := b.submitTo("lookup", 0, tasks(32, 15000))
 		time.Sleep(time.Second)
 		if n := b.fleet.Running(job); n != 32 {
