cell, crash: urgent kinds that are isolated keep what they used, and isolation ends sooner

Change: urgent kinds get twice the share that they used before, up to half of the pool; isolation ends when one crash in some 2.5 s is left.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -115,6 +115,7 @@
 	c.runs = map[docket.TaskID]*run{}
 	c.readySteps = map[docket.StepID]*readyStep{}
 	c.startTimes = map[string]time.Time{}
+	c.isolation.used = map[string]float64{}
 	c.startedAt = time.Now()
 	c.commits.wake = make(chan struct{}, 1)
 	c.commits.lastCommitSentAt = time.Now()
--- a/cell/isolate.go
+++ b/cell/isolate.go
@@ -39,9 +39,20 @@
 // counted the workers that are set aside and the steps that wait for them.
 type isolation struct {
 	crash.Isolation
-	untried, trials int // workers that are set aside, by use
-	waiting         int // steps of isolated kinds of which nothing runs
-	asking          int // steps of isolated kinds that were to ask for advice in this pass
+	used            map[string]float64 // share of the pool that urgent tasks of each isolated kind used before
+	untried, trials int                // workers that are set aside, by use
+	waiting         int                // steps of isolated kinds of which nothing runs
+	asking          int                // steps of isolated kinds that were to ask for advice in this pass
+}
+
+// urgentWork returns the share of the pool that urgent tasks of the isolated kinds used
+// before.
+func (i *isolation) urgentWork() float64 {
+	sum := 0.0
+	for _, share := range i.used {
+		sum += share
+	}
+	return sum
 }
 
 // aside returns how many workers are set aside.
@@ -79,6 +90,7 @@
 	w.refused = true
 	e := crash.Ended{Recent: w.recentKinds(now), Shares: c.recentShares(now)}
 	for _, kind := range c.isolation.Note(e, now) {
+		c.isolation.used[kind] = c.urgentShare(kind)
 		c.Meter.Count("isolation", "begun")
 		c.Log.Emit(event.KindIsolated, "queue", kind, "worker", w.host.ID, "share", e.Shares[kind], "epoch", c.Epoch())
 	}
@@ -128,6 +140,7 @@
 	for _, kind := range c.isolation.Expire(now) {
 		c.Meter.Count("isolation", "ended")
 		c.Log.Emit(event.KindReleased, "queue", kind, "epoch", c.Epoch())
+		delete(c.isolation.used, kind)
 	}
 	i := &c.isolation
 	if !i.Any() {
@@ -137,7 +150,7 @@
 		return
 	}
 	existing := c.countIsolated()
-	limit := crash.IsolatedWorkers(existing, c.otherWork(now))
+	limit := crash.IsolatedWorkers(existing, i.urgentWork(), c.otherWork(now))
 	if i.aside() > limit {
 		c.returnWorkers(limit)
 		return
@@ -212,15 +225,31 @@
 	return workers
 }
 
-// otherWork returns the share of the pool's processors that kinds use or wait for that
-// are not isolated, at most 1. Jobs that end too late to be worth anything do not count.
-func (c *Cell) otherWork(now time.Time) float64 {
-	var capacity, work int64
+// urgentShare returns the share of the pool's processors that urgent runs of the kind use.
+func (c *Cell) urgentShare(kind string) float64 {
+	used := int64(0)
+	for _, x := range c.runs {
+		if k, ok := kindOf(x.queue, x.shape); ok && k == kind && x.priority == 0 {
+			used += demand(x.shape).MilliCPU
+		}
+	}
+	return float64(used) / float64(max(1, c.processors()))
+}
+
+// processors returns the capacity of all workers, in milli-cores.
+func (c *Cell) processors() (milliCPU int64) {
 	for _, w := range c.workers {
 		if w.exists() {
-			capacity += w.host.Capacity.MilliCPU
+			milliCPU += w.host.Capacity.MilliCPU
 		}
 	}
+	return milliCPU
+}
+
+// otherWork returns the share of the pool's processors that kinds use or wait for that
+// are not isolated, at most 1. Jobs that end too late to be worth anything do not count.
+func (c *Cell) otherWork(now time.Time) float64 {
+	work := int64(0)
 	for _, x := range c.runs {
 		if !c.isolates(x.queue, x.shape) {
 			work += demand(x.shape).MilliCPU
@@ -231,7 +260,7 @@
 			work += demand(s.shape).MilliCPU * int64(len(s.startableTasks()))
 		}
 	}
-	return min(1, float64(work)/float64(max(1, capacity)))
+	return min(1, float64(work)/float64(max(1, c.processors())))
 }
 
 // mayAskApart reports whether the step may ask for advice, as far as isolated kinds are
--- a/crash/isolation.go
+++ b/crash/isolation.go
@@ -14,15 +14,15 @@
 
 	isolateAt    = 7.0                     // log likelihood ratio at which a kind is isolated, odds of 1000 to 1
 	maxEvidence  = 10.0                    // more is not kept, so that isolation ends in time
-	releaseBelow = 1.0                     // log likelihood ratio at which isolation ends
+	releaseBelow = 4.0                     // log likelihood ratio at which isolation ends
 	forgetBelow  = 0.01                    // log likelihood ratio below which evidence is dropped
 	halfLife     = 2500 * time.Millisecond // of evidence
 
 	// minIsolated is the share of the workers that isolated kinds may always use, and
 	// maxIsolated the most while there is other work.
 	minIsolated, maxIsolated = 0.25, 0.5
-	// usableShare is the share of its workers' processors that other work can use: whole
-	// tasks leave gaps.
+	// usableShare is the share of workers' processors that work can use: whole tasks leave
+	// gaps.
 	usableShare = 0.85
 )
 
@@ -121,13 +121,13 @@
 }
 
 // IsolatedWorkers returns how many of the workers isolated kinds may use, those that they
-// have just crashed included. others is the share of the pool that all other work uses or
-// waits for. Isolated kinds get what that leaves, within bounds: they always get some,
-// and other work keeps workers to choose from.
-func IsolatedWorkers(workers int, others float64) int {
+// have just crashed included. urgent is the share of the pool that urgent kinds among them
+// used before, others the share that all other work uses or waits for. Urgent kinds get
+// twice what they used, once for tasks on trial; all get what other work leaves.
+func IsolatedWorkers(workers int, urgent, others float64) int {
 	share := 1.0
 	if others > 0 {
-		share = min(maxIsolated, max(minIsolated, 1-others/usableShare))
+		share = max(minIsolated, min(maxIsolated, max(2*urgent/usableShare, 1-others/usableShare)))
 	}
 	return max(1, int(share*float64(workers)))
 }
--- a/crash/isolation_test.go
+++ b/crash/isolation_test.go
@@ -110,12 +110,22 @@
 
 func TestIsolatedWorkers(t *testing.T) {
 	for _, c := range []struct {
-		workers int
-		others  float64
-		want    int
-	}{{48, 1, 12}, {48, 0.8, 12}, {48, 0.51, 19}, {48, 0.1, 24}, {48, 0, 48}, {2, 0.9, 1}, {0, 0, 1}} {
-		if n := crash.IsolatedWorkers(c.workers, c.others); n != c.want {
-			t.Errorf("IsolatedWorkers(%d, %v) = %d, want %d", c.workers, c.others, n, c.want)
+		workers        int
+		urgent, others float64
+		want           int
+	}{
+		{48, 0.1, 1, 12},
+		{48, 0.1, 0.8, 12},
+		{48, 0.17, 1, 19},
+		{48, 0.1, 0.51, 19},
+		{48, 0.6, 1, 24},
+		{48, 0.1, 0.1, 24},
+		{48, 0.1, 0, 48},
+		{2, 0, 0.9, 1},
+		{0, 0, 0, 1},
+	} {
+		if n := crash.IsolatedWorkers(c.workers, c.urgent, c.others); n != c.want {
+			t.Errorf("IsolatedWorkers(%d, %v, %v) = %d, want %d", c.workers, c.urgent, c.others, n, c.want)
 		}
 	}
 }
