cell: what isolated kinds have waiting is no load to move to another docket

A docket that had isolated a kind moved its waiting jobs to the next docket, which had to lose workers before it isolated the kind too; a worker that started again under its name stayed set aside.

--- a/cell/balance.go
+++ b/cell/balance.go
@@ -69,6 +69,9 @@
 		}
 	}
 	for _, s := range c.readySteps {
+		if c.isolates(s.queue.GetName(), s.shape) {
+			continue // most workers may not run it
+		}
 		work += float64(demand(s.shape).MilliCPU) * float64(len(s.startableTasks()))
 	}
 	return capacity, work
@@ -78,6 +81,9 @@
 func (c *Cell) offload(to int, remaining float64, now time.Time) {
 	steps := make([]*readyStep, 0, len(c.readySteps))
 	for _, s := range c.readySteps {
+		if c.isolates(s.queue.GetName(), s.shape) {
+			continue // another docket would have to find out by crashes
+		}
 		if movable(s.job) && s.adviceInFlight == 0 && now.Sub(s.readyAt) > offloadMinWait {
 			steps = append(steps, s)
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -344,7 +344,7 @@
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "worker restarted")
 	}
 	w.incarnation, w.reconciled = incarnation, false
-	w.answeredAt, w.processEnded, w.expired = "", false, nil
+	w.answeredAt, w.processEnded, w.expired, w.aside = "", false, nil, forAll
 	w.endsSeen, w.endsStored = 0, 0
 	w.leaseDeadlineMS, w.clockMS = 0, 0
 	w.lastHeard = time.Time{}
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -1,4 +1,5 @@
-// Package crash decides which tasks may have crashed a worker, and which is given up.
+// Package crash decides which tasks may have crashed a worker, which is given up, and
+// which kinds of task are kept apart from all others.
 //
 // When the process of a worker ends without notice, the scheduler knows what ran there,
 // not what was the cause. A run that had not settled, which means that the worker had not
@@ -27,8 +28,9 @@
 //     under it, if the workers answer its starts; any other task that crashes its
 //     workers, with the fourth at the latest.
 //
-// The functions are pure. Counts belong to the caller, who has to keep them for the
-// next owner of the tasks.
+// Judge and TrialFor are pure. Counts belong to the caller, who has to keep them for the
+// next owner of the tasks. Isolation is about kinds instead of tasks, works from signs
+// that come seconds before a proof, and is begun anew by each owner.
 //
 // Usage:
 //
@@ -36,6 +38,10 @@
 //		if j.Verdict == crash.Cause { giveUp(runs[i].Task) }
 //	}
 //	if crash.TrialFor(history) == crash.Alone { ... }
+//
+//	var isolation crash.Isolation
+//	isolation.Note(crash.Ended{Recent: recent, Shares: shares}, now)
+//	if isolation.Isolated(kind) { ... }
 package crash
 
 import "slices"
