chain: in the older scheduler, lost and regained reads of the configuration are logged

The publisher waits with pause.For. Evidence: TestLostChainIsLoggedOnce, red before (no event), green after.

--- a/chain/chain_test.go
+++ b/chain/chain_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"persimmonworks.example/persimmonworks/chain/chaintest"
+	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/pool"
 	"persimmonworks.example/persimmonworks/provider"
 )
@@ -225,3 +228,49 @@
 		t.Errorf("history %v, %v", entries, err)
 	}
 }
+
+// recorder keeps the names of events.
+type recorder struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (r *recorder) Emit(e *event.Event, _ ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = append(r.names, e.Name)
+}
+
+// Failed polls were dropped, so nothing told a process that hears of no change from one
+// that cannot read it.
+func TestLostChainIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		table := chaintest.Table{Fault: func(string) chaintest.Fault {
+			if down.Load() {
+				return chaintest.Unavailable
+			}
+			return chaintest.None
+		}}
+		var log recorder
+		f := &Follower{Reader: &table, Log: &log}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return f.Run(ctx) })
+		for range 2 {
+			time.Sleep(5 * time.Second)
+			down.Store(true)
+			time.Sleep(5 * time.Second)
+			down.Store(false)
+		}
+		time.Sleep(5 * time.Second)
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		want := []string{"feed-lost", "feed-regained", "feed-lost", "feed-regained"}
+		if !slices.Equal(log.names, want) {
+			t.Errorf("events %v, want %v", log.names, want)
+		}
+	})
+}
--- a/chain/follower.go
+++ b/chain/follower.go
@@ -194,8 +194,9 @@
 // configuration stays in force.
 func (f *Follower) Run(ctx context.Context) error {
 	var reported uint64
+	failures := 0
 	for {
-		_ = f.Poll(ctx)
+		failures = f.reportPoll(ctx, f.Poll(ctx), failures)
 		if number, behind := f.Behind(); behind && number != reported && ctx.Err() == nil {
 			f.emit(event.ConfigBehind, "number", number, "in-force", f.Number())
 			reported = number
@@ -206,6 +207,21 @@
 	}
 }
 
+// reportPoll logs when polls begin to fail and when they succeed again. It returns how
+// many have failed since the last success.
+func (f *Follower) reportPoll(ctx context.Context, err error, failures int) int {
+	if err == nil {
+		if failures > 0 {
+			f.emit(event.FeedRegained, "table", "chain", "version", f.Number(), "failures", failures)
+		}
+		return 0
+	}
+	if failures == 0 && ctx.Err() == nil {
+		f.emit(event.FeedLost, "table", "chain", "version", f.Number(), "error", err)
+	}
+	return failures + 1
+}
+
 func (f *Follower) pause(ctx context.Context) bool {
 	every := f.PollInterval
 	if every == 0 {
--- a/chain/publisher.go
+++ b/chain/publisher.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/pool"
 	"persimmonworks.example/persimmonworks/provider"
 )
@@ -215,18 +216,11 @@
 }
 
 func (p *Publisher) wait(ctx context.Context) bool {
-	pause := p.RetryDelay
-	if pause == 0 {
-		pause = publishRetryDelay
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+	delay := p.RetryDelay
+	if delay == 0 {
+		delay = publishRetryDelay
 	}
+	return pause.For(ctx, delay)
 }
 
 // asUnavailable converts the failure of a read before the first Commit into
