--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -188,6 +188,9 @@
 		if err := b.group.Wait(); err != nil && !errors.Is(err, errKilled) {
 			t.Error(err)
 		}
+		if t.Failed() {
+			b.logWarnings()
+		}
 	})
 	for i := range b.processes {
 		b.waitFor("ready", func() bool {
@@ -198,6 +201,18 @@
 	return b
 }
 
+// logWarnings logs what the processes warned of, the latest lines.
+func (b *cluster) logWarnings() {
+	const most = 60
+	var lines []string
+	for line := range strings.Lines(b.log.String()) {
+		if !strings.Contains(line, `"level":"debug"`) && !strings.Contains(line, `"level":"info"`) {
+			lines = append(lines, line)
+		}
+	}
+	b.t.Logf("%d warnings, the last:\n%s", len(lines), strings.Join(lines[max(0, len(lines)-most):], ""))
+}
+
 func (b *cluster) start(centres []string) {
 	b.t.Helper()
 	var names []string
