cell: the workers are kept in the order of their names

A profile of a cell with 550 workers under the large site's load had 30 % of its time in listing and sorting them, once a pass. Change: a slice in order beside the map, so that a pass sorts nothing.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -228,9 +228,10 @@
 	c.requestPass()
 }
 
+// schedulableWorkers returns the workers on which tasks may be started, by name.
 func (c *Cell) schedulableWorkers(now time.Time) []*worker {
-	var accepting []*worker
-	for _, w := range c.workers {
+	accepting := make([]*worker, 0, len(c.byName))
+	for _, w := range c.byName {
 		if c.acceptsStarts(w, now) {
 			accepting = append(accepting, w)
 		}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -85,7 +85,8 @@
 	ctx             context.Context
 	startedAt       time.Time
 	commits         commitLog
-	workers         map[string]*worker
+	workers         map[string]*worker // by name
+	byName          []*worker          // the same in the order of names
 	runs            map[docket.TaskID]*run
 	readySteps      map[docket.StepID]*readyStep
 	quarantine      quarantine.Tracker
--- a/cell/place.go
+++ b/cell/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"persimmonworks.example/persimmonworks/crash"
@@ -28,7 +27,6 @@
 	}
 	c.dirty = false
 	accepting := c.schedulableWorkers(now)
-	slices.SortFunc(accepting, func(v, w *worker) int { return strings.Compare(v.host.ID, w.host.ID) })
 	steps := make([]*readyStep, 0, len(c.readySteps))
 	for _, s := range c.readySteps {
 		steps = append(steps, s)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"persimmonworks.example/persimmonworks/docket"
@@ -65,10 +67,26 @@
 	if !ok {
 		w = &worker{host: Host{ID: id}, runs: map[docket.TaskID]*run{}, wake: make(chan struct{}, 1)}
 		c.workers[id] = w
+		at, _ := c.position(id)
+		c.byName = slices.Insert(c.byName, at, w)
 	}
 	return w
 }
 
+// position returns where the worker stands, or would stand, in byName.
+func (c *Cell) position(id string) (int, bool) {
+	return slices.BinarySearchFunc(c.byName, id, func(w *worker, id string) int { return strings.Compare(w.host.ID, id) })
+}
+
+// removeWorker forgets a worker.
+func (c *Cell) removeWorker(w *worker) {
+	delete(c.workers, w.host.ID)
+	if at, ok := c.position(w.host.ID); ok {
+		c.byName = slices.Delete(c.byName, at, at+1)
+	}
+	c.quarantine.RemoveWorker(w.host.ID)
+}
+
 // updateFleet applies the list of workers. It is called from another goroutine.
 func (c *Cell) updateFleet(hosts []Host) {
 	c.loop.Post(func() {
@@ -171,8 +189,7 @@
 	if !w.inFleet && len(w.runs) == 0 && time.Since(w.unlistedSince) > forgetAfter && time.Since(w.lastHeard) > silenceTimeout {
 		w.holdLoopRunning = false
 		c.append(docket.ReachWorker(w.host.ID, "", 0), nil)
-		delete(c.workers, w.host.ID)
-		c.quarantine.RemoveWorker(w.host.ID)
+		c.removeWorker(w)
 		return o, h, true
 	}
 	o = HoldRequest{Epoch: c.Epoch(), Confirmed: w.endsStored, Wait: holdWait}
