--- a/review/stand/gangfail.go
+++ b/review/stand/gangfail.go
@@ -47,7 +47,7 @@
 	state := w.client.state(ctx, gang.id)
 	runs, most := failures(w.pool.history(gang.id))
 	if state != "failed" {
-		return fmt.Sprintf("LOST: job %s has not ended, it is shown as %q", gang.id, state), nil
+		return "", fmt.Errorf("job %s has not ended in time, it is shown as %q", gang.id, state)
 	}
 	if runs >= gangAttempts || most >= gangAttempts {
 		return "", nil // it is shown as failed with cause
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -83,11 +83,14 @@
 	running  map[taskName]*run
 	ended    []endRow
 	number   uint64
-	barred   map[taskName]int // runs up to it are rejected
-	lastBeat time.Time
-	listed   bool
-	sequence int
-	news     chan struct{} // closed at the next end
+	// lapsedThrough is the last end that was listed when the lease lapsed. Ends up to it
+	// don't count as taken note of afterwards.
+	lapsedThrough uint64
+	barred        map[taskName]int // runs up to it are rejected
+	lastBeat      time.Time
+	listed        bool
+	sequence      int
+	news          chan struct{} // closed at the next end
 }
 
 type run struct {
@@ -149,7 +152,7 @@
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	r.up, r.life, r.began, r.born = true, r.life+1, time.Now(), time.Now().UnixMilli()
-	r.fence, r.deadline, r.number, r.ended = 0, time.Time{}, 0, nil
+	r.fence, r.deadline, r.number, r.lapsedThrough, r.ended = 0, time.Time{}, 0, 0, nil
 	r.running, r.barred = map[taskName]*run{}, map[taskName]int{}
 	r.news = make(chan struct{})
 	r.lastBeat = time.Time{}
@@ -225,6 +228,7 @@
 		for _, x := range r.running {
 			r.end(x, lapsed)
 		}
+		r.lapsedThrough = r.number
 	}
 	for _, x := range r.running {
 		switch {
@@ -477,7 +481,9 @@
 		if e.number > acked {
 			return false
 		}
-		r.pool.event(r, "noted", e.task, e.run)
+		if e.number > r.lapsedThrough {
+			r.pool.event(r, "noted", e.task, e.run)
+		}
 		return true
 	})
 }
