docket: a run of a gang in which several members fail is one failure

Cause: failTask copied the count of the first failed member to all others, and the second failed member of the same run counted on top of it. Ruled out: ends applied twice (endRun needs an active run), crashes (counted once a run). The stand-in workers now fail all their members of a run.

--- a/cell/gangs_test.go
+++ b/cell/gangs_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,23 @@
 		}
 	})
 }
+
+// A worker fails all of its members of a gang in one run. That is one failure of the
+// gang, which runs again, also if the owner changes between the two ends.
+func TestGangRunsAgainAfterSeveralMembersFailed(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", takeOver), func(t *testing.T) {
+			run(t, 3, func(b *harness) {
+				b.fleet.Fails = func(_ docket.TaskID, _ string, run uint32) bool { return run == 1 }
+				job := b.submit(gang(9, 5000)) // three on each worker, and three attempts
+				time.Sleep(700 * time.Millisecond)
+				if takeOver {
+					b.stop()
+					time.Sleep(time.Second) // the run fails meanwhile
+					b.takeOver()
+				}
+				b.waitForState(job, docket.Completed, 8*time.Second)
+			})
+		})
+	}
+}
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -243,27 +243,35 @@
 	}
 }
 
-// failTask counts a failed run and fails the job when its attempts are used up. The
-// members of a gang fail together, so each run counts once for all of them.
+// failTask counts a failed run and fails the job when its attempts are used up.
 func (d *Docket) failTask(j *Job, step *Step, t *Task, shape *wire.DocketStep, endedAt int64) {
 	if t.done || shape.GetLongRunning() {
 		return
 	}
-	t.failures++
 	t.failedOn = t.worker
+	if t.failedRun == t.run {
+		return // another member of the gang has failed in the same run
+	}
+	t.failures++
+	t.failedRun = t.run
 	if shape.GetGang() {
-		for i := range step.tasks {
-			member := &step.tasks[i]
-			if member != t && member.run == t.run && member.failures < t.failures {
-				member.failures = t.failures
-			}
-		}
+		step.shareFailure(t)
 	}
 	if t.failures >= j.accepted.GetQueue().GetMaxAttempts() && !j.Terminal() {
 		d.endJob(j, Failed, endedAt)
 	}
 }
 
+// shareFailure counts the failed run of a member for all members of its gang, which fail
+// together.
+func (s *Step) shareFailure(t *Task) {
+	for i := range s.tasks {
+		if member := &s.tasks[i]; member.run == t.run {
+			member.failures, member.failedRun = max(member.failures, t.failures), t.run
+		}
+	}
+}
+
 // recordCrash counts the end of a worker's process under a run, once for each run, and
 // fails the job if the task is given up. The end of the run itself is another entry.
 func (d *Docket) recordCrash(c *wire.DocketCrashed, sequence uint64) error {
--- a/docket/docket_test.go
+++ b/docket/docket_test.go
@@ -163,3 +163,52 @@
 		t.Errorf("%d crashes, %d suspicions after a snapshot, want 1 and 1", crashes, suspicions)
 	}
 }
+
+// A worker that fails has several members of a gang fail in one run. The gang has then
+// failed once, whatever the order of the ends, and also if a snapshot lies between them.
+func TestMembersFailingInOneRunAreOneFailure(t *testing.T) {
+	const members = 3
+	for _, snapshot := range []bool{false, true} {
+		t.Run(fmt.Sprintf("snapshot %v", snapshot), func(t *testing.T) {
+			d := docket.New()
+			apply := func(e *wire.DocketEntry) {
+				t.Helper()
+				if err := d.Apply(e, 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			apply(docket.Accept(newJob("a", 2, &wire.DocketStep{Count: members, Gang: true})))
+			for run := uint32(1); run <= 2; run++ {
+				for i := range uint32(members) {
+					apply(docket.Start(docket.TaskID{Job: "a", Index: i}, run, "w", 1))
+				}
+				for i := range uint32(members) {
+					if j, _ := d.Job("a"); j.State() != docket.Running && run == 1 {
+						t.Fatalf("%s after %d members failed in one run of 2 attempts", j.State(), i)
+					}
+					apply(docket.End(docket.TaskID{Job: "a", Index: i}, run, wire.DocketOutcome_DOCKET_OUTCOME_FAILED, "", 10))
+					if !snapshot {
+						continue
+					}
+					restored := docket.New()
+					for _, e := range d.Snapshot() {
+						if err := restored.Apply(e, 1); err != nil {
+							t.Fatal(err)
+						}
+					}
+					d = restored
+				}
+				j, _ := d.Job("a")
+				want := map[uint32]docket.State{1: docket.Running, 2: docket.Failed}[run]
+				if j.State() != want {
+					t.Errorf("%s after run %d, want %s", j.State(), run, want)
+				}
+				for i := range uint32(members) {
+					if n := j.Task(docket.TaskID{Job: "a", Index: i}).Failures(); n != run {
+						t.Errorf("member %d has %d failures after run %d", i, n, run)
+					}
+				}
+			}
+		})
+	}
+}
--- a/docket/job.go
+++ b/docket/job.go
@@ -97,6 +97,7 @@
 type Task struct {
 	run             uint32
 	failures        uint32
+	failedRun       uint32 // the newest run that was counted as a failure
 	done            bool
 	active          bool
 	worker          string
@@ -125,7 +126,7 @@
 // Checkpoint returns the newest checkpoint, or "" if there is none.
 func (t *Task) Checkpoint() string { return t.checkpoint }
 
-// Failures returns the number of failed runs.
+// Failures returns the number of failed runs, those of its gang if it is a member of one.
 func (t *Task) Failures() uint32 { return t.failures }
 
 // FailedOn returns the worker of the newest failed run, or "" if there is none.
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -307,7 +307,10 @@
 	}
 	for _, m := range f.members(t, x.run) {
 		other := how
-		if how != wire.DocketOutcome_DOCKET_OUTCOME_DONE {
+		switch {
+		case how == wire.DocketOutcome_DOCKET_OUTCOME_FAILED && m.w == w && f.Fails(m.t, w.host.ID, x.run):
+			// The worker fails all its members of the run.
+		case how != wire.DocketOutcome_DOCKET_OUTCOME_DONE:
 			other = wire.DocketOutcome_DOCKET_OUTCOME_STOPPED
 		}
 		m.x.gang = false
