platform: entries of the list of workers are checked before they are believed

Reported by other operators: one odd entry ended or stopped the machines that read the list. Seen here: reading ends no process (deep nesting and numbers beyond the type are errors of the decoder, and only the entry is left out), but 18 of 24 odd entries and 5 of 5 odd names were believed: ports out of range, capacities at the edge of the range or below 0, starts after all time, labels larger than a row. A capacity at the edge wraps around in sums of free capacity; a label of 70 KB as a rack would make the layout too large to be stored. Change: addresses, capacities, starts, labels and names are checked in the decoder; a rejected entry is logged once and counted, also for a worker that was never known. A known worker stays as it was, without new tasks after the grace for unlisted ones.

--- a/command/node.go
+++ b/command/node.go
@@ -92,7 +92,7 @@
 			Name: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Address: s.Exchange, DataCentre: s.DataCentre, Cores: s.Cores,
 		},
 		Tables: store.Table, WriteRate: s.Writes, Orders: &platform.Orders{}, Advisor: &platform.Advisor{Address: s.Advisor},
-		Fleet: &platform.Fleet{Store: store, Log: log}, Log: log, Meter: flow, Limits: s.Limits,
+		Fleet: &platform.Fleet{Store: store, Log: log, Meter: flow}, Log: log, Meter: flow, Limits: s.Limits,
 		Configuration: sharedRoutes{routes, newest},
 	}
 	n.Prepare()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -142,6 +142,7 @@
 	CallAnswered       = define(2261, Info, "call-answered", "A caller's request was answered.", "none")
 	CallFailed         = define(2262, Warn, "call-failed", "The outcome of a call could not be determined; the caller was told so.", "Follow `job` in the logs of the owner.")
 	SettingsRead       = define(2271, Info, "settings-read", "The settings file was read after a hangup signal; changes take effect at the next start.", "Stop the process if `changed` is true and the change is urgent.")
+	EntryRejected      = define(2246, Warn, "worker-entry-rejected", "An entry of the list of workers says what no worker can say of itself; it is not used. A worker that was known stays as it was, but gets no new tasks.", "Check who wrote it: see `error`.")
 	EntryUnreadable    = define(2272, Error, "entry-unreadable", "A configuration or an entry of the store cannot be read; the previous one stays in force.", "Check who wrote it.")
 	RoutesInForce      = define(2273, Info, "routes-in-force", "A newer configuration is in force in this process.", "none")
 	RoutesBehind       = define(2275, Warn, "routes-behind", "Another process has a newer configuration than this one, which asked `from`, the store or that process, for it.", "If `in-force` stays below `version`, check the paths to the store and to `process`.")
