cell: an entry of the list does not end the runs of a worker

Seen: an entry with a later time of start, written over that of a live worker, made all tasks that ran there run twice (TWICE), whether the worker answered or not; the owner reset what it knew of the lease as well, so that runs of a silent worker were given up at once. Cause: updateHost took the list for the worker's word and called handleRestart. Change: only an answer of the worker itself, another process at the address where it had answered, or the certain end of its leases ends runs. The claim is logged (2247) and the worker asked at once. The stand-in's list can be written over, and nobody listens at unknown addresses. A worker that restarts and answers is found by its answer as before (TestWorkerRestarts).

--- a/cell/worker.go
+++ b/cell/worker.go
@@ -94,7 +94,7 @@
 		listed := make(map[string]bool, len(hosts))
 		for _, h := range hosts {
 			listed[h.ID] = true
-			c.updateHost(h)
+			c.updateHost(h, now)
 		}
 		for id, w := range c.workers {
 			if w.inFleet && !listed[id] {
@@ -106,7 +106,7 @@
 	})
 }
 
-func (c *Cell) updateHost(h Host) {
+func (c *Cell) updateHost(h Host, now time.Time) {
 	w := c.workerByID(h.ID)
 	if !w.inFleet {
 		c.quarantine.AddWorker(h.ID, h.DataCentre)
@@ -114,8 +114,11 @@
 	if h.Draining && !w.host.Draining {
 		c.Log.Emit(event.DrainNotice, "worker", h.ID)
 	}
-	if h.StartedMS != 0 && w.incarnation != 0 && h.StartedMS > w.incarnation {
-		c.handleRestart(w, h.StartedMS)
+	if h.StartedMS != w.host.StartedMS && w.incarnation != 0 && h.StartedMS != w.incarnation {
+		// Anybody may have written the entry: only the worker's own answer ends its runs.
+		c.Log.Emit(event.RestartClaimed, "worker", h.ID, "life", w.incarnation, "claimed", h.StartedMS, "runs", len(w.runs),
+			"silent-ms", now.Sub(w.lastHeard).Milliseconds())
+		w.wakeHold()
 	}
 	w.host, w.inFleet = h, true
 	c.startHoldLoop(w)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -129,6 +129,7 @@
 	Advised            = define(2231, Info, "advised", "The advisory service has named the workers that may run a step.", "none")
 	AdviceFailed       = define(2232, Warn, "advice-failed", "A request to the advisory service failed; it is retried.", "If it continues, check the advisory service.")
 	WorkerRestarted    = define(2241, Warn, "worker-restarted", "A worker has restarted; the runs that it had are lost.", "none")
+	RestartClaimed     = define(2247, Info, "worker-restart-claimed", "The list says that a worker has restarted; its runs go on until the worker itself says so, or its lease has ended.", "If no worker-restarted line follows, check who wrote the entry.")
 	WorkerUnlisted     = define(2242, Warn, "worker-unlisted", "A worker is no longer in the list of workers.", "none")
 	WorkerCrashed      = define(2243, Warn, "worker-crashed", "The process of a worker has ended without notice: see `proof`. `suspects` of its `runs` may be the cause; `tasks` names some.", "Follow a task under `tasks` in this log; if it is suspected again and again, its owner should look at it.")
 	KindIsolated       = define(2244, Warn, "kind-isolated", "Many workers have crashed right after starts of the queue's tasks: its tasks run on a part of the workers by themselves, one start at a time on each.", "Tell the organisation of the queue; task-given-up names the jobs.")
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -86,6 +86,9 @@
 	hosts := make([]cell.Host, f.listed)
 	for i, w := range f.workers[:f.listed] {
 		hosts[i] = w.host
+		if w.entry != nil {
+			hosts[i] = *w.entry
+		}
 	}
 	return hosts
 }
@@ -343,31 +346,42 @@
 	})
 }
 
-func (f *Fleet) at(address string) *Worker {
+func (f *Fleet) at(address string) (*Worker, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, w := range f.workers {
 		if w.host.Address == address {
-			return w
+			return w, nil
 		}
 	}
-	return nil
+	return nil, fmt.Errorf("%w: nobody listens at %s", cell.ErrNotSent, address)
 }
 
 // Start implements cell.WorkerClient.
 func (f *Fleet) Start(ctx context.Context, h *cell.Host, o cell.StartRequest) (cell.StartResponse, error) {
-	w := f.at(h.Address)
+	w, err := f.at(h.Address)
+	if err != nil {
+		return cell.StartResponse{}, err
+	}
 	return deliver(ctx, w, h, func() (cell.StartResponse, error) { return w.start(o), nil })
 }
 
 // Stop implements cell.WorkerClient.
 func (f *Fleet) Stop(ctx context.Context, h *cell.Host, o cell.StopRequest) error {
-	w := f.at(h.Address)
-	_, err := deliver(ctx, w, h, func() (struct{}, error) { w.stop(o); return struct{}{}, nil })
+	w, err := f.at(h.Address)
+	if err != nil {
+		return err
+	}
+	_, err = deliver(ctx, w, h, func() (struct{}, error) { w.stop(o); return struct{}{}, nil })
 	return err
 }
 
 // Hold implements cell.WorkerClient.
 func (f *Fleet) Hold(ctx context.Context, h *cell.Host, o cell.HoldRequest) (cell.HoldResponse, error) {
-	w := f.at(h.Address)
+	w, err := f.at(h.Address)
+	if err != nil {
+		return cell.HoldResponse{}, err
+	}
 	f.mu.Lock()
 	wait, news := w.wake, len(w.ended) > 0 && w.ended[len(w.ended)-1].Sequence > o.Confirmed
 	reach, life := w.up && !w.cut, w.born
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -44,6 +44,7 @@
 	lives         int             // processes so far that had a name of their own
 	roomWas       resource.Vector // capacity that still counts until roomTill, after the worker has shrunk
 	roomTill      time.Time
+	entry         *cell.Host // what another writer has put into the list in its place, nil for none
 }
 
 // work is a run on a worker.
@@ -74,6 +75,20 @@
 	return w.host
 }
 
+// Overwrite puts an entry into the list in place of the worker's own, as another writer
+// would, until it is called with nil. change changes a copy of the worker's own.
+func (w *Worker) Overwrite(change func(*cell.Host)) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.entry = nil
+	if change != nil {
+		entry := w.host
+		change(&entry)
+		w.entry = &entry
+	}
+	w.fleet.announce()
+}
+
 // SetAddress says where the worker listens, ip:port.
 func (w *Worker) SetAddress(address string) {
 	w.fleet.mu.Lock()
