cell: a worker is reached where it answers, whatever the list says of its address

Seen: an entry with another address, written over that of a live worker, kept its lease from being renewed while it stood; after 10 s its runs were lost and ran twice the work. With the address of nobody, refused connections also counted as evidence that its process had ended. A new owner, which had not heard from the worker, was held off in the same way. Cause: the address of the list was believed before anybody had answered there. Change: as long as a worker answers, it is called there. If it does not, the address of the list and the one where it has answered, to this owner or an earlier one, are tried in turn. A refused connection is evidence only where the worker has answered. The claim is logged (2248).

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -24,7 +24,7 @@
 // handleMisdirected processes an answer of another process at the address of a worker.
 // If the worker has answered there before, its process has ended, and so have its runs.
 func (c *Cell) handleMisdirected(w *worker, h *Host) {
-	if w.processEnded || h.Address != w.host.Address || !c.answeredAt(w, h.Address) {
+	if w.processEnded || h.Address != w.host.Address || !c.hasAnsweredAt(w, h.Address) {
 		return
 	}
 	c.judgeCrash(w, "another process answers at its address")
@@ -37,10 +37,10 @@
 	}
 }
 
-// answeredAt reports whether the incarnation of the worker that is known has answered at
+// hasAnsweredAt reports whether the incarnation of the worker that is known has answered at
 // the address, to this owner or an earlier one. An entry of the list may name an address
 // that is not the worker's.
-func (c *Cell) answeredAt(w *worker, address string) bool {
+func (c *Cell) hasAnsweredAt(w *worker, address string) bool {
 	if w.answeredAt != "" {
 		return w.answeredAt == address
 	}
--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -38,6 +38,45 @@
 	}
 }
 
+// An entry with an address at which the worker does not listen, written over that of a
+// live worker, kept its lease from being renewed, and its runs were lost.
+func TestOddAddressEndsNoRuns(t *testing.T) {
+	for name, address := range map[string]string{"nobody": "10.9.9.9:9", "another-worker": "10.0.0.1:1"} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 16 * time.Second }
+				job := b.submit(tasks(8, 4000))
+				time.Sleep(time.Second)
+				b.fleet.Worker(0).Overwrite(func(h *cell.Host) { h.Address = address })
+				b.waitForState(job, docket.Completed, 18*time.Second)
+				if n := b.fleet.Starts(); n != 8 {
+					t.Errorf("%d starts, want 8", n)
+				}
+			})
+		})
+	}
+}
+
+// The same, found by a new owner, which has not heard from the worker yet.
+func TestOddAddressAfterTakeover(t *testing.T) {
+	for name, address := range map[string]string{"nobody": "10.9.9.9:9", "another-worker": "10.0.0.1:1"} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 16 * time.Second }
+				job := b.submit(tasks(8, 4000))
+				time.Sleep(time.Second)
+				b.fleet.Worker(0).Overwrite(func(h *cell.Host) { h.Address, h.StartedMS = address, h.StartedMS+5 })
+				b.stop()
+				b.takeOver()
+				b.waitForState(job, docket.Completed, 18*time.Second)
+				if n := b.fleet.Starts(); n != 8 {
+					t.Errorf("%d starts, want 8", n)
+				}
+			})
+		})
+	}
+}
+
 // A worker that comes back at another address is found there.
 func TestWorkerRestartsElsewhere(t *testing.T) {
 	run(t, 2, func(b *harness) {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -49,6 +49,7 @@
 	unansweredStarts     []unansweredStart
 	startsSuspendedUntil time.Time     // no starts are sent before
 	unlistedSince        time.Time     // when the worker left the list
+	listedAddress        string        // address in the list, which may not be the worker's
 	answeredAt           string        // address at which this incarnation has answered
 	processEnded         bool          // this incarnation's process has certainly ended
 	expired              []*run        // runs of this incarnation that were lost with its lease
@@ -120,10 +121,45 @@
 			"silent-ms", now.Sub(w.lastHeard).Milliseconds())
 		w.wakeHold()
 	}
+	claim := h.Address != w.listedAddress
+	w.listedAddress = h.Address
+	if at := w.answeringAddress(); at != h.Address {
+		if claim {
+			c.Log.Emit(event.AddressClaimed, "worker", h.ID, "address", at, "claimed", h.Address)
+		}
+		h.Address = at
+	}
 	w.host, w.inFleet = h, true
 	c.startHoldLoop(w)
 }
 
+// answeringAddress returns where the worker can be reached: where it answers, as long as
+// it does, and otherwise where the list says.
+func (w *worker) answeringAddress() string {
+	if w.answeredAt != "" && !w.unresponsive && !w.processEnded {
+		return w.answeredAt
+	}
+	return w.listedAddress
+}
+
+// tryOtherAddress changes from the address in the list, at which the worker does not
+// answer, to the one where it has answered before, and back. The list may be wrong, or
+// the worker may have moved.
+func (c *Cell) tryOtherAddress(w *worker) {
+	known := w.answeredAt
+	if known == "" {
+		known, _, _ = c.Docket.WorkerAddress(w.host.ID)
+	}
+	switch {
+	case w.listedAddress == "":
+		// Only the address where it has answered is known.
+	case w.host.Address == w.listedAddress && known != "" && !w.processEnded:
+		w.host.Address = known
+	default:
+		w.host.Address = w.listedAddress
+	}
+}
+
 func (c *Cell) startHoldLoop(w *worker) {
 	if w.holdLoopRunning {
 		return
@@ -241,9 +277,10 @@
 		if errors.Is(err, ErrWorkerRestarted) {
 			c.handleMisdirected(w, h)
 		}
-		if errors.Is(err, ErrNotSent) {
+		if errors.Is(err, ErrNotSent) && c.hasAnsweredAt(w, h.Address) {
 			c.handleRefused(w, now)
 		}
+		c.tryOtherAddress(w)
 		return holdRetryInterval
 	}
 	if h.Address != w.host.Address {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -130,6 +130,7 @@
 	AdviceFailed       = define(2232, Warn, "advice-failed", "A request to the advisory service failed; it is retried.", "If it continues, check the advisory service.")
 	WorkerRestarted    = define(2241, Warn, "worker-restarted", "A worker has restarted; the runs that it had are lost.", "none")
 	RestartClaimed     = define(2247, Info, "worker-restart-claimed", "The list says that a worker has restarted; its runs go on until the worker itself says so, or its lease has ended.", "If no worker-restarted line follows, check who wrote the entry.")
+	AddressClaimed     = define(2248, Warn, "worker-address-claimed", "The list names another address for a worker than the one at which it answers; it is reached where it answers.", "Check who wrote the entry.")
 	WorkerUnlisted     = define(2242, Warn, "worker-unlisted", "A worker is no longer in the list of workers.", "none")
 	WorkerCrashed      = define(2243, Warn, "worker-crashed", "The process of a worker has ended without notice: see `proof`. `suspects` of its `runs` may be the cause; `tasks` names some.", "Follow a task under `tasks` in this log; if it is suspected again and again, its owner should look at it.")
 	KindIsolated       = define(2244, Warn, "kind-isolated", "Many workers have crashed right after starts of the queue's tasks: its tasks run on a part of the workers by themselves, one start at a time on each.", "Tell the organisation of the queue; task-given-up names the jobs.")
