cell: a worker gets tasks only while the list describes the life that answers

Cause: the owner hears of the new life from its answer and opens the worker with the labels and the capacity that the list says of the earlier life. Change: no starts while the entry and the answers name different lives, or the entry names none and earlier ones did; a start that waited for the store is refused if the worker has become another one, or no longer has the service or the label. Related paths: runs of an earlier life that are adopted (no placement), tickets (kept by life already).

--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -88,3 +88,31 @@
 		b.waitForState(job, docket.Completed, 8*time.Second)
 	})
 }
+
+// A worker that has come back as another kind, under its name, got tasks that need the
+// labels (ROUTE) or the capacity (LIMIT) of its earlier life, until the list was read again.
+func TestWorkerRestartsAsAnotherKind(t *testing.T) {
+	for name, other := range map[string]func(*cell.Host){
+		"other-labels":  func(h *cell.Host) { h.Labels = []string{"b"} },
+		"less-capacity": func(h *cell.Host) { h.Capacity.MilliCPU /= 4 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				first := func(h *cell.Host) { h.Labels, h.Capacity.MilliCPU = []string{"a"}, 16000 }
+				for i := range 2 {
+					b.fleet.Worker(i).RestartAs(first)
+					b.fleet.Worker(i).Overwrite(nil)
+				}
+				time.Sleep(2 * time.Second)
+				b.fleet.Worker(0).RestartAs(other)
+				time.Sleep(300 * time.Millisecond) // the owner has heard from it, and not read the list
+				step := tasks(8, 4000)
+				step.Requires = "a"
+				job := b.submit(step)
+				time.Sleep(time.Second)
+				b.fleet.Worker(0).Overwrite(nil)
+				b.waitForState(job, docket.Completed, 10*time.Second)
+			})
+		})
+	}
+}
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -37,6 +37,11 @@
 // HasLabel reports whether the host has the label. Every host has the empty label.
 func (h *Host) HasLabel(label string) bool { return label == "" || slices.Contains(h.Labels, label) }
 
+// suits reports whether the host is of the service and the kind that the step needs.
+func (h *Host) suits(queue *wire.DocketQueue, shape *wire.DocketStep) bool {
+	return h.Service == queue.GetService() && h.HasLabel(shape.GetRequires())
+}
+
 // Refusal is a worker's reason to reject a start.
 type Refusal int
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -104,7 +104,7 @@
 
 // mayUse reports whether the worker is not known to be excluded for the step.
 func (s *readyStep) mayUse(w *worker) bool {
-	return w.host.Service == s.queue.GetService() && w.host.HasLabel(s.shape.GetRequires()) && !s.denied[w.host.ID] && !w.conflictsWith(s.shape)
+	return w.host.suits(s.queue, s.shape) && !s.denied[w.host.ID] && !w.conflictsWith(s.shape)
 }
 
 // conflictsWith reports whether the step would fill up idle processor time beside a
--- a/cell/run.go
+++ b/cell/run.go
@@ -160,6 +160,9 @@
 	case x.phase == stopping:
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "stopped before the start was sent")
 		return
+	case !w.described() || !w.host.suits(j.Accepted().GetQueue(), x.shape):
+		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "worker has become another one before the start was sent")
+		return
 	case w.free().Negative():
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "worker has shrunk before the start was sent")
 		return
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -37,6 +37,7 @@
 	holdLoopRunning      bool // the hold loop of the worker runs
 	reconciled           bool // the task lists were compared in this epoch, and the lease has not expired since
 	incarnation          int64
+	namesStart           bool // entries of the worker say when it started
 	used                 vector
 	runs                 map[docket.TaskID]*run
 	lastHeard            time.Time // when the latest answer arrived
@@ -130,6 +131,7 @@
 		h.Address = at
 	}
 	w.host, w.inFleet = h, true
+	w.namesStart = w.namesStart || h.StartedMS != 0
 	c.startHoldLoop(w)
 }
 
@@ -441,9 +443,21 @@
 	return now.Sub(w.lastHeard) > time.Duration(float64(remaining)*(1+maxClockDrift))+leaseExpirySlack
 }
 
+// described reports whether the entry in the list is of the incarnation that has answered:
+// another one may have other labels, another capacity or another service.
+func (w *worker) described() bool {
+	switch {
+	case w.incarnation == 0:
+		return true // its answers do not say which it is
+	case w.host.StartedMS == 0:
+		return !w.namesStart
+	}
+	return w.host.StartedMS == w.incarnation
+}
+
 // acceptsStarts reports whether tasks may be started on the worker.
 func (c *Cell) acceptsStarts(w *worker, now time.Time) bool {
-	return (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
+	return w.described() && (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
 		c.quarantine.Allow(w.host.ID, len(w.runs), now)
 }
 
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -211,6 +211,9 @@
 	if !w.free().Covers(x.demand) {
 		f.fault("%v: no room on %s", o.Task, w.host.ID)
 	}
+	if !w.host.HasLabel(shape.GetRequires()) {
+		f.fault("%v: on %s, which has labels %q and not %q", o.Task, w.host.ID, w.host.Labels, shape.GetRequires())
+	}
 	if f.failures[o.Task] >= job.GetQueue().GetMaxAttempts() {
 		f.fault("%v: after %d failures", o.Task, f.failures[o.Task])
 	}
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -174,6 +174,17 @@
 	w.begin()
 }
 
+// RestartAs restarts the worker as another kind. The list shows the entry of its earlier
+// life until Overwrite is called with nil.
+func (w *Worker) RestartAs(change func(*cell.Host)) {
+	w.Overwrite(func(*cell.Host) {})
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.crash()
+	change(&w.host)
+	w.begin()
+}
+
 func (w *Worker) begin() {
 	w.up, w.started = true, time.Now()
 	w.born = time.Now().UnixMilli()
