cell: the lease that an earlier owner granted is waited for

Cause: after the first answer leaseExpired reckons with the deadlines that this owner has sent; the first look sends none, and the second one is counted only once it is answered or given up, and not at all if the connection is refused. The deadline was then 0, long past. Change: the first answer of a life to an owner sets the deadline to the longest lease from then on, since an earlier owner may have granted it just before and cannot afterwards. Workers that are not reached wait as before, from the takeover: earlier owners grant no lease past 10 s after their last commit. Before: TestLeaseOfEarlierOwnerIsWaitedFor red from 30 ms on (8 starts, want 6). After: green at all 20 offsets; cell green.

--- a/cell/worker.go
+++ b/cell/worker.go
@@ -42,7 +42,7 @@
 	runs                 map[docket.TaskID]*run
 	lastHeard            time.Time // when the latest answer arrived
 	clockMS              int64     // the worker's clock in the latest answer
-	leaseDeadlineMS      int64     // latest end of the lease that was sent, on the worker's clock
+	leaseDeadlineMS      int64     // latest end of a lease that anyone may have granted, on the worker's clock
 	unresponsive         bool      // the latest hold was not answered
 	endsSeen             uint64    // ends up to this number are applied to the docket
 	endsStored           uint64    // ends up to this number are durable
@@ -297,6 +297,10 @@
 	if w.incarnation == 0 {
 		w.incarnation = r.StartedMS
 	}
+	if w.lastHeard.IsZero() {
+		// Until this answer an earlier owner may have granted any lease; from now on it cannot.
+		w.leaseDeadlineMS = max(w.leaseDeadlineMS, r.ClockMS+c.Limits.MaxLease.Milliseconds())
+	}
 	w.lastHeard, w.clockMS, w.answeredAt, w.refused = now, r.ClockMS, h.Address, false
 	for _, e := range r.Ended {
 		if e.Sequence > w.endsSeen {
