--- a/cell/orders.go
+++ b/cell/orders.go
@@ -93,7 +93,6 @@
 // StartResponse is a worker's answer to a StartRequest.
 type StartResponse struct {
 	Refusal Refusal
-	ClockMS int64
 }
 
 // RunningTask is an entry of a worker's list of running tasks.
