--- a/node/layout.go
+++ b/node/layout.go
@@ -181,13 +181,13 @@
 			return []float64{n.Identity.Cores}
 		}
 		for _, row := range page.Rows {
+			from = row.Key + "\x00"
 			h := &wire.DocketHost{}
 			if err := proto.Unmarshal(row.Value, h); err != nil {
 				n.Log.Emit(event.EntryUnreadable, "entry", row.Key, "error", err)
 				continue
 			}
 			cores = append(cores, h.GetCores())
-			from = row.Key + "\x00"
 		}
 		if !page.More || len(page.Rows) == 0 {
 			return cores
--- a/node/layout_test.go
+++ b/node/layout_test.go
@@ -14,6 +14,7 @@
 	"persimmonworks.example/persimmonworks/fleettest"
 	"persimmonworks.example/persimmonworks/layout"
 	"persimmonworks.example/persimmonworks/pause"
+	"persimmonworks.example/persimmonworks/provider"
 )
 
 // deafTable is a table whose feed tells of no change, or has no history.
@@ -101,3 +102,25 @@
 	_, ok := l.RackDocket(rack)
 	return ok
 }
+
+// Rows of hosts that cannot be read at the end of a page made the same page be read for ever.
+func TestCoresBehindUnreadableHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := fleettest.NewTable()
+		table.SetPage(2)
+		table.SetSlow(time.Millisecond)
+		for _, h := range []struct{ key, value string }{{"a", "\xff"}, {"b", "\xff"}, {"c", ""}} {
+			if _, err := table.Commit(t.Context(), changelog.Transaction{
+				Require: provider.Row{Key: h.key}, Put: []provider.Row{{Key: h.key, Value: []byte(h.value)}},
+			}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n := &Node{Tables: func(string) changelog.Table { return table }, Log: &event.Log{Writer: io.Discard}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if cores := n.knownCores(ctx); len(cores) != 1 || ctx.Err() != nil {
+			t.Errorf("cores %v, %v, want those of the last host", cores, ctx.Err())
+		}
+	})
+}
