--- a/cell/lasting_test.go
+++ b/cell/lasting_test.go
@@ -41,3 +41,50 @@
 		})
 	}
 }
+
+// A lasting task that serves lost its worker while tasks that fill were on all others, and
+// had no place for as long as those went on (LOST).
+func TestServingTaskRunsAgainAmongTasksThatFill(t *testing.T) {
+	run(t, 4, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 5 * time.Minute }
+		serving, filling := tasks(1, 2000), tasks(3, 1000)
+		serving.LongRunning, serving.TargetMs = true, 200
+		filling.LongRunning, filling.Fills, filling.AntiAffinity = true, true, 1
+		job := b.submit(serving)
+		time.Sleep(time.Second)
+		fills := b.submit(filling)
+		time.Sleep(3 * time.Second)
+		if n := b.fleet.Running(fills); n != 3 {
+			t.Fatalf("%d tasks fill, want 3", n)
+		}
+		for i := range 4 {
+			if b.fleet.Worker(i).Runs(job) {
+				b.fleet.Worker(i).Crash()
+			}
+		}
+		time.Sleep(13 * time.Second) // the lease, then a stop
+		if b.fleet.Running(job) != 1 {
+			t.Error("the task that serves does not run again")
+		}
+		if n := b.fleet.Running(fills); n != 2 {
+			t.Errorf("%d tasks fill, want 2: no more than needed make way", n)
+		}
+	})
+}
+
+// A task that serves is new, and tasks that fill are everywhere: they make way at once.
+func TestTasksThatFillMakeWayAtOnce(t *testing.T) {
+	run(t, 3, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 5 * time.Minute }
+		serving, filling := tasks(2, 2000), tasks(3, 1000)
+		serving.LongRunning, serving.TargetMs, serving.AntiAffinity = true, 200, 1
+		filling.Fills, filling.AntiAffinity = true, 1
+		b.submit(filling)
+		time.Sleep(2 * time.Second)
+		job := b.submit(serving)
+		time.Sleep(1500 * time.Millisecond)
+		if n := b.fleet.Running(job); n != 2 {
+			t.Errorf("%d tasks serve 1.5 s after they were submitted, want 2", n)
+		}
+	})
+}
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -132,6 +132,18 @@
 	return len(w.running) > 0
 }
 
+// Runs reports whether a task of the job runs on the worker.
+func (w *Worker) Runs(job string) bool {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	for t := range w.running {
+		if t.Job == job {
+			return true
+		}
+	}
+	return false
+}
+
 // Drain makes the worker tell that it will leave.
 func (w *Worker) Drain() {
 	w.fleet.mu.Lock()
