cell, docket: crashes count although the owner changes at each of them

Cause: of runs that it had never heard of a new owner knew only their starts. None counted as begun, so no crash counted; none had settled, so all on the worker were suspects, and no task was ever the only one. A new owner counts the former; while one on trial had not settled, all others on its worker are bystanders, since trials start beside settled runs and nothing starts beside them. Adopted runs are on trial again under the new owner. Ruled out: counting every adopted run as begun (a start that never arrived would give up a sound task). Before: TestCauseIsGivenUpThoughOwnersChangeAtEachCrash red in 4 of 4 cases (6 crashes and no end). After: green, 5 crashes at most; cell green. While versions are mixed, an older process rejects the new entry.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -180,10 +180,15 @@
 func (c *Cell) adoptRun(j *docket.Job, id docket.TaskID, t *docket.Task) {
 	workerID, incarnation := t.Worker()
 	shape, queue := j.StepDefinition(id.Step), j.Accepted().GetQueue()
-	c.assignRun(&run{
+	x := &run{
 		task: id, number: t.Run(), shape: shape, queue: queue.GetName(), priority: queue.GetPriority(), gang: shape.GetGang(),
 		phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(),
-	}, c.workerByID(workerID))
+		trial: trialOf(shape, j.Step(id.Occurrence, id.Step), id.Index),
+	}
+	c.assignRun(x, c.workerByID(workerID))
+	if _, settled := t.Observed(); settled {
+		x.worker.settle(x)
+	}
 }
 
 // requestPass schedules a placement pass.
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -61,10 +61,7 @@
 // judgeRuns judges runs that were on a worker when its process ended.
 func (c *Cell) judgeRuns(w *worker, runs []*run, proof string) {
 	runs = c.runsAtCrash(w, runs)
-	judged := make([]crash.Run, len(runs))
-	for i, x := range runs {
-		judged[i] = crash.Run{Job: x.task.Job, Begun: x.startConfirmed, Settled: x.settled, History: c.crashHistory(x.task)}
-	}
+	judged := c.evidence(runs)
 	judgements := crash.Judge(judged)
 	var suspects []string
 	for i, x := range runs {
@@ -82,6 +79,26 @@
 	}
 }
 
+// evidence returns what is known of runs that were on a worker when its process ended. Of
+// runs that this owner has never heard of, earlier owners have stored what says more than
+// their starts: whether a run on trial had begun, and had settled. While one had not, all
+// others on its worker had.
+func (c *Cell) evidence(runs []*run) []crash.Run {
+	trial := slices.ContainsFunc(runs, func(x *run) bool { return x.phase == adopted && x.trial != crash.None && !x.settled })
+	known := make([]crash.Run, len(runs))
+	for i, x := range runs {
+		known[i] = crash.Run{Job: x.task.Job, Begun: x.startConfirmed, Settled: x.settled, History: c.crashHistory(x.task)}
+		if x.phase != adopted {
+			continue
+		}
+		j, _ := c.Docket.Job(x.task.Job)
+		begun, _ := j.Task(x.task).Observed()
+		known[i].Begun = begun
+		known[i].Settled = x.settled || trial && x.trial == crash.None
+	}
+	return known
+}
+
 // runsAtCrash returns those of the runs that the worker may have had when its process
 // ended, but for those that a crash was counted for, in the order of their tasks.
 func (c *Cell) runsAtCrash(w *worker, runs []*run) []*run {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -211,3 +211,49 @@
 		}
 	})
 }
+
+// The owner is replaced at each crash, before it can learn of it. The crashes were counted
+// under no task, or none was the only suspect, and the cause was started without end (BUDGET).
+func TestCauseIsGivenUpThoughOwnersChangeAtEachCrash(t *testing.T) {
+	const mostCrashes = 5 // three, and two starts more
+	for _, c := range []struct {
+		name  string
+		after time.Duration // from the start to the crash
+		keep  bool
+	}{
+		{"at once, names kept", 40 * time.Millisecond, true},
+		{"at once, new names", 40 * time.Millisecond, false},
+		{"later, names kept", 450 * time.Millisecond, true},
+		{"later, new names", 450 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 6, func(b *harness) {
+				b.fleet.KeepNames = c.keep
+				b.crashing(c.after, "0000000000000002")
+				b.fleet.Takes = func(id docket.TaskID) time.Duration {
+					if id.Job == "0000000000000001" {
+						return time.Hour
+					}
+					return time.Second
+				}
+				everywhere := lasting(tasks(12, 1000))
+				everywhere.AntiAffinity = 2
+				b.submit(everywhere)
+				time.Sleep(2 * time.Second)
+				deadly := b.submit(tasks(3, 1000))
+				seen := 0
+				for begun := time.Now(); time.Since(begun) < 2*time.Minute && b.fleet.Crashed() <= mostCrashes; time.Sleep(time.Millisecond) {
+					if n := b.fleet.Crashed(); n > seen {
+						seen = n
+						b.stop()
+						b.takeOver()
+					}
+				}
+				if n := b.fleet.Crashed(); n > mostCrashes {
+					t.Errorf("%d workers crashed, want %d at most", n, mostCrashes)
+				}
+				b.waitForState(deadly, docket.Failed, time.Second)
+			})
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -126,9 +126,10 @@
 // handleRunning processes the report of a worker that the run is running.
 func (c *Cell) handleRunning(x *run, t RunningTask) {
 	x.percent = t.Percent
-	x.startUnanswered, x.startConfirmed, x.listed = false, true, true
+	c.confirmStart(x)
+	x.listed = true
 	if time.Since(x.startedAt) >= settleTime {
-		x.worker.settle(x)
+		c.settleRun(x)
 	}
 	if x.phase == adopted {
 		x.phase = running
@@ -217,7 +218,7 @@
 	}
 	w := x.worker
 	if err == nil && r.Refusal == Accepted {
-		x.startUnanswered, x.startConfirmed = false, true
+		c.confirmStart(x)
 		if x.phase == starting {
 			x.phase = running
 		}
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/crash"
+	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/packing"
+	"persimmonworks.example/persimmonworks/wire"
 )
 
 const (
@@ -35,6 +37,23 @@
 	return max(minSettleWait, wait)
 }
 
+// confirmStart processes that the worker has begun the run. Of a run on trial that is
+// stored, for an owner that finds the worker crashed.
+func (c *Cell) confirmStart(x *run) {
+	if !x.startConfirmed && x.trial != crash.None {
+		c.append(docket.Observe(x.task, x.number, false), nil)
+	}
+	x.startUnanswered, x.startConfirmed = false, true
+}
+
+// settleRun processes that the worker has reported the run as running for a while.
+func (c *Cell) settleRun(x *run) {
+	if !x.settled && x.trial != crash.None {
+		c.append(docket.Observe(x.task, x.number, true), nil)
+	}
+	x.worker.settle(x)
+}
+
 // settle records that the worker has reported the run as running for a while. With it
 // ends the trial of a run that only had to be apart.
 func (w *worker) settle(x *run) {
@@ -75,10 +94,13 @@
 	return true
 }
 
+// trialOf returns the trial of a task.
+func (s *readyStep) trialOf(index uint32) crash.Trial { return trialOf(s.shape, s.state, index) }
+
 // trialOf returns the trial of a task. The members of a gang are on trial together.
-func (s *readyStep) trialOf(index uint32) crash.Trial {
-	tasks := s.state.Tasks()
-	if !s.shape.GetGang() {
+func trialOf(shape *wire.DocketStep, state *docket.Step, index uint32) crash.Trial {
+	tasks := state.Tasks()
+	if !shape.GetGang() {
 		return crash.TrialFor(historyOf(&tasks[index]))
 	}
 	trial := crash.None
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -114,6 +114,8 @@
 		return nil
 	case e.GetCrashed() != nil:
 		return d.recordCrash(e.GetCrashed(), sequence)
+	case e.GetObserved() != nil:
+		return d.observeRun(e.GetObserved())
 	}
 	return fmt.Errorf("docket entry %v: unknown kind", e)
 }
@@ -297,6 +299,23 @@
 	return nil
 }
 
+// observeRun records what a worker has said of an active run. It does not change what
+// callers see of the job.
+func (d *Docket) observeRun(o *wire.DocketObserved) error {
+	_, _, t, err := d.lookupTask(o.GetTask())
+	if err != nil {
+		return err
+	}
+	if !t.active || t.run != o.GetRun() {
+		return fmt.Errorf("task %v: run %d is not active", taskID(o.GetTask()), o.GetRun())
+	}
+	t.begunRun = t.run
+	if o.GetSettled() {
+		t.settledRun = t.run
+	}
+	return nil
+}
+
 func (d *Docket) cancelJob(c *wire.DocketCancelled, sequence uint64) error {
 	j, ok := d.jobs[c.GetJob()]
 	if !ok {
--- a/docket/docket_test.go
+++ b/docket/docket_test.go
@@ -20,7 +20,9 @@
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 	task := docket.TaskID{Job: name, Step: rapid.Uint32Range(0, 1).Draw(t, "step"), Index: rapid.Uint32Range(0, 2).Draw(t, "index")}
 	run := rapid.Uint32Range(1, 4).Draw(t, "run")
-	switch rapid.IntRange(0, 12).Draw(t, "kind") {
+	switch rapid.IntRange(0, 13).Draw(t, "kind") {
+	case 13:
+		return docket.Observe(task, run, rapid.Bool().Draw(t, "settled"))
 	case 12:
 		return docket.Crash(task, docket.CrashRecord{
 			Run: run, Counts: rapid.Bool().Draw(t, "counts"), Suspect: rapid.Bool().Draw(t, "suspect"), GivenUp: rapid.Bool().Draw(t, "given-up"),
@@ -54,7 +56,8 @@
 			for i := range shape.GetCount() {
 				t := &s.Tasks()[i]
 				crashes, suspicions := t.Crashes()
-				text += fmt.Sprintf(" [%d %d %v %v %q %d %d]", t.Run(), t.Failures(), t.Done(), t.Active(), t.Checkpoint(), crashes, suspicions)
+				begun, settled := t.Observed()
+				text += fmt.Sprintf(" [%d %d %v %v %q %d %d %v %v]", t.Run(), t.Failures(), t.Done(), t.Active(), t.Checkpoint(), crashes, suspicions, begun, settled)
 			}
 			text += fmt.Sprintf(" active %d done %v;", s.Active(), s.Done())
 		}
--- a/docket/entry.go
+++ b/docket/entry.go
@@ -38,6 +38,12 @@
 	}}}
 }
 
+// Observe returns the entry that records that a worker has begun a run, or has reported it
+// as running for a while.
+func Observe(t TaskID, run uint32, settled bool) *wire.DocketEntry {
+	return &wire.DocketEntry{Kind: &wire.DocketEntry_Observed{Observed: &wire.DocketObserved{Task: t.Name(), Run: run, Settled: settled}}}
+}
+
 // Cancel returns the entry that cancels a job.
 func Cancel(job string, atMS int64) *wire.DocketEntry {
 	return &wire.DocketEntry{Kind: &wire.DocketEntry_Cancelled{Cancelled: &wire.DocketCancelled{Job: job, AtMs: atMS}}}
--- a/docket/job.go
+++ b/docket/job.go
@@ -108,6 +108,8 @@
 	suspicions      uint32 // crashes that the task may have caused
 	crashedRun      uint32 // the newest run under which a worker crashed
 	givenUp         bool
+	begunRun        uint32 // the newest run that was observed to have begun
+	settledRun      uint32 // the newest run that was observed to go on
 }
 
 // Run returns the number of the newest run, or 0 if there was none.
@@ -136,6 +138,12 @@
 // crashes it may have caused.
 func (t *Task) Crashes() (all, suspicions int) { return int(t.crashes), int(t.suspicions) }
 
+// Observed reports whether a worker is recorded to have begun the newest run, and to have
+// reported it as running for a while. Only runs on trial are recorded.
+func (t *Task) Observed() (begun, settled bool) {
+	return t.run > 0 && t.begunRun == t.run, t.run > 0 && t.settledRun == t.run
+}
+
 // Step is the durable state of one occurrence of a step.
 type Step struct {
 	tasks  []Task
--- a/docket/snapshot.go
+++ b/docket/snapshot.go
@@ -62,7 +62,7 @@
 		Task: id.Name(), Run: t.run, Failures: t.failures, Done: t.done, Active: t.active,
 		Worker: t.worker, BornMs: t.workerStartedAt, Checkpoint: t.checkpoint, AtMs: endedAt,
 		Crashes: t.crashes, Suspicions: t.suspicions, CrashedRun: t.crashedRun, GivenUp: t.givenUp,
-		FailedRun: t.failedRun,
+		FailedRun: t.failedRun, BegunRun: t.begunRun, SettledRun: t.settledRun,
 	}
 }
 
@@ -77,6 +77,7 @@
 	}
 	t.run, t.worker, t.workerStartedAt, t.checkpoint = r.GetRun(), r.GetWorker(), r.GetBornMs(), r.GetCheckpoint()
 	t.failures, t.failedRun = r.GetFailures(), r.GetFailedRun()
+	t.begunRun, t.settledRun = r.GetBegunRun(), r.GetSettledRun()
 	t.crashes, t.suspicions, t.crashedRun, t.givenUp = r.GetCrashes(), r.GetSuspicions(), r.GetCrashedRun(), r.GetGivenUp()
 	if j.state == Pending {
 		j.state = Running
