cell: late copies of a start are barred until the worker's next life has said so

Still open: a worker that is silent until its lease has ended and has restarted meanwhile may carry out a start 12 s after it was sent. Waiting for that (23 s for each start in flight to a worker that is lost) would leave tasks without a run for longer than LOST allows.

--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -405,3 +405,25 @@
 		b.waitForState(job, docket.Completed, 10*time.Second)
 	})
 }
+
+// The stop that keeps a late copy of a start from being carried out by the worker's next
+// life was sent once. If it was lost, the task ran again after its end was confirmed.
+func TestLateCopyIsBarredUntilThatIsAnswered(t *testing.T) {
+	for offset := 148 * time.Millisecond; offset < 164*time.Millisecond; offset += time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(b *harness) {
+				w := b.fleet.Worker(0)
+				w.DelayOrders(1, 6*time.Second) // of the start, or of a look before it
+				job := b.submit(tasks(1, 1000))
+				b.waitForState(job, docket.Completed, 4*time.Second)
+				time.Sleep(500 * time.Millisecond)
+				w.RestartUnlisted()
+				time.Sleep(offset)
+				w.SetCut(true)
+				time.Sleep(time.Second)
+				w.SetCut(false)
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"persimmonworks.example/persimmonworks/crash"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -301,10 +303,7 @@
 			})
 			return nil
 		}
-		select {
-		case <-time.After(stopRetryInterval):
-		case <-ctx.Done():
-		}
+		pause.For(ctx, stopRetryInterval)
 	}
 	return nil
 }
@@ -320,27 +319,54 @@
 const maxRequestDelay = 13 * time.Second
 
 func (w *worker) addUnansweredStart(x *run, now time.Time) {
-	kept := w.unansweredStarts[:0]
-	for _, l := range w.unansweredStarts {
-		if now.Before(l.until) {
-			kept = append(kept, l)
+	w.forgetLateStarts(now)
+	l := unansweredStart{StopRequest{Task: x.task, Run: x.number}, now.Add(maxRequestDelay)}
+	for i := range w.unansweredStarts {
+		if w.unansweredStarts[i].order == l.order {
+			w.unansweredStarts[i] = l
+			return
 		}
 	}
-	w.unansweredStarts = append(kept, unansweredStart{StopRequest{Task: x.task, Run: x.number}, now.Add(maxRequestDelay)})
+	w.unansweredStarts = append(w.unansweredStarts, l)
+}
+
+// forgetLateStarts drops the starts that can no longer arrive.
+func (w *worker) forgetLateStarts(now time.Time) {
+	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(l unansweredStart) bool { return !now.Before(l.until) })
 }
 
 // blockUnansweredStarts makes a restarted worker reject the unanswered starts that
-// may still arrive.
+// may still arrive. They are kept for further restarts.
 func (c *Cell) blockUnansweredStarts(w *worker) {
-	lost := w.unansweredStarts
-	w.unansweredStarts = nil
-	for _, l := range lost {
-		if _, running := w.runs[l.order.Task]; !running && time.Now().Before(l.until) {
-			c.stopUnknownRun(w, RunningTask{Task: l.order.Task, Run: l.order.Run})
+	w.forgetLateStarts(time.Now())
+	for _, l := range w.unansweredStarts {
+		if _, running := w.runs[l.order.Task]; !running {
+			c.group.Go(func() error { return c.blockUntilAnswered(c.ctx, w, l) })
 		}
 	}
 }
 
+// blockUntilAnswered sends a stop for a start until the worker has answered one, or the
+// start can no longer arrive.
+func (c *Cell) blockUntilAnswered(ctx context.Context, w *worker, l unansweredStart) error {
+	l.order.Epoch = c.Epoch()
+	for ctx.Err() == nil && time.Now().Before(l.until) {
+		var h Host
+		if c.loop.Do(ctx, func() { h = w.host }) != nil {
+			return nil
+		}
+		call, cancel := context.WithTimeout(ctx, stopTimeout)
+		err := c.Orders.Stop(call, &h, l.order)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		c.Log.Emit(event.StopFailed, "worker", h.ID, "task", l.order.Task.String(), "run", l.order.Run, "error", err)
+		pause.For(ctx, stopRetryInterval)
+	}
+	return nil
+}
+
 // stopUnknownRun stops a run that a worker reports and the docket does not know.
 func (c *Cell) stopUnknownRun(w *worker, t RunningTask) {
 	c.Log.Emit(event.TaskStopping, "job", t.Task.Job, "task", t.Task.String(), "run", t.Run, "worker", w.host.ID, "reason", "unknown run")
