cell: a worker whose latest look failed gets no starts

Found while changing the soak: for 2.2 s after its last answer a worker counted as there, also when it refused connections meanwhile; a start that was sent then met its next life, which may be of another kind (ROUTE), and most others failed. Change: no starts are decided or sent until a look is answered again. A look that hangs is given up after 1.7 s, so little changes for slow workers. Before: TestNoStartsWhileWorkerDoesNotAnswer red at most of 20 offsets. After: green; cell, node green.

--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -116,3 +116,32 @@
 		})
 	}
 }
+
+// A start that was sent to a worker whose latest look had failed met its next life, which
+// was of another kind (ROUTE).
+func TestNoStartsWhileWorkerDoesNotAnswer(t *testing.T) {
+	for early := time.Duration(0); early < 40*time.Millisecond; early += 2 * time.Millisecond {
+		t.Run(early.String(), func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				for i := range 2 {
+					b.fleet.Worker(i).RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+					b.fleet.Worker(i).Overwrite(nil)
+				}
+				time.Sleep(2 * time.Second)
+				for i := range 2 {
+					b.fleet.Worker(i).Crash()
+				}
+				step := tasks(8, 4000)
+				step.Requires = "a"
+				time.Sleep(time.Second - early)
+				job := b.submit(step)
+				time.Sleep(early)
+				b.fleet.Worker(0).RestartAs(func(h *cell.Host) { h.Labels = []string{"b"} })
+				b.fleet.Worker(1).Restart()
+				time.Sleep(700 * time.Millisecond)
+				b.fleet.Worker(0).Overwrite(nil)
+				b.waitForState(job, docket.Completed, 10*time.Second)
+			})
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -157,7 +157,7 @@
 	case !ok || j.Terminal():
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "job has ended")
 		return
-	case w.incarnation != x.incarnation || !w.reconciled:
+	case w.incarnation != x.incarnation || !w.reconciled || w.unresponsive:
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "worker became unavailable before the start was sent")
 		return
 	case x.phase == stopping:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -461,7 +461,7 @@
 
 // acceptsStarts reports whether tasks may be started on the worker.
 func (c *Cell) acceptsStarts(w *worker, now time.Time) bool {
-	return w.described() && (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
+	return w.described() && !w.unresponsive && (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
 		c.quarantine.Allow(w.host.ID, len(w.runs), now)
 }
 
