soak: workers that change kind, odd entries over live ones, gangs of which several members fail

A start that is carried out late by the next life of a worker, which nobody can know, is not judged by labels.

--- a/fleettest/crash.go
+++ b/fleettest/crash.go
@@ -132,8 +132,14 @@
 func (f *Fleet) HasFailed(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	most := int(f.jobs[job].GetQueue().GetMaxAttempts())
 	for t, n := range f.failures {
-		if t.Job == job && n >= f.jobs[job].GetQueue().GetMaxAttempts() {
+		if t.Job == job && int(n) >= most {
+			return true
+		}
+	}
+	for s, runs := range f.gangFailures {
+		if s.Job == job && len(runs) >= most {
 			return true
 		}
 	}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -24,10 +24,12 @@
 	done     map[docket.TaskID]bool // ended successfully
 	noted    map[docket.TaskID]bool // and that was confirmed to the worker
 	failures map[docket.TaskID]uint32
-	cancels  map[string]time.Time
-	broken   []string
-	starts   int
-	listed   int // the first workers are in the list
+	// gangFailures holds the runs of a gang in which a member failed.
+	gangFailures map[docket.StepID]map[uint32]bool
+	cancels      map[string]time.Time
+	broken       []string
+	starts       int
+	listed       int // the first workers are in the list
 
 	// Takes says how long a task runs, and Fails whether a run fails. Set them
 	// before the first start; both may be nil.
@@ -42,6 +44,9 @@
 
 	crashes map[docket.TaskID]*crashRecord
 	crashed int
+	// otherLife is set while an order is carried out late by the next life of the worker
+	// that it was sent to, which nobody can know.
+	otherLife bool
 	// noOwnerSince is when all processes were last killed at once. Nobody can give up a
 	// gang whose starts were sent before.
 	noOwnerSince time.Time
@@ -53,7 +58,7 @@
 func New(count int, milliCPU, memoryMB int64) *Fleet {
 	f := &Fleet{
 		jobs: map[string]*wire.DocketAccepted{}, done: map[docket.TaskID]bool{}, noted: map[docket.TaskID]bool{},
-		failures: map[docket.TaskID]uint32{}, cancels: map[string]time.Time{}, crashes: map[docket.TaskID]*crashRecord{},
+		failures: map[docket.TaskID]uint32{}, gangFailures: map[docket.StepID]map[uint32]bool{}, cancels: map[string]time.Time{}, crashes: map[docket.TaskID]*crashRecord{},
 		crashesUnder: map[docket.TaskID]int{},
 	}
 	for i := range count {
@@ -211,7 +216,7 @@
 	if !w.free().Covers(x.demand) {
 		f.fault("%v: no room on %s", o.Task, w.host.ID)
 	}
-	if !w.host.HasLabel(shape.GetRequires()) {
+	if !f.otherLife && !w.host.HasLabel(shape.GetRequires()) {
 		f.fault("%v: on %s, which has labels %q and not %q", o.Task, w.host.ID, w.host.Labels, shape.GetRequires())
 	}
 	if f.failures[o.Task] >= job.GetQueue().GetMaxAttempts() {
@@ -297,7 +302,7 @@
 	case wire.DocketOutcome_DOCKET_OUTCOME_DONE:
 		f.done[t] = true
 	case wire.DocketOutcome_DOCKET_OUTCOME_FAILED:
-		f.failures[t]++
+		f.noteFailure(t, x.run)
 	}
 	if alone && !f.noOwnerSince.After(x.began) {
 		f.fault("%v: run %d waited alone on %s", t, x.run, w.host.ID)
@@ -324,6 +329,18 @@
 	}
 }
 
+// noteFailure counts a failed run: of a gang once, however many members failed in it.
+func (f *Fleet) noteFailure(t docket.TaskID, run uint32) {
+	f.failures[t]++
+	if !f.jobs[t.Job].GetSteps()[t.Step].GetGang() {
+		return
+	}
+	if f.gangFailures[t.StepID()] == nil {
+		f.gangFailures[t.StepID()] = map[uint32]bool{}
+	}
+	f.gangFailures[t.StepID()][run] = true
+}
+
 // confirmed notes that an end was confirmed. It counts for good unless the worker's lease
 // lapsed in between: then the task may have been started elsewhere before.
 func (f *Fleet) confirmed(w *Worker, e cell.EndedTask) {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -199,7 +199,7 @@
 
 func (w *Worker) begin() {
 	w.up, w.started = true, time.Now()
-	w.born = time.Now().UnixMilli()
+	w.born = max(w.born+1, time.Now().UnixMilli()) // no process starts twice in a millisecond
 	w.host.StartedMS = w.born
 	w.fence, w.number, w.lapsedThrough, w.deadline = 0, 0, 0, time.Time{}
 	w.running, w.ended, w.barred = map[docket.TaskID]*work{}, nil, map[docket.TaskID]uint32{}
@@ -369,11 +369,14 @@
 		return zero, fmt.Errorf("%w: connection refused", cell.ErrNotSent)
 	case w.lateLeft > 0:
 		w.lateLeft--
+		life := w.born
 		time.AfterFunc(w.lateFor, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if w.up && w.host.ID == h.ID {
+				f.otherLife = w.born != life
 				_, _ = do() // nobody hears the answer
+				f.otherLife = false
 			}
 		})
 		f.mu.Unlock()
--- a/soak/client.go
+++ b/soak/client.go
@@ -17,6 +17,7 @@
 	betweenJobs    = 250 * time.Millisecond
 	tries          = 5
 	cancelEvery    = 12 // one job in so many is cancelled
+	requireEvery   = 3  // one step in so many requires the usual kind of worker
 	mostTasks      = 6
 	mostMilliCPU   = 6000
 )
@@ -70,6 +71,9 @@
 			Count: uint32(1 + c.rng.IntN(mostTasks)), MilliCpu: int64(1 + c.rng.IntN(mostMilliCPU)), MemoryMb: 100,
 			EstimateMs: uint32(taskMost.Milliseconds() / 2), Gang: c.rng.IntN(3) == 0,
 		}
+		if c.rng.IntN(requireEvery) == 0 {
+			s.Requires = usualLabel
+		}
 		if i > 0 {
 			s.After = []uint32{0}
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/platform/counterpart"
 )
@@ -19,8 +21,25 @@
 	lateMost      = 6 * time.Second
 	ordersMost    = 6
 	downLeast     = 400 * time.Millisecond // of a worker that restarts
+	staleMost     = time.Second            // for which the list shows the entry of its earlier life
 )
 
+const usualLabel = "a"
+
+func usualKind(h *cell.Host) { h.Labels = []string{usualLabel} }
+func otherKind(h *cell.Host) { h.Labels = []string{"b"} }
+
+// oddEntries are what another writer puts in place of a worker's entry: an address where
+// nobody listens, one out of range, another time of start, and amounts out of range.
+var oddEntries = []func(*cell.Host){
+	func(h *cell.Host) { h.Address = "127.0.0.1:9" },
+	func(h *cell.Host) { h.Address = "127.0.0.1:99999" },
+	func(h *cell.Host) { h.StartedMS += time.Hour.Milliseconds() },
+	func(h *cell.Host) { h.StartedMS = 0 },
+	func(h *cell.Host) { h.Capacity.MilliCPU = math.MaxInt64 },
+	func(h *cell.Host) { h.Capacity.MemoryMB = -1 },
+}
+
 // fault is one thing to break; it returns when that is whole again.
 type fault struct {
 	name string
@@ -82,6 +101,26 @@
 		w.Restart()
 		return nil
 	}},
+	{"a worker restarts as another kind", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
+		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
+		stale := time.Duration(rng.Int64N(int64(staleMost)))
+		for _, kind := range []func(*cell.Host){otherKind, usualKind} {
+			w.Crash()
+			pause.For(ctx, downLeast)
+			w.RestartAs(kind)
+			pause.For(ctx, stale)
+			w.Overwrite(nil)
+			pause.For(ctx, length/2)
+		}
+		return nil
+	}},
+	{"an odd entry is written over a worker's", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
+		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
+		w.Overwrite(oddEntries[rng.IntN(len(oddEntries))])
+		pause.For(ctx, length)
+		w.Overwrite(nil)
+		return nil
+	}},
 	{"a worker shrinks", func(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
 		w := r.fleet.Worker(rng.IntN(r.fleet.Len()))
 		w.SetCapacity(rng.Int64N(workerMilliCPU), workerMemoryMB)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -96,6 +96,10 @@
 	if err := r.platform.Listen(); err != nil {
 		return Report{}, err
 	}
+	for i := range s.Workers {
+		r.fleet.Worker(i).RestartAs(usualKind)
+		r.fleet.Worker(i).Overwrite(nil)
+	}
 	err := r.play(ctx)
 	return r.report(), err
 }
@@ -186,13 +190,14 @@
 	}
 }
 
-// takes and fails depend on the task alone, so that a seed gives the same work.
+// takes and fails depend on the task alone, so that a seed gives the same work. A worker
+// that fails a run of a step fails it for all its tasks, so also for all members of a gang.
 func (r *run) takes(t docket.TaskID) time.Duration {
 	return taskLeast + time.Duration(r.draw(t.String()).Int64N(int64(taskMost-taskLeast)))
 }
 
 func (r *run) fails(t docket.TaskID, worker string, number uint32) bool {
-	return r.draw(fmt.Sprint(t, worker, number)).IntN(failEvery) == 0
+	return r.draw(fmt.Sprint(t.StepID(), worker, number)).IntN(failEvery) == 0
 }
 
 // crashes says how long after its start a task crashes its worker.
