cell: a gang with a member on a worker that stopped answering is not waited for

Traced in its logs: a deadly task crashed w-21 some 50 ms after two members had begun there and before those on w-23 began; all starts had been answered, so none counted as missing, and the others waited their 3 s. Cause: only members whose start is not confirmed counted as missing. Change: also those whose worker does not answer, as long as no member has made progress. Before: TestMemberLostBeforeOthersBeginEndsGang red in 3 of 3 cases. After: green; cell green.

--- a/cell/gangs_test.go
+++ b/cell/gangs_test.go
@@ -82,3 +82,23 @@
 		})
 	}
 }
+
+// The worker of one member crashed right after that had begun, before the others had. All
+// starts were answered, so nobody missed it, and the others waited alone (soak seed 5120).
+func TestMemberLostBeforeOthersBeginEndsGang(t *testing.T) {
+	for _, after := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			run(t, 4, func(b *harness) {
+				b.fleet.Worker(2).SetCut(true)
+				job := b.submit(gang(4, 12000))
+				time.Sleep(after)
+				b.fleet.Worker(1).Crash()
+				time.Sleep(400*time.Millisecond - after)
+				b.fleet.Worker(2).SetCut(false)
+				time.Sleep(5 * time.Second)
+				b.fleet.Worker(1).Restart()
+				b.waitForState(job, docket.Completed, 20*time.Second)
+			})
+		})
+	}
+}
--- a/cell/incomplete.go
+++ b/cell/incomplete.go
@@ -21,17 +21,21 @@
 type gangProgress struct {
 	waitingSince time.Time // when the first member may have begun to wait
 	adopted      bool      // some member was adopted and not listed since
-	unconfirmed  bool      // some member is not known to have started
+	doubtful     bool      // some member is not known to have started, or to be there still
 	works        bool      // a member has made progress, so all had started
 	open         bool      // some member is not being stopped
 }
 
+// doubtful reports whether the run is not known to have started, or its worker does not
+// answer.
+func (x *run) doubtful() bool { return !x.startConfirmed || x.worker.unresponsive }
+
 // add records a member.
 func (g *gangProgress) add(x *run) {
 	g.open = g.open || x.phase != stopping
 	g.works = g.works || x.percent > 0
 	g.adopted = g.adopted || x.phase == adopted
-	g.unconfirmed = g.unconfirmed || !x.startConfirmed
+	g.doubtful = g.doubtful || x.doubtful()
 	if x.phase != committing && (g.waitingSince.IsZero() || x.startedAt.Before(g.waitingSince)) {
 		g.waitingSince = x.startedAt
 	}
@@ -40,7 +44,7 @@
 // overdue reports whether the gang has to be given up: members of it may wait for
 // one that did not start, and would soon have waited too long.
 func (g *gangProgress) overdue(now time.Time, gangTimeout time.Duration) bool {
-	if !g.open || !g.unconfirmed || g.works || g.waitingSince.IsZero() {
+	if !g.open || !g.doubtful || g.works || g.waitingSince.IsZero() {
 		return false
 	}
 	limit := gangTimeout / 2
@@ -55,7 +59,7 @@
 func (c *Cell) stopIncompleteGangs(now time.Time) {
 	gangs := map[gangRun]*gangProgress{}
 	for _, x := range c.runs {
-		if x.gang && !x.startConfirmed {
+		if x.gang && x.doubtful() {
 			gangs[gangRun{x.task.StepID(), x.number}] = &gangProgress{}
 		}
 	}
