--- /dev/null
+++ b/cell/lease.go
@@ -0,0 +1,61 @@
+package cell
+
+import (
+	"time"
+
+	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/wire"
+)
+
+const (
+	drainingLease    = 3 * time.Second // lease of a worker that has announced its shutdown
+	maxClockDrift    = 0.02            // a worker's clock may be slow by this share
+	leaseExpirySlack = 300 * time.Millisecond
+)
+
+// leaseDeadline returns the end of a lease that is renewed now, on the worker's
+// clock. Without commits it stops advancing, so that the next owner knows how long
+// to wait.
+func (c *Cell) leaseDeadline(w *worker) int64 {
+	now := time.Now()
+	end := now.Add(c.Limits.Lease)
+	if w.host.Draining {
+		end = now.Add(min(c.Limits.Lease, drainingLease))
+	}
+	if last := c.commits.lastCommitSentAt.Add(c.Limits.MaxLeaseAfterCommit); end.After(last) {
+		end = last
+	}
+	return w.clockMS + end.Sub(w.lastHeard).Milliseconds()
+}
+
+// checkLease declares the runs of a worker lost once its lease has certainly expired.
+func (c *Cell) checkLease(w *worker, now time.Time) {
+	if len(w.runs) == 0 || now.Sub(w.lastHeard) < silenceTimeout {
+		return
+	}
+	if !c.leaseExpired(w, now) {
+		return
+	}
+	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "lease expired", "runs", len(w.runs),
+		"silent-ms", now.Sub(w.lastHeard).Milliseconds())
+	for _, x := range w.runs {
+		if x.phase == committing {
+			continue // not sent yet; sendStart will end the run
+		}
+		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "lease expired")
+		w.expired = append(w.expired, x)
+	}
+	w.reconciled = false
+}
+
+// leaseExpired reports whether every deadline that the worker may have been given
+// has passed on its clock.
+func (c *Cell) leaseExpired(w *worker, now time.Time) bool {
+	if w.lastHeard.IsZero() || !w.reconciled {
+		// An earlier owner may have renewed the lease until it lost the docket.
+		maxLease := time.Duration(float64(c.Limits.MaxLease)*(1+maxClockDrift)) + leaseExpirySlack
+		return now.Sub(c.startedAt) > maxLease && now.Sub(w.lastHeard) > maxLease
+	}
+	remaining := time.Duration(w.leaseDeadlineMS-w.clockMS) * time.Millisecond
+	return now.Sub(w.lastHeard) > time.Duration(float64(remaining)*(1+maxClockDrift))+leaseExpirySlack
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -21,9 +21,6 @@
 	holdRetryInterval    = 150 * time.Millisecond
 	unstoredPollInterval = 500 * time.Millisecond // between two holds while ends cannot be stored
 	silenceTimeout       = 2200 * time.Millisecond
-	drainingLease        = 3 * time.Second // lease of a worker that has announced its shutdown
-	maxClockDrift        = 0.02            // a worker's clock may be slow by this share
-	leaseExpirySlack     = 300 * time.Millisecond
 	// Entries of the list of workers that expired while the store was unavailable are
 	// back within unlistedGrace.
 	unlistedGrace   = 2500 * time.Millisecond
@@ -89,79 +86,6 @@
 	c.quarantine.RemoveWorker(w.host.ID)
 }
 
-// updateFleet applies the list of workers. It is called from another goroutine.
-func (c *Cell) updateFleet(hosts []Host) {
-	c.loop.Post(func() {
-		now := time.Now()
-		listed := make(map[string]bool, len(hosts))
-		for _, h := range hosts {
-			listed[h.ID] = true
-			c.updateHost(h, now)
-		}
-		for id, w := range c.workers {
-			if w.inFleet && !listed[id] {
-				w.inFleet, w.unlistedSince = false, now
-				c.Log.Emit(event.WorkerUnlisted, "worker", id)
-			}
-		}
-		c.requestPass()
-	})
-}
-
-func (c *Cell) updateHost(h Host, now time.Time) {
-	w := c.workerByID(h.ID)
-	if !w.inFleet {
-		c.quarantine.AddWorker(h.ID, h.DataCentre)
-	}
-	if h.Draining && !w.host.Draining {
-		c.Log.Emit(event.DrainNotice, "worker", h.ID)
-	}
-	if h.StartedMS != w.host.StartedMS && w.incarnation != 0 && h.StartedMS != w.incarnation {
-		// Anybody may have written the entry: only the worker's own answer ends its runs.
-		c.Log.Emit(event.RestartClaimed, "worker", h.ID, "life", w.incarnation, "claimed", h.StartedMS, "runs", len(w.runs),
-			"silent-ms", now.Sub(w.lastHeard).Milliseconds())
-		w.wakeHold()
-	}
-	claim := h.Address != w.listedAddress
-	w.listedAddress = h.Address
-	if at := w.answeringAddress(); at != h.Address {
-		if claim {
-			c.Log.Emit(event.AddressClaimed, "worker", h.ID, "address", at, "claimed", h.Address)
-		}
-		h.Address = at
-	}
-	w.host, w.inFleet = h, true
-	w.namesStart = w.namesStart || h.StartedMS != 0
-	c.startHoldLoop(w)
-}
-
-// answeringAddress returns where the worker can be reached: where it answers, as long as
-// it does, and otherwise where the list says.
-func (w *worker) answeringAddress() string {
-	if w.answeredAt != "" && !w.unresponsive && !w.processEnded {
-		return w.answeredAt
-	}
-	return w.listedAddress
-}
-
-// tryOtherAddress changes from the address in the list, at which the worker does not
-// answer, to the one where it has answered before, and back. The list may be wrong, or
-// the worker may have moved.
-func (c *Cell) tryOtherAddress(w *worker) {
-	known := w.answeredAt
-	if known == "" {
-		known, _, _ = c.Docket.WorkerAddress(w.host.ID)
-	}
-	switch {
-	case w.listedAddress == "":
-		// Only the address where it has answered is known.
-	case w.host.Address == w.listedAddress && known != "" && !w.processEnded:
-		w.host.Address = known
-	default:
-		w.host.Address = w.listedAddress
-	}
-}
-
 func (c *Cell) startHoldLoop(w *worker) {
 	if w.holdLoopRunning {
 		return
@@ -170,29 +94,6 @@
 	c.group.Go(func() error { return c.holdLoop(c.ctx, w) })
 }
 
-// recordAddress stores where the worker listens, for the next owner.
-func (c *Cell) recordAddress(w *worker) {
-	address, startedAt, ok := c.Docket.WorkerAddress(w.host.ID)
-	if ok && address == w.host.Address && startedAt == w.incarnation {
-		return
-	}
-	c.append(docket.ReachWorker(w.host.ID, w.host.Address, w.incarnation), nil)
-}
-
-// reachUnlistedWorkers renews the leases of workers that have runs and are not in the
-// list of workers, at the addresses that earlier owners have stored. A worker that is
-// cut off from the store, or slow to report there, runs on.
-func (c *Cell) reachUnlistedWorkers(now time.Time) {
-	for id, w := range c.workers {
-		address, startedAt, ok := c.Docket.WorkerAddress(id)
-		if w.inFleet || len(w.runs) == 0 || !ok {
-			continue
-		}
-		w.host.Address, w.host.StartedMS, w.unlistedSince = address, startedAt, now
-		c.startHoldLoop(w)
-	}
-}
-
 // holdLoop renews the worker's lease and reads its task lists until ctx ends or the
 // worker is removed.
 func (c *Cell) holdLoop(ctx context.Context, w *worker) error {
@@ -250,21 +151,6 @@
 	return o, w.host, false
 }
 
-// leaseDeadline returns the end of a lease that is renewed now, on the worker's
-// clock. Without commits it stops advancing, so that the next owner knows how long
-// to wait.
-func (c *Cell) leaseDeadline(w *worker) int64 {
-	now := time.Now()
-	end := now.Add(c.Limits.Lease)
-	if w.host.Draining {
-		end = now.Add(min(c.Limits.Lease, drainingLease))
-	}
-	if last := c.commits.lastCommitSentAt.Add(c.Limits.MaxLeaseAfterCommit); end.After(last) {
-		end = last
-	}
-	return w.clockMS + end.Sub(w.lastHeard).Milliseconds()
-}
-
 // handleHoldAnswer processes the answer to a hold and returns the pause before the
 // next one.
 func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent time.Time, err error) time.Duration {
@@ -415,50 +301,6 @@
 	w.wakeHold()
 }
 
-// checkLease declares the runs of a worker lost once its lease has certainly expired.
-func (c *Cell) checkLease(w *worker, now time.Time) {
-	if len(w.runs) == 0 || now.Sub(w.lastHeard) < silenceTimeout {
-		return
-	}
-	if !c.leaseExpired(w, now) {
-		return
-	}
-	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "lease expired", "runs", len(w.runs),
-		"silent-ms", now.Sub(w.lastHeard).Milliseconds())
-	for _, x := range w.runs {
-		if x.phase == committing {
-			continue // not sent yet; sendStart will end the run
-		}
-		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "lease expired")
-		w.expired = append(w.expired, x)
-	}
-	w.reconciled = false
-}
-
-// leaseExpired reports whether every deadline that the worker may have been given
-// has passed on its clock.
-func (c *Cell) leaseExpired(w *worker, now time.Time) bool {
-	if w.lastHeard.IsZero() || !w.reconciled {
-		// An earlier owner may have renewed the lease until it lost the docket.
-		maxLease := time.Duration(float64(c.Limits.MaxLease)*(1+maxClockDrift)) + leaseExpirySlack
-		return now.Sub(c.startedAt) > maxLease && now.Sub(w.lastHeard) > maxLease
-	}
-	remaining := time.Duration(w.leaseDeadlineMS-w.clockMS) * time.Millisecond
-	return now.Sub(w.lastHeard) > time.Duration(float64(remaining)*(1+maxClockDrift))+leaseExpirySlack
-}
-
-// described reports whether the entry in the list is of the incarnation that has answered:
-// another one may have other labels, another capacity or another service.
-func (w *worker) described() bool {
-	switch {
-	case w.incarnation == 0:
-		return true // its answers do not say which it is
-	case w.host.StartedMS == 0:
-		return !w.namesStart
-	}
-	return w.host.StartedMS == w.incarnation
-}
-
 // acceptsStarts reports whether tasks may be started on the worker.
 func (c *Cell) acceptsStarts(w *worker, now time.Time) bool {
 	return w.described() && !w.unresponsive && (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
