--- a/cell/makeway.go
+++ b/cell/fills.go
@@ -7,18 +7,18 @@
 	"time"
 )
 
-// wayKept is how long a worker is kept for a step after the tasks that make way for it
-// should have stopped.
-const wayKept = time.Second
+// fillRoomKept is how long a worker is kept for a step after the tasks that were preempted
+// for it should have stopped.
+const fillRoomKept = time.Second
 
-// makeWay stops tasks that fill idle processor time on as many workers as the remaining
+// preemptFills stops tasks that fill idle processor time on as many workers as the remaining
 // tasks of a step with a latency target need, and keeps these workers for it. The two never
 // share a worker, and work that must run goes before work that fills.
-func (c *Cell) makeWay(s *readyStep, tasks int, workers []*worker, now time.Time) {
+func (c *Cell) preemptFills(s *readyStep, tasks int, workers []*worker, now time.Time) {
 	if s.shape.GetTargetMs() == 0 || s.shape.GetFills() {
 		return
 	}
-	for _, w := range c.wayCandidates(s, tasks, workers) {
+	for _, w := range c.fillCandidates(s, tasks, workers) {
 		if tasks <= 0 {
 			return
 		}
@@ -26,24 +26,24 @@
 		if w.fillsStopping {
 			continue // it will be free soon
 		}
-		w.keptFor, w.keptUntil = s.id, now.Add(c.Limits.StopTime+wayKept)
+		w.keptFor, w.keptUntil = s.id, now.Add(c.Limits.StopTime+fillRoomKept)
 		for _, x := range w.fills() {
-			c.stopRun(x, "makes way for "+s.id.String())
+			c.stopRun(x, "preempted for "+s.id.String())
 		}
 	}
 }
 
-// wayCandidate is a worker on which tasks of a step fit once those that fill are gone.
-type wayCandidate struct {
+// fillCandidate is a worker on which tasks of a step fit once those that fill are gone.
+type fillCandidate struct {
 	*worker
 	fits          int
 	fillsStopping bool // all of them
 }
 
-// wayCandidates returns the workers that could make way for the step, those first where
-// the least has to stop.
-func (c *Cell) wayCandidates(s *readyStep, tasks int, workers []*worker) []wayCandidate {
-	var candidates []wayCandidate
+// fillCandidates returns the workers whose fill tasks could be preempted for the step,
+// those first where the least has to stop.
+func (c *Cell) fillCandidates(s *readyStep, tasks int, workers []*worker) []fillCandidate {
+	var candidates []fillCandidate
 	for _, w := range workers {
 		fills := w.fills()
 		if len(fills) == 0 || !w.host.suits(s.queue, s.shape) || s.denied[w.host.ID] || !w.openTo(s) {
@@ -55,16 +55,16 @@
 		}
 		if n := b.Fits(demand(s.shape), tasks); n > 0 {
 			stopped := !slices.ContainsFunc(fills, func(x *run) bool { return x.phase != stopping })
-			candidates = append(candidates, wayCandidate{w, n, stopped})
+			candidates = append(candidates, fillCandidate{w, n, stopped})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b wayCandidate) int {
+	slices.SortFunc(candidates, func(a, b fillCandidate) int {
 		return cmp.Or(cmp.Compare(a.toStop(), b.toStop()), strings.Compare(a.host.ID, b.host.ID))
 	})
 	return candidates
 }
 
-func (w wayCandidate) toStop() int {
+func (w fillCandidate) toStop() int {
 	if w.fillsStopping {
 		return 0
 	}
--- a/cell/lasting_test.go
+++ b/cell/lasting_test.go
@@ -67,13 +67,13 @@
 			t.Error("the task that serves does not run again")
 		}
 		if n := b.fleet.Running(fills); n != 2 {
-			t.Errorf("%d tasks fill, want 2: no more than needed make way", n)
+			t.Errorf("%d tasks fill, want 2: no more than needed are preempted", n)
 		}
 	})
 }
 
-// A task that serves is new, and tasks that fill are everywhere: they make way at once.
-func TestTasksThatFillMakeWayAtOnce(t *testing.T) {
+// A task that serves is new, and tasks that fill are everywhere: they are preempted at once.
+func TestTasksThatFillArePreemptedAtOnce(t *testing.T) {
 	run(t, 3, func(b *harness) {
 		b.fleet.Takes = func(docket.TaskID) time.Duration { return 5 * time.Minute }
 		serving, filling := tasks(2, 2000), tasks(3, 1000)
--- a/cell/place.go
+++ b/cell/place.go
@@ -83,7 +83,7 @@
 			return
 		}
 	}
-	c.makeWay(s, len(indices)-onTrial, workers, now)
+	c.preemptFills(s, len(indices)-onTrial, workers, now)
 	c.preempt(s, len(indices)-onTrial, workers, now)
 	if mayAsk {
 		c.requestAdvice(s, indices, room, workers, now)
