cell, node: the logs say by which evidence and under which epoch a run was given up

Change: fields only, no further lines; a count of runs that a worker shows and the docket does not know. A worker that never answered is silent for -1 ms instead of the time since the year 1. No measurement of the volume was made.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -73,7 +73,7 @@
 	c.Meter.Count("worker-crashes", "detected")
 	c.Log.Emit(event.WorkerCrashed, "worker", w.host.ID, "address", w.host.Address, "life", w.incarnation, "epoch", c.Epoch(),
 		"proof", proof, "runs", len(runs), "suspects", len(suspects), "tasks", suspects[:min(len(suspects), maxLoggedTasks)],
-		"silent-ms", time.Since(w.lastHeard).Milliseconds())
+		"silent-ms", w.silentMS(time.Now()))
 	for i, x := range runs {
 		c.recordCrash(x, judgements[i])
 	}
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -37,7 +37,9 @@
 		return
 	}
 	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "lease expired", "runs", len(w.runs),
-		"silent-ms", now.Sub(w.lastHeard).Milliseconds())
+		"silent-ms", w.silentMS(now), "epoch", c.Epoch(), "epoch-age-ms", now.Sub(c.startedAt).Milliseconds(),
+		"life", w.incarnation, "reconciled", w.reconciled, "clock-ms", w.clockMS, "deadline-ms", w.leaseDeadlineMS,
+		"unanswered-deadline-ms", w.unansweredDeadlineMS)
 	for _, x := range w.runs {
 		if x.phase == committing {
 			continue // not sent yet; sendStart will end the run
--- a/cell/listing.go
+++ b/cell/listing.go
@@ -40,7 +40,7 @@
 	if h.StartedMS != w.host.StartedMS && w.incarnation != 0 && h.StartedMS != w.incarnation {
 		// Anybody may have written the entry: only the worker's own answer ends its runs.
 		c.Log.Emit(event.RestartClaimed, "worker", h.ID, "life", w.incarnation, "claimed", h.StartedMS, "runs", len(w.runs),
-			"silent-ms", now.Sub(w.lastHeard).Milliseconds())
+			"silent-ms", w.silentMS(now))
 		w.wakeHold()
 	}
 	claim := h.Address != w.listedAddress
--- a/cell/place.go
+++ b/cell/place.go
@@ -256,7 +256,7 @@
 	c.assignRun(x, w)
 	c.Log.Emit(event.TaskStarting, "job", id.Job, "task", id.String(), "run", number, "worker", w.host.ID,
 		"epoch", c.Epoch(), "free-milli-cpu", w.free().MilliCPU, "waited-ms", now.Sub(s.readyAt).Milliseconds(),
-		"heard-ms", now.Sub(w.lastHeard).Milliseconds())
+		"heard-ms", w.silentMS(now))
 	c.Meter.Observe("wait", now.Sub(s.readyAt))
 }
 
--- a/cell/run.go
+++ b/cell/run.go
@@ -25,6 +25,11 @@
 	adopted                 // an earlier owner may have started it
 )
 
+var phaseNames = [...]string{"committing", "starting", "running", "stopping", "adopted"}
+
+// String returns the name used in logs.
+func (p phase) String() string { return phaseNames[p] }
+
 const (
 	startTimeout      = 500 * time.Millisecond
 	maxStartAttempts  = 3
@@ -79,7 +84,8 @@
 	now := time.Now()
 	c.append(docket.End(x.task, x.number, outcome, checkpoint, now.UnixMilli()), nil)
 	c.Log.Emit(event.TaskEnded, "job", x.task.Job, "task", x.task.String(), "run", x.number, "worker", w.host.ID,
-		"outcome", outcomeName(outcome), "reason", reason, "after-ms", now.Sub(x.startedAt).Milliseconds())
+		"outcome", outcomeName(outcome), "reason", reason, "after-ms", now.Sub(x.startedAt).Milliseconds(),
+		"epoch", c.Epoch(), "phase", x.phase.String(), "heard-ms", w.silentMS(now))
 	c.Meter.Count("ends", outcomeName(outcome))
 	c.advanceJob(x.task, outcome)
 	c.requestPass()
@@ -369,7 +375,13 @@
 
 // stopUnknownRun stops a run that a worker reports and the docket does not know.
 func (c *Cell) stopUnknownRun(w *worker, t RunningTask) {
-	c.Log.Emit(event.TaskStopping, "job", t.Task.Job, "task", t.Task.String(), "run", t.Run, "worker", w.host.ID, "reason", "unknown run")
+	latest := uint32(0)
+	if j, ok := c.Docket.Job(t.Task.Job); ok && j.Task(t.Task) != nil {
+		latest = j.Task(t.Task).Run()
+	}
+	c.Meter.Count("unknown-runs", "stopped")
+	c.Log.Emit(event.TaskStopping, "job", t.Task.Job, "task", t.Task.String(), "run", t.Run, "worker", w.host.ID, "reason", "unknown run",
+		"latest-run", latest, "epoch", c.Epoch(), "life", w.incarnation)
 	h := w.host
 	o := StopRequest{Task: t.Task, Run: t.Run, Epoch: c.Epoch()}
 	c.group.Go(func() error {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -40,6 +40,7 @@
 	lastHeard            time.Time // when the latest answer arrived
 	clockMS              int64     // the worker's clock in the latest answer
 	leaseDeadlineMS      int64     // latest end of a lease that anyone may have granted, on the worker's clock
+	unansweredDeadlineMS int64     // deadline in the hold that is not answered yet, 0 if it has none
 	unresponsive         bool      // the latest hold was not answered
 	endsSeen             uint64    // ends up to this number are applied to the docket
 	endsStored           uint64    // ends up to this number are durable
@@ -148,6 +149,7 @@
 		// The worker may have restarted, and then numbers its ends from 1 again.
 		o.Confirmed, o.Wait = 0, 0
 	}
+	w.unansweredDeadlineMS = o.DeadlineMS
 	return o, w.host, false
 }
 
@@ -155,6 +157,7 @@
 // next one.
 func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent time.Time, err error) time.Duration {
 	now := time.Now()
+	w.unansweredDeadlineMS = 0
 	if !errors.Is(err, ErrNotSent) {
 		w.leaseDeadlineMS = max(w.leaseDeadlineMS, o.DeadlineMS)
 	}
@@ -307,5 +310,14 @@
 		c.quarantine.Allow(w.host.ID, len(w.runs), now)
 }
 
+// silentMS returns the time since the worker's latest answer in milliseconds, -1 if it has
+// not answered this owner.
+func (w *worker) silentMS(now time.Time) int64 {
+	if w.lastHeard.IsZero() {
+		return -1
+	}
+	return now.Sub(w.lastHeard).Milliseconds()
+}
+
 // free returns the unallocated resources of the worker.
 func (w *worker) free() vector { return w.host.Capacity.Sub(w.used) }
--- a/node/follow.go
+++ b/node/follow.go
@@ -177,7 +177,8 @@
 	if err != nil {
 		return fmt.Errorf("take over: %w", err)
 	}
-	p.Log.Emit(event.DocketTaken, "docket", p.docket, "epoch", w.Epoch(), "sequence", w.Sequence(), "jobs", p.replica.Docket().Len())
+	p.Log.Emit(event.DocketTaken, "docket", p.docket, "epoch", w.Epoch(), "life", p.Identity.Incarnation,
+		"sequence", w.Sequence(), "jobs", p.replica.Docket().Len())
 	released := false
 	released, err = p.runCell(ctx, w)
 	p.resetReplica()
