--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -29,6 +29,8 @@
 	cell    *cell.Cell
 	stop    func() // stops the cell
 	jobs    int
+	// decorateLog, if set, wraps the logs of the cells that take over from now on.
+	decorateLog func(event.Emitter) event.Emitter
 }
 
 type nopMeter struct{}
@@ -73,10 +75,13 @@
 	if err != nil {
 		b.Fatalf("take over: %v", err)
 	}
-	log := &event.Log{Writer: io.Discard}
+	var log event.Emitter = &event.Log{Writer: io.Discard}
 	if testing.Verbose() {
 		log = &event.Log{Writer: b.Output()}
 	}
+	if b.decorateLog != nil {
+		log = b.decorateLog(log)
+	}
 	c := &cell.Cell{
 		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: advice.NewBalancer("e1", b.advisor), Fleet: b.fleet,
 		Log: log, Meter: nopMeter{}, Limits: limits(),
