--- a/cell/worker.go
+++ b/cell/worker.go
@@ -150,6 +150,9 @@
 		o.Confirmed, o.Wait = 0, 0
 	}
 	w.unansweredDeadlineMS = o.DeadlineMS
+	// The worker may have taken the deadline long before its answer is heard, or without
+	// one, so the deadline counts from here on.
+	w.leaseDeadlineMS = max(w.leaseDeadlineMS, o.DeadlineMS)
 	return o, w.host, false
 }
 
@@ -158,9 +161,6 @@
 func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent time.Time, err error) time.Duration {
 	now := time.Now()
 	w.unansweredDeadlineMS = 0
-	if !errors.Is(err, ErrNotSent) {
-		w.leaseDeadlineMS = max(w.leaseDeadlineMS, o.DeadlineMS)
-	}
 	// Holds do not renew the lease of a worker that does not answer. They might reach
 	// it all the same, and the lease would never be known to have expired.
 	w.unresponsive = err != nil
