cell: the end of a lease is reckoned from granted deadlines while lists are incomplete

Change: only a worker that this owner has never heard is waited for by the age of the epoch; the first answer sets the deadline for all others. Besides: a worker with nothing but starts that are not stored yet no longer logs worker-closed on every tick. Ran: go test ./cell, green.

--- a/cell/lease.go
+++ b/cell/lease.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"persimmonworks.example/persimmonworks/event"
@@ -36,27 +38,30 @@
 	if !c.leaseExpired(w, now) {
 		return
 	}
-	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "lease expired", "runs", len(w.runs),
+	w.reconciled = false
+	lost := slices.DeleteFunc(slices.Collect(maps.Values(w.runs)), func(x *run) bool {
+		return x.phase == committing // not sent yet; sendStart will end it
+	})
+	if len(lost) == 0 {
+		return
+	}
+	c.Log.Emit(event.WorkerClosed, "worker", w.host.ID, "reason", "lease expired", "runs", len(lost),
 		"silent-ms", w.silentMS(now), "epoch", c.Epoch(), "epoch-age-ms", now.Sub(c.startedAt).Milliseconds(),
-		"life", w.incarnation, "reconciled", w.reconciled, "clock-ms", w.clockMS, "deadline-ms", w.leaseDeadlineMS,
+		"life", w.incarnation, "clock-ms", w.clockMS, "deadline-ms", w.leaseDeadlineMS,
 		"unanswered-deadline-ms", w.unansweredDeadlineMS)
-	for _, x := range w.runs {
-		if x.phase == committing {
-			continue // not sent yet; sendStart will end the run
-		}
+	for _, x := range lost {
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "lease expired")
-		w.expired = append(w.expired, x)
 	}
-	w.reconciled = false
+	w.expired = append(w.expired, lost...)
 }
 
 // leaseExpired reports whether every deadline that the worker may have been given
 // has passed on its clock.
 func (c *Cell) leaseExpired(w *worker, now time.Time) bool {
-	if w.lastHeard.IsZero() || !w.reconciled {
+	if w.lastHeard.IsZero() {
 		// An earlier owner may have renewed the lease until it lost the docket.
 		maxLease := time.Duration(float64(c.Limits.MaxLease)*(1+maxClockDrift)) + leaseExpirySlack
-		return now.Sub(c.startedAt) > maxLease && now.Sub(w.lastHeard) > maxLease
+		return now.Sub(c.startedAt) > maxLease
 	}
 	remaining := time.Duration(w.leaseDeadlineMS-w.clockMS) * time.Millisecond
 	return now.Sub(w.lastHeard) > time.Duration(float64(remaining)*(1+maxClockDrift))+leaseExpirySlack
