cell: leases after a takeover are bounded from the sending of the takeover

Cause: an owner grants leases for at most ten seconds after its last commit, so that the next owner knows how long to wait. Change: the writer records when its takeover was first sent, and the cell counts from there. Evidence: TestLeasesAreBoundedFromTheSendingOfTheTakeover, red before: with a store that takes 0.7 s a task ran on past the bound. Ran: go test ./cell ./changelog, green.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -119,7 +119,7 @@
 	c.isolation.used = map[string]float64{}
 	c.startedAt = time.Now()
 	c.commits.wake = make(chan struct{}, 1)
-	c.commits.lastCommitSentAt = time.Now()
+	c.commits.lastCommitSentAt = c.Writer.TakeoverSentAt()
 	// All entries found in the docket are durable. They are numbered by rows.
 	c.commits.applied, c.commits.durable = c.Writer.Sequence(), c.Writer.Sequence()
 }
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -38,7 +38,7 @@
 	waiters          []durableWaiter
 	ownershipChecks  []func() // run once a commit that starts later has succeeded
 	wake             chan struct{}
-	lastCommitSentAt time.Time // when the latest successful commit was sent
+	lastCommitSentAt time.Time // when the latest successful commit was sent, at first that of the takeover
 	inFlightSince    time.Time // when the unanswered commit was first sent, zero if there is none
 }
 
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -29,3 +29,26 @@
 		})
 	}
 }
+
+// An owner whose takeover was answered late granted leases for ten seconds from that
+// answer, while the next owner reckons them from the takeover itself (TWICE).
+func TestLeasesAreBoundedFromTheSendingOfTheTakeover(t *testing.T) {
+	run(t, 1, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return time.Minute }
+		job := b.submit(tasks(1, 1000))
+		time.Sleep(time.Second)
+		b.stop()
+		const slow = 700 * time.Millisecond
+		b.table.SetSlow(slow) // of two reads, and of the takeover
+		sent := time.Now().Add(2 * slow)
+		time.AfterFunc(3*slow-10*time.Millisecond, func() { // before the next commit
+			b.table.SetSlow(0)
+			b.table.SetAway(true)
+		})
+		b.takeOver()
+		time.Sleep(time.Until(sent.Add(limits().MaxLeaseAfterCommit + 100*time.Millisecond)))
+		if n := b.fleet.Running(job); n != 0 {
+			t.Errorf("%d tasks run on past the longest lease after the takeover, want none", n)
+		}
+	})
+}
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -208,7 +208,7 @@
 	w.head.Owner, w.head.Incarnation, w.head.Address, w.head.Vacant = o.Name, o.Incarnation, o.Address, false
 	w.head.Strongest = max(o.Cores, w.head.GetStrongest())
 	w.head.Epoch++
-	w.epoch = w.head.GetEpoch()
+	w.epoch, w.takeoverSentAt = w.head.GetEpoch(), time.Now()
 	if err := w.Append(ctx, nil); err != nil {
 		return nil, err
 	}
--- a/changelog/writer.go
+++ b/changelog/writer.go
@@ -36,6 +36,7 @@
 type Writer struct {
 	table          Table
 	epoch          uint64
+	takeoverSentAt time.Time // when the transaction that made this the writer was first sent
 	head           *wire.DocketHead
 	version        uint64        // of the head row
 	pendingDrops   []string      // keys of rows covered by a snapshot and not dropped yet
@@ -136,6 +137,10 @@
 // goroutine.
 func (w *Writer) Epoch() uint64 { return w.epoch }
 
+// TakeoverSentAt returns when the transaction that made this the writer was first sent. It
+// took effect no earlier. It may be called from any goroutine.
+func (w *Writer) TakeoverSentAt() time.Time { return w.takeoverSentAt }
+
 // Sequence returns the number of the newest row.
 func (w *Writer) Sequence() uint64 { return w.head.GetSequence() }
 
