cell: a suspended owner grants no lease past the time for which the next owner waits

Cause: the bound on leases, ten seconds after the last commit, was reckoned on the steady clock alone, which stands still while the host is suspended. Change: the longer of the time on the steady clock and on the time of day counts, by the rule that fresh already had; both use one function now. Cost: a time of day that jumps forward shortens leases until the next commit.

--- a/cell/clock_test.go
+++ b/cell/clock_test.go
@@ -23,7 +23,7 @@
 		{"jump backward", 300 * time.Millisecond, -5 * time.Second, true},
 		{"old, jump backward", 2 * time.Second, -5 * time.Second, false},
 	} {
-		if got := within(c.steady, c.timeOfDay, limit); got != c.fresh {
+		if got := elapsed(c.steady, c.timeOfDay) < limit; got != c.fresh {
 			t.Errorf("%s: fresh is %v", c.name, got)
 		}
 	}
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -20,16 +20,21 @@
 // to wait.
 func (c *Cell) leaseDeadline(w *worker) int64 {
 	now := time.Now()
-	end := now.Add(c.Limits.Lease)
+	lease := c.Limits.Lease
 	if w.host.Draining {
-		end = now.Add(min(c.Limits.Lease, drainingLease))
-	}
-	if last := c.commits.lastCommitSentAt.Add(c.Limits.MaxLeaseAfterCommit); end.After(last) {
-		end = last
+		lease = min(lease, drainingLease)
 	}
+	sinceCommit := elapsed(steadyAndTimeOfDay(c.commits.lastCommitSentAt, now))
+	end := now.Add(grantable(lease, c.Limits.MaxLeaseAfterCommit, sinceCommit))
 	return w.clockMS + end.Sub(w.lastHeard).Milliseconds()
 }
 
+// grantable returns for how long a lease may be granted: not past the time after the last
+// commit for which the next owner waits. It is negative once that time has passed.
+func grantable(lease, mostAfterCommit, sinceCommit time.Duration) time.Duration {
+	return min(lease, mostAfterCommit-sinceCommit)
+}
+
 // checkLease declares the runs of a worker lost once its lease has certainly expired.
 func (c *Cell) checkLease(w *worker, now time.Time) {
 	if len(w.runs) == 0 || now.Sub(w.lastHeard) < silenceTimeout {
--- a/cell/lease_test.go
+++ b/cell/lease_test.go
@@ -38,3 +38,12 @@
 		})
 	}
 }
+
+// An owner that wakes after its host was suspended grants no lease past the time for which
+// the next owner waits, though its steady clock has not moved.
+func TestSuspendedOwnerGrantsNoLeasePastItsBound(t *testing.T) {
+	const lease, most, steady, timeOfDay = 9 * time.Second, 10 * time.Second, 200 * time.Millisecond, 7 * time.Second
+	if got, want := grantable(lease, most, elapsed(steady, timeOfDay)), most-timeOfDay; got != want {
+		t.Errorf("a lease of %v is granted, want %v", got, want)
+	}
+}
