--- a/cell/cell.go
+++ b/cell/cell.go
@@ -36,6 +36,7 @@
 	"persimmonworks.example/persimmonworks/changelog"
 	"persimmonworks.example/persimmonworks/control"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/duration"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/wire"
@@ -94,7 +95,7 @@
 	dirty           bool
 	nextPassAt      time.Time
 	passScheduled   bool // a placement pass is due
-	durations       durationModel
+	durations       duration.Model
 	startTimes      map[string]time.Time // when open jobs were accepted
 	timedJobs       []string             // jobs with occurrences that are not due yet
 	lastEndedJob    string               // the job whose end was logged last
--- a/cell/place.go
+++ b/cell/place.go
@@ -129,7 +129,7 @@
 }
 
 func (c *Cell) workerBin(s *readyStep, w *worker) packing.Bin {
-	b := packing.Bin{Free: w.free(), Capacity: w.host.Capacity, MaxTasks: -1, Cost: c.durations.slowdown(w.host.ID)}
+	b := packing.Bin{Free: w.free(), Capacity: w.host.Capacity, MaxTasks: -1, Cost: c.durations.Slowdown(w.host.ID)}
 	if maxTasks := s.shape.GetAntiAffinity(); maxTasks > 0 {
 		b.MaxTasks = int(maxTasks) - w.countTasks(s.id)
 	}
@@ -267,5 +267,5 @@
 	if !ok || j.Task(x.task).Checkpoint() != "" {
 		return
 	}
-	c.durations.observe(x.worker.host.ID, x.queue, x.shape.GetEstimateMs(), now.Sub(x.startedAt))
+	c.durations.Observe(x.worker.host.ID, x.queue, x.shape.GetEstimateMs(), now.Sub(x.startedAt))
 }
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -76,7 +76,7 @@
 	if s.shape.GetLongRunning() {
 		return lastingDuration
 	}
-	return c.durations.expected(s.queue.GetName(), s.shape.GetEstimateMs())
+	return c.durations.Expected(s.queue.GetName(), s.shape.GetEstimateMs())
 }
 
 // startableWorkers returns the workers on which a start of the step's tasks would be
--- a/cell/step.go
+++ b/cell/step.go
@@ -6,6 +6,7 @@
 
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
+	"persimmonworks.example/persimmonworks/objective"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -80,8 +81,8 @@
 	if j.HasDueTimes() {
 		start = fromUnix(j.DueMS(id.Occurrence), now)
 	}
-	target := objective(j.Accepted())
-	remainingWork := criticalPath(j.Accepted(), func(i uint32) bool { return !j.Step(id.Occurrence, i).Done() })
+	target := objective.Of(j.Accepted())
+	remainingWork := objective.CriticalPath(j.Accepted(), func(i uint32) bool { return !j.Step(id.Occurrence, i).Done() })
 	s.latestStart = start.Add(target - remainingWork)
 	if s.shape.GetGang() {
 		s.latestStart = s.latestStart.Add(-gangLeadTime)
@@ -198,7 +199,7 @@
 		c.lastEndedJob = j.ID()
 		took := j.EndedAt() - j.Accepted().GetAcceptedMs()
 		c.Log.Emit(event.DocketJobEnded, "job", j.ID(), "queue", j.Accepted().GetQueue().GetName(), "state", string(j.State()),
-			"after-ms", took, "objective-ms", objective(j.Accepted()).Milliseconds())
+			"after-ms", took, "objective-ms", objective.Of(j.Accepted()).Milliseconds())
 		c.Meter.Count("jobs", string(j.State()))
 		c.Meter.Observe("job", time.Duration(took)*time.Millisecond)
 	}
--- a/node/requests.go
+++ b/node/requests.go
@@ -15,6 +15,7 @@
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/exchange"
+	"persimmonworks.example/persimmonworks/objective"
 	"persimmonworks.example/persimmonworks/pause"
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -32,7 +33,7 @@
 	err := n.participantForJob(job.GetJob()).submit(ctx, job)
 	var refused *cell.RefusedError
 	if errors.As(err, &refused) {
-		refused.RetryAfter = max(refused.RetryAfter, cell.ReturnAfter(job, rand.Float64()))
+		refused.RetryAfter = max(refused.RetryAfter, objective.ReturnAfter(job, rand.Float64()))
 	}
 	return err
 }
--- a/cell/objective.go
+++ b/objective/objective.go
@@ -1,4 +1,12 @@
-package cell
+// Package objective works out how long a job may take and when a refused one should come
+// back. Its functions are pure: times come in and go out as durations.
+//
+// Usage:
+//
+//	limit := objective.Of(job)
+//	left := objective.CriticalPath(job, func(step uint32) bool { return !done(step) })
+//	retry := objective.ReturnAfter(job, rand.Float64())
+package objective
 
 import (
 	"time"
@@ -16,10 +24,10 @@
 	returnSpreadLow = 1 - returnSpread/2
 )
 
-// objective returns how long the job may take to get full credit.
-func objective(job *wire.DocketAccepted) time.Duration {
+// Of returns how long the job may take to be on time, its waits included.
+func Of(job *wire.DocketAccepted) time.Duration {
 	q := job.GetQueue()
-	work := criticalPath(job, func(uint32) bool { return true })
+	work := CriticalPath(job, func(uint32) bool { return true })
 	if a := q.GetAdvice(); a != nil {
 		call := time.Duration((a.GetDecisionMs() + typicalAdvice*a.GetPerWorkerMs()) * float64(time.Millisecond))
 		work += time.Duration(len(job.GetSteps())) * call
@@ -27,9 +35,9 @@
 	return time.Duration(max(1, q.GetDilation())*float64(work)) + time.Duration(q.GetTargetMs())*time.Millisecond
 }
 
-// criticalPath returns the longest chain of estimated work over the steps of one
+// CriticalPath returns the longest chain of estimated work over the steps of one
 // occurrence that pass the filter.
-func criticalPath(job *wire.DocketAccepted, counts func(step uint32) bool) time.Duration {
+func CriticalPath(job *wire.DocketAccepted, counts func(step uint32) bool) time.Duration {
 	steps := job.GetSteps()
 	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
@@ -51,7 +59,7 @@
 // comes back while an answer is still of use. Spread, from 0 to 1, keeps the callers from
 // coming back all at once; the caller draws it at random.
 func ReturnAfter(job *wire.DocketAccepted, spread float64) time.Duration {
-	mean := min(time.Duration(returnShare*float64(objective(job))), maxReturn)
+	mean := min(time.Duration(returnShare*float64(Of(job))), maxReturn)
 	if mean <= minReturn {
 		return minReturn // callers get whole seconds, rounded up: a second more is too long for a short job
 	}
--- a/cell/objective_test.go
+++ b/objective/objective_test.go
@@ -1,4 +1,4 @@
-package cell
+package objective
 
 import (
 	"math"
