fleettest: a hold that was carried out never counts as not sent

Cause: Fleet.Hold carries a hold out at once and brings its answer later. As strict as before: a hold that never reached the worker still fails as it did, and no check of the ledger changes.

--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -419,7 +420,12 @@
 	if w.hasReset(life) {
 		return cell.HoldResponse{}, fmt.Errorf("%w: connection reset", cell.ErrUnanswered)
 	}
-	return deliver(ctx, w, h, func() (cell.HoldResponse, error) { return w.hold(o) })
+	r, err = deliver(ctx, w, h, func() (cell.HoldResponse, error) { return w.hold(o) })
+	if errors.Is(err, cell.ErrNotSent) || errors.Is(err, cell.ErrWorkerRestarted) {
+		// The hold was carried out, and only the connection for its answer is lost.
+		return cell.HoldResponse{}, fmt.Errorf("%w: connection reset", cell.ErrUnanswered)
+	}
+	return r, err
 }
 
 // Advise implements advice.Advisor: every worker is allowed.
