fleettest: slow clocks, short lists of ends, ends confirmed after another start

SetSlow lets a worker's clock run slow (PROTOCOL: up to 2 %), an answer lists at most 500 ends and is incomplete then (PROTOCOL), EndsOnce makes that fewer. Ledger, stricter: a start after an end done breaks TWICE also if that end is confirmed only later, unless the lease lapsed in between (RULES, TWICE); before, only ends confirmed before the start counted. Ledger, corrected: a start that a worker carries out late is not held against the cancelling of its job; RULES leave such orders out of rules with a time bound. Starts in time are judged as before.

--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -22,8 +22,10 @@
 	workers  []*Worker
 	watchers []chan struct{}
 	jobs     map[string]*wire.DocketAccepted
-	done     map[docket.TaskID]bool // ended successfully
-	noted    map[docket.TaskID]bool // and that was confirmed to the worker
+	done     map[docket.TaskID]bool   // ended successfully
+	noted    map[docket.TaskID]bool   // and that was confirmed to the worker
+	doneRun  map[docket.TaskID]uint32 // the run that ended successfully
+	again    map[docket.TaskID]bool   // started after that end
 	failures map[docket.TaskID]uint32
 	// gangFailures holds the runs of a gang in which a member failed.
 	gangFailures map[docket.StepID]map[uint32]bool
@@ -39,12 +41,18 @@
 	// Crashes says how long after its start a task crashes its worker, 0 for never. Set
 	// it before the first start; it may be nil.
 	Crashes func(docket.TaskID) time.Duration
+	// EndsOnce is how many ends an answer lists at most, 500 if 0. Set it before the first
+	// start.
+	EndsOnce int
 	// KeepNames lets workers come back under their names after such a crash, instead of
 	// under new ones at the same addresses.
 	KeepNames bool
 
 	crashes map[docket.TaskID]*crashRecord
 	crashed int
+	// late is set while an order is carried out late. Rules with a time bound leave such
+	// orders out.
+	late bool
 	// otherLife is set while an order is carried out late by the next life of the worker
 	// that it was sent to, which nobody can know.
 	otherLife bool
@@ -59,6 +67,7 @@
 func New(count int, milliCPU, memoryMB int64) *Fleet {
 	f := &Fleet{
 		jobs: map[string]*wire.DocketAccepted{}, done: map[docket.TaskID]bool{}, noted: map[docket.TaskID]bool{},
+		doneRun: map[docket.TaskID]uint32{}, again: map[docket.TaskID]bool{},
 		failures: map[docket.TaskID]uint32{}, gangFailures: map[docket.StepID]map[uint32]bool{}, cancels: map[string]time.Time{}, crashes: map[docket.TaskID]*crashRecord{},
 		crashesUnder: map[docket.TaskID]int{},
 	}
@@ -207,6 +216,9 @@
 	if f.noted[o.Task] {
 		f.fault("%v: run %d on %s after an end that was confirmed", o.Task, o.Run, w.host.ID)
 	}
+	if f.doneRun[o.Task] > 0 {
+		f.again[o.Task] = true
+	}
 	for _, before := range shape.GetAfter() {
 		for i := range job.GetSteps()[before].GetCount() {
 			if !f.done[docket.TaskID{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: before, Index: i}] {
@@ -223,7 +235,7 @@
 	if f.failures[o.Task] >= job.GetQueue().GetMaxAttempts() {
 		f.fault("%v: after %d failures", o.Task, f.failures[o.Task])
 	}
-	if at, ok := f.cancels[o.Task.Job]; ok && time.Since(at) > 3*time.Second {
+	if at, ok := f.cancels[o.Task.Job]; ok && !f.late && time.Since(at) > 3*time.Second {
 		f.fault("%v: %v after its job was cancelled", o.Task, time.Since(at))
 	}
 	f.judgeCrashes(w, o.Task)
@@ -302,6 +314,9 @@
 	switch how {
 	case wire.DocketOutcome_DOCKET_OUTCOME_DONE:
 		f.done[t] = true
+		if f.doneRun[t] == 0 {
+			f.doneRun[t] = x.run
+		}
 	case wire.DocketOutcome_DOCKET_OUTCOME_FAILED:
 		f.noteFailure(t, x.run)
 	}
@@ -345,9 +360,13 @@
 // confirmed notes that an end was confirmed. It counts for good unless the worker's lease
 // lapsed in between: then the task may have been started elsewhere before.
 func (f *Fleet) confirmed(w *Worker, e cell.EndedTask) {
-	if e.Outcome == wire.DocketOutcome_DOCKET_OUTCOME_DONE && e.Sequence > w.lapsedThrough {
-		f.noted[e.Task] = true
+	if e.Outcome != wire.DocketOutcome_DOCKET_OUTCOME_DONE || e.Sequence <= w.lapsedThrough {
+		return
+	}
+	if f.again[e.Task] && f.doneRun[e.Task] == e.Run && !f.noted[e.Task] {
+		f.fault("%v: the end of run %d was confirmed after the task had begun again", e.Task, e.Run)
 	}
+	f.noted[e.Task] = true
 }
 
 func (f *Fleet) announce() {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -17,6 +17,7 @@
 	leaseMost = 10 * time.Second
 	stopTime  = 400 * time.Millisecond
 	gangWait  = 3 * time.Second
+	endsOnce  = 500 // ends that an answer lists at most
 )
 
 // Worker is a stand-in worker. All its state is guarded by the fleet's lock.
@@ -25,6 +26,7 @@
 	host     cell.Host
 	born     int64
 	started  time.Time
+	slow     float64 // share by which the worker's clock is slow
 	up       bool
 	cut      bool // nothing reaches it
 	refusing bool // connections to it are refused; it runs on
@@ -221,7 +223,21 @@
 	return !w.cut && (!w.up || w.born != life)
 }
 
-func (w *Worker) clock() int64 { return time.Since(w.started).Milliseconds() }
+func (w *Worker) clock() int64 {
+	return int64(float64(time.Since(w.started).Milliseconds()) * (1 - w.slow))
+}
+
+// fromOwn returns how long a time on the worker's clock takes.
+func (w *Worker) fromOwn(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - w.slow))
+}
+
+// SetSlow makes the worker's clock slow by a share, before the first order to it.
+func (w *Worker) SetSlow(share float64) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.slow = share
+}
 
 func (w *Worker) free() resource.Vector {
 	left := w.host.Capacity
@@ -240,8 +256,8 @@
 	if deadlineMS == 0 {
 		return
 	}
-	at := w.started.Add(time.Duration(deadlineMS) * time.Millisecond)
-	if most := time.Now().Add(leaseMost); at.After(most) {
+	at := w.started.Add(w.fromOwn(time.Duration(deadlineMS) * time.Millisecond))
+	if most := time.Now().Add(w.fromOwn(leaseMost)); at.After(most) {
 		at = most
 	}
 	if at.After(w.deadline) {
@@ -342,11 +358,16 @@
 		w.fleet.confirmed(w, w.ended[0])
 		w.ended = w.ended[1:]
 	}
-	r := cell.HoldResponse{ClockMS: w.clock(), StartedMS: w.born, Complete: true}
+	once := endsOnce
+	if w.fleet.EndsOnce > 0 {
+		once = w.fleet.EndsOnce
+	}
+	ends := w.ended[:min(len(w.ended), once)]
+	r := cell.HoldResponse{ClockMS: w.clock(), StartedMS: w.born, Complete: len(ends) < once}
 	for t, x := range w.running {
 		r.Running = append(r.Running, cell.RunningTask{Task: t, Run: x.run, Percent: x.percent(w.fleet.takes(t))})
 	}
-	r.Ended = append(r.Ended, w.ended...)
+	r.Ended = append(r.Ended, ends...)
 	return r, nil
 }
 
@@ -374,9 +395,9 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if w.up && w.host.ID == h.ID {
-				f.otherLife = w.born != life
+				f.late, f.otherLife = true, w.born != life
 				_, _ = do() // nobody hears the answer
-				f.otherLife = false
+				f.late, f.otherLife = false, false
 			}
 		})
 		f.mu.Unlock()
