cell: a run that the next life of its worker lists goes on under a new owner

Callers saw: a task run twice at once (TWICE) right after a takeover, or begun again after its end was confirmed; up to seven tasks at once. Cause: a start sent shortly before the owner changed met the worker's next life. The new owner's first list showed the run, but endEarlierRuns looked only at the life that the docket names, ended the run as lost and started it elsewhere, while it stopped the listed one as unknown (0.4 s). Ruled out: leases (no worker-closed), late orders (the start was in time). Change: a run that is listed is on the life that lists it. Evidence: TestStartOfEarlierOwnerMeetsNextLife, red before (4 tasks in one of 60 offsets), green now.

--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -52,3 +52,25 @@
 		}
 	})
 }
+
+// A start that was sent to a worker's earlier life met its next one, which listed the run to
+// a new owner. That ended the run as of the earlier life, and the task ran twice at once
+// (TWICE).
+func TestStartOfEarlierOwnerMeetsNextLife(t *testing.T) {
+	for offset := time.Duration(0); offset < 60*time.Millisecond; offset += time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 3 * time.Second }
+				time.Sleep(time.Second)
+				for i := range 2 {
+					time.AfterFunc(offset, b.fleet.Worker(i).RestartUnlisted)
+				}
+				job := b.submit(tasks(4, 4000))
+				time.Sleep(40 * time.Millisecond)
+				b.stop()
+				b.takeOver()
+				b.waitForState(job, docket.Completed, 20*time.Second)
+			})
+		})
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -229,12 +229,14 @@
 func (c *Cell) reconcile(w *worker, r HoldResponse, sent time.Time) {
 	first := !w.reconciled
 	w.reconciled = true
-	if first {
-		c.endEarlierRuns(w)
-	}
 	listedRuns := make(map[docket.TaskID]RunningTask, len(r.Running))
 	for _, t := range r.Running {
 		listedRuns[t.Task] = t
+	}
+	if first {
+		c.endEarlierRuns(w, listedRuns)
+	}
+	for _, t := range r.Running {
 		known, ok := w.runs[t.Task]
 		if ok && known.number == t.Run {
 			continue
@@ -262,10 +264,15 @@
 }
 
 // endEarlierRuns ends the adopted runs that were started on an earlier incarnation of the
-// worker, which has ended before this owner could hear from it.
-func (c *Cell) endEarlierRuns(w *worker) {
+// worker, which has ended before this owner could hear from it. A start may have met this
+// incarnation although it was sent to an earlier one; then its run is listed.
+func (c *Cell) endEarlierRuns(w *worker, listed map[docket.TaskID]RunningTask) {
 	var earlier []*run
 	for _, x := range w.runs {
+		if t, ok := listed[x.task]; ok && t.Run == x.number {
+			x.incarnation = w.incarnation
+			continue
+		}
 		if x.phase == adopted && x.incarnation != 0 && x.incarnation < w.incarnation {
 			earlier = append(earlier, x)
 		}
