cell: a start that may still arrive outlives the lease of the process it was sent to

Callers saw: a task run twice at once (TWICE): a worker that does not answer is given up with its lease, and runs the task again some seconds. Cause: a copy of a start that was not answered may be carried out up to 13 s later, by the worker's next process if it restarted unseen meanwhile. The clock of that one began anew, so the deadline in the start is far ahead of it, and it takes the longest lease; the owner reckons with the clock of the process before. Ruled out: the same process would refuse the copy as late. Change: such a run is given up when no copy can arrive any more and the longest lease after that has passed, 23.5 s after the last deadline was sent. Other runs of the worker are given up as before. Open: the same for starts of an earlier owner, which a new one knows nothing of; waiting so long after each takeover would cost more than it saves.

--- a/cell/lease.go
+++ b/cell/lease.go
@@ -45,7 +45,8 @@
 	}
 	w.reconciled = false
 	lost := slices.DeleteFunc(slices.Collect(maps.Values(w.runs)), func(x *run) bool {
-		return x.phase == committing // not sent yet; sendStart will end it
+		// A start that is not sent yet is ended by sendStart.
+		return x.phase == committing || c.mayRunOnNextLife(x, now)
 	})
 	if len(lost) == 0 {
 		return
@@ -65,9 +66,24 @@
 func (c *Cell) leaseExpired(w *worker, now time.Time) bool {
 	if w.lastHeard.IsZero() {
 		// An earlier owner may have renewed the lease until it lost the docket.
-		maxLease := time.Duration(float64(c.Limits.MaxLease)*(1+maxClockDrift)) + leaseExpirySlack
-		return now.Sub(c.startedAt) > maxLease
+		return now.Sub(c.startedAt) > takesAtMost(c.Limits.MaxLease)
 	}
 	remaining := time.Duration(w.leaseDeadlineMS-w.clockMS) * time.Millisecond
-	return now.Sub(w.lastHeard) > time.Duration(float64(remaining)*(1+maxClockDrift))+leaseExpirySlack
+	return now.Sub(w.lastHeard) > takesAtMost(remaining)
+}
+
+// takesAtMost returns how long a lease may take that ends after a time on a worker's clock.
+func takesAtMost(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+maxClockDrift)) + leaseExpirySlack
+}
+
+// mayRunOnNextLife reports whether the worker may have restarted unseen, and its next life
+// may have been given the run by a copy of the start that arrived late. Deadlines are far
+// ahead of the clock of that life, which began anew: only the longest lease bounds it.
+func (c *Cell) mayRunOnNextLife(x *run, now time.Time) bool {
+	w := x.worker
+	if !x.startArrivesUntil.After(w.lastHeard) {
+		return false
+	}
+	return now.Sub(w.deadlineSentAt) <= maxRequestDelay+takesAtMost(c.Limits.MaxLease)
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -39,27 +39,28 @@
 
 // run is one execution of a task that may be running on a worker.
 type run struct {
-	task            docket.TaskID
-	number          uint32
-	shape           *wire.DocketStep
-	queue           string
-	gang            bool
-	priority        uint32 // of the queue, 0 is the most urgent
-	worker          *worker
-	incarnation     int64 // of the worker when the run was started
-	phase           phase
-	startUnanswered bool // it is unknown whether the run has begun
-	startConfirmed  bool // the worker has accepted the start or reported the run
-	listed          bool // this incarnation of the worker has listed the run
-	startMayArrive  bool // a copy of the start may still arrive, even if another copy was answered
-	stopAnsweredAt  time.Time
-	stopSent        bool
-	startedAt       time.Time
-	percent         int
-	ticket          string
-	trial           crash.Trial
-	settled         bool // the worker has reported the run as running for a while
-	crashJudged     bool // a crash was counted for the run
+	task              docket.TaskID
+	number            uint32
+	shape             *wire.DocketStep
+	queue             string
+	gang              bool
+	priority          uint32 // of the queue, 0 is the most urgent
+	worker            *worker
+	incarnation       int64 // of the worker when the run was started
+	phase             phase
+	startUnanswered   bool      // it is unknown whether the run has begun
+	startConfirmed    bool      // the worker has accepted the start or reported the run
+	listed            bool      // this incarnation of the worker has listed the run
+	startMayArrive    bool      // a copy of the start may still arrive, even if another copy was answered
+	startArrivesUntil time.Time // until then such a copy of this owner's may arrive
+	stopAnsweredAt    time.Time
+	stopSent          bool
+	startedAt         time.Time
+	percent           int
+	ticket            string
+	trial             crash.Trial
+	settled           bool // the worker has reported the run as running for a while
+	crashJudged       bool // a crash was counted for the run
 }
 
 // assignRun adds the run to a worker and reserves its resources there.
@@ -185,6 +186,7 @@
 	w.leaseDeadlineMS = max(w.leaseDeadlineMS, o.DeadlineMS)
 	x.startUnanswered = true
 	x.startedAt = time.Now()
+	w.deadlineSentAt = x.startedAt
 	h := w.host
 	c.group.Go(func() error { return c.startUntilAnswered(c.ctx, x, &h, o) })
 }
@@ -205,8 +207,10 @@
 		lost = true
 		retry := false
 		if c.loop.Do(ctx, func() {
-			x.startMayArrive = true
-			x.worker.addUnansweredStart(x, time.Now())
+			now := time.Now()
+			x.startMayArrive, x.startArrivesUntil = true, now.Add(maxRequestDelay)
+			x.worker.deadlineSentAt = now
+			x.worker.addUnansweredStart(x, now)
 			retry = c.runs[x.task] == x && x.phase == starting && try+1 < maxStartAttempts
 		}) != nil {
 			return nil
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -41,6 +41,7 @@
 	clockMS              int64     // the worker's clock in the latest answer
 	leaseDeadlineMS      int64     // latest end of a lease that anyone may have granted, on the worker's clock
 	unansweredDeadlineMS int64     // deadline in the hold that is not answered yet, 0 if it has none
+	deadlineSentAt       time.Time // when a deadline was last sent, also to an earlier life
 	unresponsive         bool      // the latest hold was not answered
 	endsSeen             uint64    // ends up to this number are applied to the docket
 	endsStored           uint64    // ends up to this number are durable
@@ -153,6 +154,9 @@
 	// The worker may have taken the deadline long before its answer is heard, or without
 	// one, so the deadline counts from here on.
 	w.leaseDeadlineMS = max(w.leaseDeadlineMS, o.DeadlineMS)
+	if o.DeadlineMS != 0 {
+		w.deadlineSentAt = time.Now()
+	}
 	return o, w.host, false
 }
 
