cell: the lease of a restarted worker allows for holds to the process before

Callers saw: a task run twice at once (TWICE) after a worker restarted under its id and was cut off within 13 s. Cause: a hold to the process before, unanswered, may be carried out by the next one up to 13 s later. Its deadline is far ahead of the new clock and extends the lease to the longest there is, while the owner reckons with the deadlines that it gave this process. Change: the first deadline that is reckoned for a process that restarted includes what may still arrive: 13 s from the last deadline sent to the one before. Stand-in: DelayHolds delays holds from their beginning. DelayOrders is unchanged; it mostly meets the answer of a hold that was carried out, so no test had this.

--- a/cell/late_test.go
+++ b/cell/late_test.go
@@ -33,3 +33,26 @@
 		})
 	}
 }
+
+// A hold to the process before extended the lease of the worker's next process, which was
+// cut off by then: its runs were given up by the deadlines that it was given itself (TWICE).
+func TestLateHoldMeetsNextLife(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 19 * time.Second }
+				b.fleet.Worker(1).SetCapacity(100, 100) // until the run has begun on the other
+				time.Sleep(20*time.Second + offset)
+				b.fleet.Worker(0).DelayHolds(1, 10*time.Second)
+				time.Sleep(1500 * time.Millisecond)
+				b.fleet.Worker(0).Restart()
+				time.Sleep(1500 * time.Millisecond)
+				job := b.submit(tasks(1, 4000))
+				time.Sleep(500 * time.Millisecond)
+				b.fleet.Worker(0).SetRefusing(true)
+				b.fleet.Worker(1).SetCapacity(16000, 32768)
+				b.waitForState(job, docket.Completed, 60*time.Second)
+			})
+		})
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -191,8 +191,7 @@
 		w.incarnation = r.StartedMS
 	}
 	if w.lastHeard.IsZero() {
-		// Until this answer an earlier owner may have granted any lease; from now on it cannot.
-		w.leaseDeadlineMS = max(w.leaseDeadlineMS, r.ClockMS+c.Limits.MaxLease.Milliseconds())
+		w.leaseDeadlineMS = max(w.leaseDeadlineMS, c.firstDeadline(w, r.ClockMS, now))
 	}
 	w.lastHeard, w.clockMS, w.answeredAt, w.refused = now, r.ClockMS, h.Address, false
 	for _, e := range r.Ended {
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -425,6 +425,10 @@
 	f.mu.Lock()
 	wait, news := w.wake, len(w.ended) > 0 && w.ended[len(w.ended)-1].Sequence > o.Confirmed
 	reach, life := w.up && !w.cut, w.born
+	if w.lateHolds > 0 {
+		w.lateHolds--
+		w.lateLeft, w.lateFor = w.lateLeft+1, w.lateHoldFor
+	}
 	f.mu.Unlock()
 	r, err := deliver(ctx, w, h, func() (cell.HoldResponse, error) { return w.hold(o) })
 	if err != nil || o.Wait == 0 || news || !reach || len(r.Ended) > 0 {
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -32,12 +32,15 @@
 	refusing bool // connections to it are refused; it runs on
 	lateFor  time.Duration
 	lateLeft int
-	mute     int // answers to lose after the order was carried out
-	fence    uint64
-	deadline time.Time
-	running  map[docket.TaskID]*work
-	ended    []cell.EndedTask
-	number   uint64
+	// lateHolds counts the holds to delay, each from its beginning, by lateHoldFor.
+	lateHolds   int
+	lateHoldFor time.Duration
+	mute        int // answers to lose after the order was carried out
+	fence       uint64
+	deadline    time.Time
+	running     map[docket.TaskID]*work
+	ended       []cell.EndedTask
+	number      uint64
 	// lapsedThrough is the last end that was listed when the lease lapsed.
 	lapsedThrough uint64
 	barred        map[docket.TaskID]uint32 // runs up to it are refused
@@ -120,6 +123,14 @@
 	w.lateLeft, w.lateFor = orders, late
 }
 
+// DelayHolds leaves the next holds unanswered and carries them out later. DelayOrders does
+// not choose holds, and mostly meets the answer of one that was carried out.
+func (w *Worker) DelayHolds(holds int, late time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.lateHolds, w.lateHoldFor = holds, late
+}
+
 // LoseAnswers loses the answers of the next orders, which are carried out.
 func (w *Worker) LoseAnswers(orders int) {
 	w.fleet.mu.Lock()
