transport, platform: an order that is redirected was sent, and goes nowhere else

Callers saw: nothing that can be told apart from a refused connection. The order passed for not sent, the run ended as refused, and its task was started elsewhere. Cause: no client of orders, store, advisor and other processes kept the HTTP client from following redirects. A worker, or whoever answers at its address, that says 301, 302, 303, 307 or 308 sent the order on; where nobody listened at the new address, the failed dial there passed for "not sent" although the first host had read the order. Where somebody did listen, its 421 ended all runs of the worker, and its 200 confirmed the order. A read that net/http sends again by itself when a kept connection breaks passed for not sent as well, if the second dial failed. Change: package transport builds the clients and returns redirects; a call was not sent only if its dial failed and it had no connection before. Not shown: that any worker answers with a redirect.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -254,7 +254,7 @@
 	p.forward = &forward.Forwarder{
 		Process: name, DataCentre: dataCentre, Loop: p.loop, Gate: &admission.Controller{MaxQueued: s.Limits.MaxQueue},
 		Pool: &p.runners, PeerRunners: &p.peerSlots, Budget: &runner.RetryBudget{}, PeerForwarder: &peerForwarder{p},
-		RunnerClient: runnerClient(&transport.Transport{MaxIdleConns: 64, IdleTimeout: time.Minute}),
+		RunnerClient: (&transport.Transport{MaxIdleConns: 64, IdleTimeout: time.Minute}).Client(),
 		Table:        p.Table, PlatformReachable: p.session.PlatformReachable, Configuration: p.configuration, SessionValid: p.session.Valid,
 		Log: p.Log, Rand: p.rng, MaxBody: s.Limits.MaxBodyBytes, Observer: &requestObserver{p},
 	}
@@ -262,11 +262,6 @@
 	return nil
 }
 
-// runnerClient returns a client that returns redirects instead of following them.
-func runnerClient(t http.RoundTripper) *http.Client {
-	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-}
-
 // commitRate returns this process's share of the journal's write rate. The rate is
 // divided among the live processes, but at most among maxWritingProcesses, so
 // that a count that is too high does not stall this process.
--- a/entry/racks.go
+++ b/entry/racks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"time"
 
@@ -134,7 +133,7 @@
 
 // workerClient keeps idle connections to all workers of the racks that a process may
 // own. The default client keeps 100 in all and two per address.
-var workerClient = &http.Client{Transport: &transport.Transport{MaxIdleConns: 32, IdleTimeout: time.Minute}}
+var workerClient = (&transport.Transport{MaxIdleConns: 32, IdleTimeout: time.Minute}).Client()
 
 func (p *Process) agentAt(address string) worker.Agent {
 	if a, ok := p.agent.Load(address); ok {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -35,10 +34,11 @@
 }
 
 func (c *Client) initClient() {
-	c.client = &http.Client{Transport: &transport.Transport{
+	t := &transport.Transport{
 		DialTimeout: dialTimeout, MaxConns: maxConnsPerHost, MaxIdleConns: maxIdleConnsPerHost, IdleTimeout: idleTimeout,
 		BufferBytes: connBufferSize,
-	}}
+	}
+	c.client = t.Client()
 }
 
 // call posts a message and decodes the answer into out. The error wraps ErrNotReached
@@ -56,8 +56,7 @@
 	req.Header.Set("Content-Type", contentType)
 	resp, err := c.client.Do(req)
 	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if errors.Is(err, transport.ErrNotSent) {
 			return fmt.Errorf("%w: %w", ErrNotReached, err)
 		}
 		return fmt.Errorf("call %s%s: %w", address, path, err)
--- a/provider/client.go
+++ b/provider/client.go
@@ -249,4 +249,4 @@
 // sharedClient keeps up to 32 idle connections to the platform, enough for the
 // usual number of concurrent calls. http.DefaultClient keeps only two for each
 // host and would dial a new connection for most calls.
-var sharedClient = &http.Client{Transport: &transport.Transport{MaxIdleConns: 32, IdleTimeout: time.Minute}}
+var sharedClient = (&transport.Transport{MaxIdleConns: 32, IdleTimeout: time.Minute}).Client()
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -6,24 +6,33 @@
 // its host, so that the next call opens a new one. Calls in progress are left alone,
 // since the host may just be slow.
 //
+// A call reaches the host that it names and no other: redirects are returned, not
+// followed.
+//
 // Usage:
 //
 //	t := &transport.Transport{DialTimeout: 400 * time.Millisecond, MaxConns: 8, MaxIdleConns: 8, IdleTimeout: time.Minute}
-//	c := &http.Client{Transport: t}
+//	c := t.Client()
 //	q, err := http.NewRequestWithContext(ctx, ...)   // with a deadline
-//	a, err := c.Do(q)
+//	a, err := c.Do(q)                            // ErrNotSent: no host has got the call
 package transport
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// ErrNotSent says that no connection could be made for the call, so no byte of it has left.
+var ErrNotSent = errors.New("call was not sent")
+
 // Transport is an http.RoundTripper for plain HTTP/1.1. Set the exported fields before
 // the first call. It is safe for concurrent use.
 type Transport struct {
@@ -43,18 +52,36 @@
 	used time.Time // start of the newest call
 }
 
-// RoundTrip implements http.RoundTripper.
+// Client returns a client that returns redirects instead of following them. What another
+// host answers, or that it refuses a connection, says nothing of the one that was called.
+func (t *Transport) Client() *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+// RoundTrip implements http.RoundTripper. The error wraps ErrNotSent where that is certain.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	p := t.pool(q.URL.Host, time.Now())
-	a, err := p.RoundTrip(q)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	a, err := p.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		p.closeAfter(q.Context())
+		if isDialError(err) && !connected.Load() {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
 		return nil, err
 	}
 	a.Body = &body{ReadCloser: a.Body, pool: p, ctx: q.Context()}
 	return a, nil
 }
 
+// isDialError reports whether a connection could not be made. It need not be the first for
+// the call: net/http sends reads again when a kept connection breaks.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // pool returns the pool of a host.
 func (t *Transport) pool(host string, now time.Time) *pool {
 	t.mu.Lock()
--- a/worker/client.go
+++ b/worker/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"persimmonworks.example/persimmonworks/transport"
 )
 
 // PathSync is the path of a Sync below a worker's address.
@@ -28,11 +30,13 @@
 	Address string        // base URL
 	Name    string        // sent in the header Persimmon-Client; may be empty
 	Timeout time.Duration // per call; 0 means DefaultTimeout
-	HTTP    *http.Client  // nil means http.DefaultClient
+	HTTP    *http.Client  // nil means one that follows no redirects
 }
 
 var _ Agent = (*Client)(nil)
 
+var sharedClient = (&transport.Transport{MaxIdleConns: 32, IdleTimeout: time.Minute}).Client()
+
 // Sync sends s to the worker. The error wraps ErrStaleEpoch if the worker
 // refused the epoch, and otherwise ErrUnreachable; in the latter case s may or
 // may not have taken effect.
@@ -56,7 +60,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = sharedClient
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -47,3 +47,17 @@
 		})
 	}
 }
+
+// A sync that is answered with a redirect is not sent to another address.
+func TestSyncFollowsNoRedirects(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the redirect was followed") }))
+	defer other.Close()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		http.Redirect(w, q, other.URL, http.StatusTemporaryRedirect)
+	}))
+	defer server.Close()
+	client := &worker.Client{Address: server.URL}
+	if _, err := client.Sync(t.Context(), worker.Sync{Epoch: 6}); !errors.Is(err, worker.ErrUnreachable) {
+		t.Errorf("%v, want %v", err, worker.ErrUnreachable)
+	}
+}
