cell: another process at a worker's address ends its runs only if it is there for good

Callers saw: a task run twice at once (rule TWICE), in tests with simulated workers; not in a run of processes. Cause: one 421 at an address where the worker had answered ended all its runs at once. Three courses lead there while the worker works on: - an earlier holder of the address answers for a moment, as it does over a connection that was kept from its time; - the worker goes on at another address, which its entry names, and another process takes the first one; - the same, and the docket still has the first address for the next owner: a change of address within one life was never stored. Change: a 421 counts only in answer to a hold over a connection of its own, which the next hold after a first 421 uses; it proves nothing where the list has the worker elsewhere; and the docket follows the address at which a worker answers. Ruled out: a 421 to a start or a stop ends nothing but that call; an entry that names another worker's address does not, since the worker has not answered there (TestOddAddressEndsNoRuns, TestOddAddressAfterTakeover); one late, since a worker has one hold at a time. Open: a process that shares the address over two holds passes for the only one there.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -21,12 +21,21 @@
 	settleTime = 300 * time.Millisecond
 )
 
-// handleMisdirected processes an answer of another process at the address of a worker.
-// If the worker has answered there before, its process has ended, and so have its runs.
-func (c *Cell) handleMisdirected(w *worker, h *Host) {
+// handleMisdirected processes the answer of another process to a hold at the address of a
+// worker. If the worker has answered there before, its process has ended, and so have its
+// runs, unless the answer came from an earlier holder of the address, to which a kept
+// connection may lead for a moment, or the worker has moved.
+func (c *Cell) handleMisdirected(w *worker, h *Host, o HoldRequest) {
 	if w.processEnded || h.Address != w.host.Address || !c.hasAnsweredAt(w, h.Address) {
 		return
 	}
+	if w.inFleet && w.listedAddress != h.Address {
+		return
+	}
+	if !o.NewConnection {
+		w.misdirected = true
+		return
+	}
 	c.judgeCrash(w, "another process answers at its address")
 	w.processEnded, w.reconciled, w.unansweredStarts, w.expired = true, false, nil, nil
 	for _, x := range w.runs {
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -88,6 +88,8 @@
 	Confirmed  uint64 // ends up to this number are durable
 	DeadlineMS int64  // end of the lease on the worker's clock; 0 does not renew it
 	Wait       time.Duration
+	// NewConnection asks for an answer of the process that listens at the address now.
+	NewConnection bool
 }
 
 // StartResponse is a worker's answer to a StartRequest.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -51,6 +51,7 @@
 	unlistedSince        time.Time     // when the worker left the list
 	listedAddress        string        // address in the list, which may not be the worker's
 	answeredAt           string        // address at which this incarnation has answered
+	misdirected          bool          // another process has answered the latest hold that was answered
 	processEnded         bool          // this incarnation's process has certainly ended
 	expired              []*run        // runs of this incarnation that were lost with its lease
 	unsettled            int           // runs that have not settled, see package crash
@@ -136,7 +137,7 @@
 		c.removeWorker(w)
 		return o, h, true
 	}
-	o = HoldRequest{Epoch: c.Epoch(), Confirmed: w.endsStored, Wait: holdWait}
+	o = HoldRequest{Epoch: c.Epoch(), Confirmed: w.endsStored, Wait: holdWait, NewConnection: w.misdirected}
 	if w.trials > 0 || w.aside != forAll {
 		o.Wait = w.settlesIn(time.Now())
 	}
@@ -170,7 +171,7 @@
 	w.unresponsive = err != nil
 	if err != nil {
 		if errors.Is(err, ErrWorkerRestarted) {
-			c.handleMisdirected(w, h)
+			c.handleMisdirected(w, h, o)
 		}
 		if errors.Is(err, ErrNotSent) && c.hasAnsweredAt(w, h.Address) {
 			c.handleRefused(w, now)
@@ -193,7 +194,11 @@
 	if w.lastHeard.IsZero() {
 		w.leaseDeadlineMS = max(w.leaseDeadlineMS, c.firstDeadline(w, r.ClockMS, now))
 	}
-	w.lastHeard, w.clockMS, w.answeredAt, w.refused = now, r.ClockMS, h.Address, false
+	moved := w.answeredAt != "" && w.answeredAt != h.Address
+	w.lastHeard, w.clockMS, w.answeredAt, w.refused, w.misdirected = now, r.ClockMS, h.Address, false, false
+	if moved {
+		c.recordAddress(w)
+	}
 	for _, e := range r.Ended {
 		if e.Sequence > w.endsSeen {
 			c.handleEnded(w, e)
@@ -306,7 +311,7 @@
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_LOST, "", "worker restarted")
 	}
 	w.incarnation, w.reconciled = incarnation, false
-	w.answeredAt, w.processEnded, w.expired, w.aside = "", false, nil, forAll
+	w.answeredAt, w.misdirected, w.processEnded, w.expired, w.aside = "", false, false, nil, forAll
 	w.endsSeen, w.endsStored = 0, 0
 	w.leaseDeadlineMS, w.clockMS = 0, 0
 	w.lastHeard = time.Time{}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -38,7 +38,7 @@
 type Transport struct {
 	DialTimeout  time.Duration
 	MaxConns     int           // to one host, 0 for no limit
-	MaxIdleConns int           // to one host
+	MaxIdleConns int           // to one host; below 0, each call makes a connection
 	IdleTimeout  time.Duration // after which an idle connection is closed
 	BufferBytes  int           // of reading and of writing, for each connection; 0 for the usual size
 
