cell: a start rests on no answer from before a time without an open hold

Cause: an end that is listed and not stored yet leaves the worker without an open hold until the commit is answered, or for 0.5 s at a time while the store is away. A worker that came back under its name meanwhile was not noticed. Starts that were appended before the store had stalled became durable with the first commit after its return and were sent at once, by an answer up to 0.5 s old, to the worker's next life. Change: a start waits for a new answer if the worker was without a hold for more than 250 ms since the latest one; for 20 ms if the start itself has waited for the store for more than 250 ms. The hold after that does not wait for ends. Open: a worker that is back within 250 ms of its answer while an ordinary commit is under way, and a start that crosses its restart on the wire.

--- a/cell/run.go
+++ b/cell/run.go
@@ -177,6 +177,10 @@
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "worker has shrunk before the start was sent")
 		return
 	}
+	if x.needsAnswer(time.Now()) {
+		w.holdBack(x)
+		return
+	}
 	x.phase = starting
 	t := j.Task(x.task)
 	o := StartRequest{
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -60,7 +60,10 @@
 	clearedUntil         time.Time
 	keptFor              docket.StepID // a step for which the worker is kept until keptUntil
 	keptUntil            time.Time
-	refused              bool // it has refused a connection since its last answer, and its process seems to have ended
+	noHoldSince          time.Time     // since when no hold is open, zero while one is
+	unwatched            time.Duration // before the open hold, since the latest answer, see unwatchedFor
+	heldBack             []*run        // starts that wait for an answer
+	refused              bool          // it has refused a connection since its last answer, and its process seems to have ended
 	aside                use
 }
 
@@ -141,7 +144,8 @@
 	if w.trials > 0 || w.aside != forAll {
 		o.Wait = w.settlesIn(time.Now())
 	}
-	if !w.reconciled {
+	w.unwatched, w.noHoldSince = w.unwatchedFor(time.Now()), time.Time{}
+	if !w.reconciled || w.unwatched > maxUnwatched || len(w.heldBack) > 0 {
 		o.Wait = 0
 	}
 	if !w.lastHeard.IsZero() && !w.unresponsive {
@@ -166,6 +170,8 @@
 func (c *Cell) handleHoldAnswer(w *worker, h *Host, r HoldResponse, sent time.Time, err error) time.Duration {
 	now := time.Now()
 	w.unansweredDeadlineMS = 0
+	w.noHoldSince = now
+	defer c.sendHeldBack(w)
 	// Holds do not renew the lease of a worker that does not answer. They might reach
 	// it all the same, and the lease would never be known to have expired.
 	w.unresponsive = err != nil
@@ -196,6 +202,7 @@
 	}
 	moved := w.answeredAt != "" && w.answeredAt != h.Address
 	w.lastHeard, w.clockMS, w.answeredAt, w.refused, w.misdirected = now, r.ClockMS, h.Address, false, false
+	w.unwatched = 0
 	if moved {
 		c.recordAddress(w)
 	}
