--- a/cell/worker.go
+++ b/cell/worker.go
@@ -115,7 +115,7 @@
 		report, err := c.Orders.Hold(call, &h, o)
 		cancel()
 		pause := time.Duration(0)
-		if c.loop.Do(ctx, func() { pause = c.handleHoldAnswer(w, &h, report, sent, err) }) != nil {
+		if c.loop.Do(ctx, func() { pause = c.handleHoldAnswer(w, &h, o, report, sent, err) }) != nil {
 			return nil
 		}
 		if pause == 0 {
@@ -167,7 +167,7 @@
 
 // handleHoldAnswer processes the answer to a hold and returns the pause before the
 // next one.
-func (c *Cell) handleHoldAnswer(w *worker, h *Host, r HoldResponse, sent time.Time, err error) time.Duration {
+func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent time.Time, err error) time.Duration {
 	now := time.Now()
 	w.unansweredDeadlineMS = 0
 	w.noHoldSince = now
