--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -22,7 +22,7 @@
 // harness runs a cell against simulated workers and a simulated store, in a bubble
 // of package synctest.
 type harness struct {
-	*testing.T
+	testing.TB
 	fleet   *fleettest.Fleet
 	advisor advice.Advisor
 	table   *fleettest.Table
@@ -42,7 +42,7 @@
 // found broken.
 func run(t *testing.T, workers int, f func(b *harness)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &harness{T: t, fleet: fleettest.New(workers, 16000, 32768), table: fleettest.NewTable()}
+		b := &harness{TB: t, fleet: fleettest.New(workers, 16000, 32768), table: fleettest.NewTable()}
 		b.advisor = b.fleet
 		b.takeOver()
 		f(b)
