cell: an answer counts as heard when it arrives, and a start needs a fresh one

Callers saw: a task started on a worker that had come back as another kind, without the label that the step requires (ROUTE). Cause: two that only together break the rule. An answer that waited for the control loop of an owner that was paused (3 s) counted as heard when the loop came to it, so the worker seemed to answer now; and a start that was stored meanwhile was sent without a look at how long ago the worker was heard. Ruled out: late orders (the start was in time), a list that is behind (the worker was described by the life that had answered). Change: the time is taken where the answer arrives, and sendStart refuses a worker that has been silent for as long as placement allows none. For leases the earlier time is exact: the worker's clock was read before it. TestNoStartsAfterPauseWithoutAnotherLook, red before at one of ten offsets, still red with either half alone, green with both. go test ./cell green.

--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -1,11 +1,13 @@
 package cell_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
+	"persimmonworks.example/persimmonworks/event"
 )
 
 // An entry with a later time of start, written over that of a live worker, ended the
@@ -150,3 +152,32 @@
 		})
 	}
 }
+
+// A start that was stored while the owner was paused was sent, without another look, to a
+// worker that had come back as another kind meanwhile (ROUTE).
+func TestNoStartsAfterPauseWithoutAnotherLook(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(b *harness) {
+				var stall atomic.Int64
+				w := b.fleet.Worker(0)
+				b.stop()
+				b.decorateLog = func(e event.Emitter) event.Emitter { return &stallingLog{e, event.TaskStarting, &stall} }
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				b.takeOver()
+				time.Sleep(2*time.Second + offset)
+				step := tasks(1, 4000)
+				step.Requires = "a"
+				stall.Store(int64(3 * time.Second))
+				time.AfterFunc(100*time.Millisecond, w.Crash)
+				time.AfterFunc(time.Second, func() { w.RestartAs(func(h *cell.Host) { h.Labels = []string{"b"} }) })
+				job := b.submit(step)
+				time.Sleep(4 * time.Second)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				b.waitForState(job, docket.Completed, 10*time.Second)
+			})
+		})
+	}
+}
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -91,10 +91,10 @@
 // firstDeadline returns the latest end of the lease of a life that has answered for the
 // first time, on its clock. Until this answer an earlier owner may have granted any lease.
 // Orders to the life before may still arrive with deadlines that are far ahead of this clock.
-func (c *Cell) firstDeadline(w *worker, clockMS int64, now time.Time) int64 {
+func (c *Cell) firstDeadline(w *worker, clockMS int64, heard time.Time) int64 {
 	lease := c.Limits.MaxLease
 	if !w.deadlineSentAt.IsZero() {
-		lease += max(0, maxRequestDelay-now.Sub(w.deadlineSentAt))
+		lease += max(0, maxRequestDelay-heard.Sub(w.deadlineSentAt))
 	}
 	return clockMS + lease.Milliseconds()
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -164,7 +164,7 @@
 	case !ok || j.Terminal():
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "job has ended")
 		return
-	case w.incarnation != x.incarnation || !w.reconciled || w.unresponsive:
+	case w.incarnation != x.incarnation || !w.reconciled || w.unresponsive || time.Since(w.lastHeard) >= silenceTimeout:
 		c.endRun(x, wire.DocketOutcome_DOCKET_OUTCOME_REFUSED, "", "worker became unavailable before the start was sent")
 		return
 	case x.phase == stopping:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -113,9 +113,10 @@
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, o.Wait+holdTimeoutSlack)
 		report, err := c.Orders.Hold(call, &h, o)
+		heard := time.Now()
 		cancel()
 		pause := time.Duration(0)
-		if c.loop.Do(ctx, func() { pause = c.handleHoldAnswer(w, &h, o, report, sent, err) }) != nil {
+		if c.loop.Do(ctx, func() { pause = c.handleHoldAnswer(w, &h, o, report, sent, heard, err) }) != nil {
 			return nil
 		}
 		if pause == 0 {
@@ -166,11 +167,10 @@
 }
 
 // handleHoldAnswer processes the answer to a hold and returns the pause before the
-// next one.
-func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent time.Time, err error) time.Duration {
-	now := time.Now()
+// next one. The answer may have waited for the control loop since it was heard.
+func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent, heard time.Time, err error) time.Duration {
 	w.unansweredDeadlineMS = 0
-	w.noHoldSince = now
+	w.noHoldSince = heard
 	defer c.sendHeldBack(w)
 	// Holds do not renew the lease of a worker that does not answer. They might reach
 	// it all the same, and the lease would never be known to have expired.
@@ -180,7 +180,7 @@
 			c.handleMisdirected(w, h, o)
 		}
 		if errors.Is(err, ErrNotSent) && c.hasAnsweredAt(w, h.Address) {
-			c.handleRefused(w, now)
+			c.handleRefused(w, heard)
 		}
 		c.tryOtherAddress(w)
 		return holdRetryInterval
@@ -198,10 +198,10 @@
 		w.incarnation = r.StartedMS
 	}
 	if w.lastHeard.IsZero() {
-		w.leaseDeadlineMS = max(w.leaseDeadlineMS, c.firstDeadline(w, r.ClockMS, now))
+		w.leaseDeadlineMS = max(w.leaseDeadlineMS, c.firstDeadline(w, r.ClockMS, heard))
 	}
 	moved := w.answeredAt != "" && w.answeredAt != h.Address
-	w.lastHeard, w.clockMS, w.answeredAt, w.refused, w.misdirected = now, r.ClockMS, h.Address, false, false
+	w.lastHeard, w.clockMS, w.answeredAt, w.refused, w.misdirected = heard, r.ClockMS, h.Address, false, false
 	w.unwatched = 0
 	if moved {
 		c.recordAddress(w)
