cell: random plays allow failed jobs whose tasks had ended unseen on crashed workers

Two workers on which a task began have crashed, and the job is failed. The check of the random test was wrong there; Fleet.HasFailed, which the other tests use, is unchanged, and a job that fails with fewer crashes still breaks.

--- a/fleettest/crash.go
+++ b/fleettest/crash.go
@@ -150,3 +150,17 @@
 	}
 	return false
 }
+
+// MayLookFailed reports whether as many workers crashed after a task of the job began there
+// as have to crash under it before the job may be shown as failed. Where a worker could not
+// be reached before it crashed, nobody can know that the task had ended.
+func (f *Fleet) MayLookFailed(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for t, n := range f.crashesAfter {
+		if t.Job == job && n >= minCrashesToFail {
+			return true
+		}
+	}
+	return false
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -61,6 +61,8 @@
 	noOwnerSince time.Time
 	// crashesUnder counts the workers that crashed while a task ran there.
 	crashesUnder map[docket.TaskID]int
+	// crashesAfter counts also those on which the task had ended, which may not be known.
+	crashesAfter map[docket.TaskID]int
 }
 
 // New returns workers of one service, "jobs", four to a rack.
@@ -69,7 +71,7 @@
 		jobs: map[string]*wire.DocketAccepted{}, done: map[docket.TaskID]bool{}, noted: map[docket.TaskID]bool{},
 		doneRun: map[docket.TaskID]uint32{}, again: map[docket.TaskID]bool{},
 		failures: map[docket.TaskID]uint32{}, gangFailures: map[docket.StepID]map[uint32]bool{}, cancels: map[string]time.Time{}, crashes: map[docket.TaskID]*crashRecord{},
-		crashesUnder: map[docket.TaskID]int{},
+		crashesUnder: map[docket.TaskID]int{}, crashesAfter: map[docket.TaskID]int{},
 	}
 	for i := range count {
 		w := &Worker{fleet: f, host: cell.Host{
@@ -239,7 +241,7 @@
 		f.fault("%v: %v after its job was cancelled", o.Task, time.Since(at))
 	}
 	f.judgeCrashes(w, o.Task)
-	w.running[o.Task] = x
+	w.running[o.Task], w.begun[o.Task] = x, true
 	x.timer = time.AfterFunc(f.takes(o.Task), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -39,6 +39,7 @@
 	fence       uint64
 	deadline    time.Time
 	running     map[docket.TaskID]*work
+	begun       map[docket.TaskID]bool // tasks that began in this life
 	ended       []cell.EndedTask
 	number      uint64
 	// lapsedThrough is the last end that was listed when the lease lapsed.
@@ -180,7 +181,10 @@
 		x.timer.Stop()
 		w.fleet.crashesUnder[t]++
 	}
-	w.running = map[docket.TaskID]*work{}
+	for t := range w.begun {
+		w.fleet.crashesAfter[t]++
+	}
+	w.running, w.begun = map[docket.TaskID]*work{}, map[docket.TaskID]bool{}
 }
 
 // Restart gives the worker a new life under its name.
@@ -216,6 +220,7 @@
 	w.host.StartedMS = w.born
 	w.fence, w.number, w.lapsedThrough, w.deadline = 0, 0, 0, time.Time{}
 	w.running, w.ended, w.barred = map[docket.TaskID]*work{}, nil, map[docket.TaskID]uint32{}
+	w.begun = map[docket.TaskID]bool{}
 	w.wake = make(chan struct{})
 }
 
