cell: a start is sent again only after the worker was heard

Callers saw: a task started on a worker that had come back as another kind, without the label that the step requires (ROUTE), and moved away a second later, with other rules broken by that. Cause: a start that was not answered within 0.5 s was sent again blindly, up to two times. If the network held up the look at the worker as well, its restart was not known, and its next process got the copy. Ruled out: late orders (the copy was in time), the pause of an owner (none). Change: the next copy waits until the worker was heard after the one before was sent, within the same 1.5 s; a restart is known by then and ends the copies. TestNoSecondCopyWithoutAnotherLook, red before at nine or more of twenty offsets, green now. go test ./cell green. Cost: where only the answer of a start is lost, the copy leaves when the next look is answered, up to 1 s after the first, instead of after 0.5 s. Not measured.

--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -181,3 +181,30 @@
 		})
 	}
 }
+
+// A start that was not answered was sent again, without another look, to a worker that had
+// come back as another kind (ROUTE).
+func TestNoSecondCopyWithoutAnotherLook(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(b *harness) {
+				w := b.fleet.Worker(0)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				time.Sleep(2*time.Second + offset)
+				step := tasks(1, 4000)
+				step.Requires = "a"
+				w.DelayOrders(2, 8*time.Second) // the start, and the answer to a look
+				job := b.submit(step)
+				time.Sleep(100 * time.Millisecond)
+				w.Crash()
+				time.Sleep(100 * time.Millisecond)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"b"} })
+				time.Sleep(3 * time.Second)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				b.waitForState(job, docket.Completed, 20*time.Second)
+			})
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -197,7 +197,9 @@
 
 func (c *Cell) startUntilAnswered(ctx context.Context, x *run, h *Host, o StartRequest) error {
 	lost := false // an earlier copy of the request was not answered
-	for try := 0; ; try++ {
+	giveUpAt := time.Now().Add(maxStartAttempts * startTimeout)
+	for {
+		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		resp, err := c.Orders.Start(call, h, o)
 		cancel()
@@ -209,23 +211,44 @@
 			return nil
 		}
 		lost = true
-		retry := false
-		if c.loop.Do(ctx, func() {
-			now := time.Now()
-			x.startMayArrive, x.startArrivesUntil = true, now.Add(maxRequestDelay)
-			x.worker.deadlineSentAt = now
-			x.worker.addUnansweredStart(x, now)
-			retry = c.runs[x.task] == x && x.phase == starting && try+1 < maxStartAttempts
-		}) != nil {
+		if c.loop.Do(ctx, func() { c.noteUnansweredStart(x) }) != nil {
 			return nil
 		}
-		if !retry {
+		if !c.mayStartAgain(ctx, x, sent, giveUpAt) {
 			c.loop.Post(func() { c.handleStartAnswer(x, resp, err, true) })
 			return nil
 		}
 	}
 }
 
+// noteUnansweredStart records that a copy of a start may arrive later.
+func (c *Cell) noteUnansweredStart(x *run) {
+	now := time.Now()
+	x.startMayArrive, x.startArrivesUntil = true, now.Add(maxRequestDelay)
+	x.worker.deadlineSentAt = now
+	x.worker.addUnansweredStart(x, now)
+}
+
+// mayStartAgain waits until the worker was heard after the time at which a copy of a start
+// was sent, and reports whether to send another one. Without that, the worker may have come
+// back as one that the task must not run on.
+func (c *Cell) mayStartAgain(ctx context.Context, x *run, sent, giveUpAt time.Time) bool {
+	for time.Now().Before(giveUpAt) {
+		wanted, heard := false, false
+		if c.loop.Do(ctx, func() {
+			wanted = c.runs[x.task] == x && x.phase == starting
+			heard = x.worker.lastHeard.After(sent)
+		}) != nil || !wanted {
+			return false
+		}
+		if heard {
+			return true
+		}
+		pause.For(ctx, tickInterval)
+	}
+	return false
+}
+
 // handleStartAnswer processes the answer to a start. lost is true if an earlier copy
 // was not answered and may still be executed.
 func (c *Cell) handleStartAnswer(x *run, r StartResponse, err error, lost bool) {
