cell: only a next life that the list shows delays the end of a silent worker's runs

Cause: waits for the longest lease of a next life wherever a copy of a start may still arrive, and cutting a worker off leaves its last starts so. Change: it waits only if the list of workers shows another life than the one that has answered.

--- a/cell/lease.go
+++ b/cell/lease.go
@@ -77,12 +77,12 @@
 	return time.Duration(float64(lease)*(1+maxClockDrift)) + leaseExpirySlack
 }
 
-// mayRunOnNextLife reports whether the worker may have restarted unseen, and its next life
-// may have been given the run by a copy of the start that arrived late. Deadlines are far
-// ahead of the clock of that life, which began anew: only the longest lease bounds it.
+// mayRunOnNextLife reports whether the next life of the worker, which the list shows, may
+// have been given the run by a copy of the start that arrived late. Deadlines are far ahead
+// of the clock of that life, which began anew: only the longest lease bounds it.
 func (c *Cell) mayRunOnNextLife(x *run, now time.Time) bool {
 	w := x.worker
-	if !x.startArrivesUntil.After(w.lastHeard) {
+	if w.described() || !x.startArrivesUntil.After(w.lastHeard) {
 		return false
 	}
 	return now.Sub(w.deadlineSentAt) <= maxRequestDelay+takesAtMost(c.Limits.MaxLease)
