soak: owners lose sight of workers that run on

Tasks of at most 1.5 s also end before they are given up. One task in 12 takes 3 to 10 s, drawn from the task's name; so earlier seeds keep their faults but not the durations of those tasks.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -176,21 +176,13 @@
 	return nil
 }
 
-// breakThings draws faults that overlap until ctx ends, and leaves all whole.
+// breakThings draws faults that overlap until ctx ends, and leaves all whole. The faults
+// of owners have a stream of their own.
 func (r *run) breakThings(ctx context.Context) error {
-	rng := rand.New(rand.NewPCG(r.Seed, 1))
-	begun := time.Now()
+	const ownerStream = 4 // the operator has 2 and 3
 	var group errgroup.Group
-	for ctx.Err() == nil {
-		f := faults[rng.IntN(len(faults))]
-		length := time.Duration(rng.Int64N(int64(brokenMost)))
-		drawn := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
-		r.mu.Lock()
-		r.faults = append(r.faults, fmt.Sprintf("%v %s, %v", time.Since(begun).Round(time.Millisecond), f.name, length.Round(time.Millisecond)))
-		r.mu.Unlock()
-		group.Go(func() error { return f.do(ctx, r, drawn, length) })
-		pause.For(ctx, time.Duration(rng.Int64N(int64(betweenFaults))))
-	}
+	group.Go(func() error { return r.breakAll(ctx, faults, 1, betweenFaults) })
+	group.Go(func() error { return r.breakAll(ctx, ownerFaults, ownerStream, betweenOwnerFaults) })
 	err := group.Wait()
 	r.store.SetAway(false)
 	for _, h := range r.hosts {
@@ -202,3 +194,21 @@
 	}
 	return err
 }
+
+// breakAll draws from some faults until ctx ends and waits for those that it drew.
+func (r *run) breakAll(ctx context.Context, from []fault, stream uint64, between time.Duration) error {
+	rng := rand.New(rand.NewPCG(r.Seed, stream))
+	begun := time.Now()
+	var group errgroup.Group
+	for ctx.Err() == nil {
+		f := from[rng.IntN(len(from))]
+		length := time.Duration(rng.Int64N(int64(brokenMost)))
+		drawn := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+		r.mu.Lock()
+		r.faults = append(r.faults, fmt.Sprintf("%v %s, %v", time.Since(begun).Round(time.Millisecond), f.name, length.Round(time.Millisecond)))
+		r.mu.Unlock()
+		group.Go(func() error { return f.do(ctx, r, drawn, length) })
+		pause.For(ctx, time.Duration(rng.Int64N(int64(between))))
+	}
+	return group.Wait()
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,9 @@
 	workerMemoryMB = 32768
 	taskLeast      = 100 * time.Millisecond
 	taskMost       = 1500 * time.Millisecond
+	longEvery      = 12 // one task in so many outlasts leases
+	longLeast      = 3 * time.Second
+	longMost       = 10 * time.Second
 	startUp        = 4 * time.Second  // until the processes have divided the workers
 	settle         = 40 * time.Second // for all jobs to end once nothing is broken any more
 	look           = 200 * time.Millisecond
@@ -193,6 +196,9 @@
 // takes and fails depend on the task alone, so that a seed gives the same work. A worker
 // that fails a run of a step fails it for all its tasks, so also for all members of a gang.
 func (r *run) takes(t docket.TaskID) time.Duration {
+	if rng := r.draw("long " + t.String()); rng.IntN(longEvery) == 0 {
+		return longLeast + time.Duration(rng.Int64N(int64(longMost-longLeast)))
+	}
 	return taskLeast + time.Duration(r.draw(t.String()).Int64N(int64(taskMost-taskLeast)))
 }
 
