--- a/exchange/client.go
+++ b/exchange/client.go
@@ -29,11 +29,19 @@
 // Client sends requests to other processes. The zero value is ready to use. Its
 // methods are safe for concurrent use.
 type Client struct {
+	// Transport carries the requests. Set it before the first one; nil means TCP. Its errors
+	// wrap transport.ErrNotSent where the other process has certainly not got the request.
+	Transport http.RoundTripper
+
 	once   sync.Once
 	client *http.Client
 }
 
 func (c *Client) initClient() {
+	if c.Transport != nil {
+		c.client = &http.Client{Transport: c.Transport}
+		return
+	}
 	t := &transport.Transport{
 		DialTimeout: dialTimeout, MaxConns: maxConnsPerHost, MaxIdleConns: maxIdleConnsPerHost, IdleTimeout: idleTimeout,
 		BufferBytes: connBufferSize,
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -56,7 +57,9 @@
 	Limits   cell.Limits
 	// Configuration may be nil; then processes do not tell each other their versions.
 	Configuration Configuration
-	WriteRate     float64 // limit of write calls a second to the store, of all processes together; 0 means no limit
+	// Transport carries requests to other processes; nil means TCP.
+	Transport http.RoundTripper
+	WriteRate float64 // limit of write calls a second to the store, of all processes together; 0 means no limit
 
 	client    exchange.Client
 	leaving   chan struct{}
@@ -78,6 +81,7 @@
 	n.leaving = make(chan struct{})
 	n.layoutUpdated = make(chan struct{})
 	n.peers = map[string]peer{}
+	n.client.Transport = n.Transport
 	n.startedAt = time.Now()
 }
 
