--- a/cell/worker.go
+++ b/cell/worker.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"context"
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -16,11 +14,7 @@
 type vector = resource.Vector
 
 const (
-	holdWait             = 1000 * time.Millisecond // how long a worker may delay the answer to a hold until a task ends
-	holdTimeoutSlack     = 700 * time.Millisecond  // added to the wait before a hold times out
-	holdRetryInterval    = 150 * time.Millisecond
-	unstoredPollInterval = 500 * time.Millisecond // between two holds while ends cannot be stored
-	silenceTimeout       = 2200 * time.Millisecond
+	silenceTimeout = 2200 * time.Millisecond
 	// Entries of the list of workers that expired while the store was unavailable are
 	// back within unlistedGrace.
 	unlistedGrace   = 2500 * time.Millisecond
@@ -92,152 +86,6 @@
 	c.quarantine.RemoveWorker(w.host.ID)
 }
 
-func (c *Cell) startHoldLoop(w *worker) {
-	if w.holdLoopRunning {
-		return
-	}
-	w.holdLoopRunning = true
-	c.group.Go(func() error { return c.holdLoop(c.ctx, w) })
-}
-
-// holdLoop renews the worker's lease and reads its task lists until ctx ends or the
-// worker is removed.
-func (c *Cell) holdLoop(ctx context.Context, w *worker) error {
-	for ctx.Err() == nil {
-		var o HoldRequest
-		var h Host
-		removed := false
-		if c.loop.Do(ctx, func() { o, h, removed = c.nextHold(w) }) != nil || removed {
-			return nil
-		}
-		sent := time.Now()
-		call, cancel := context.WithTimeout(ctx, o.Wait+holdTimeoutSlack)
-		report, err := c.Orders.Hold(call, &h, o)
-		heard := time.Now()
-		cancel()
-		pause := time.Duration(0)
-		if c.loop.Do(ctx, func() { pause = c.handleHoldAnswer(w, &h, o, report, sent, heard, err) }) != nil {
-			return nil
-		}
-		if pause == 0 {
-			continue
-		}
-		select {
-		case <-w.wake:
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
-// nextHold returns the next hold for the worker, or removes the worker and returns
-// true if it is not needed any more.
-func (c *Cell) nextHold(w *worker) (o HoldRequest, h Host, removed bool) {
-	const forgetAfter = 15 * time.Second
-	if !w.inFleet && len(w.runs) == 0 && time.Since(w.unlistedSince) > forgetAfter && time.Since(w.lastHeard) > silenceTimeout {
-		w.holdLoopRunning = false
-		c.append(docket.ReachWorker(w.host.ID, "", 0), nil)
-		c.removeWorker(w)
-		return o, h, true
-	}
-	o = HoldRequest{Epoch: c.Epoch(), Confirmed: w.endsStored, Wait: holdWait, NewConnection: w.misdirected}
-	if w.trials > 0 || w.aside != forAll {
-		o.Wait = w.settlesIn(time.Now())
-	}
-	w.unwatched, w.noHoldSince = w.unwatchedFor(time.Now()), time.Time{}
-	if !w.reconciled || w.unwatched > maxUnwatched || len(w.heldBack) > 0 {
-		o.Wait = 0
-	}
-	if !w.lastHeard.IsZero() && !w.unresponsive {
-		o.DeadlineMS = c.leaseDeadline(w)
-	}
-	if w.unresponsive {
-		// The worker may have restarted, and then numbers its ends from 1 again.
-		o.Confirmed, o.Wait = 0, 0
-	}
-	w.unansweredDeadlineMS = o.DeadlineMS
-	// The worker may have taken the deadline long before its answer is heard, or without
-	// one, so the deadline counts from here on.
-	w.leaseDeadlineMS = max(w.leaseDeadlineMS, o.DeadlineMS)
-	if o.DeadlineMS != 0 {
-		w.deadlineSentAt = time.Now()
-	}
-	return o, w.host, false
-}
-
-// handleHoldAnswer processes the answer to a hold and returns the pause before the
-// next one. The answer may have waited for the control loop since it was heard.
-func (c *Cell) handleHoldAnswer(w *worker, h *Host, o HoldRequest, r HoldResponse, sent, heard time.Time, err error) time.Duration {
-	w.unansweredDeadlineMS = 0
-	w.noHoldSince = heard
-	defer c.sendHeldBack(w)
-	// Holds do not renew the lease of a worker that does not answer. They might reach
-	// it all the same, and the lease would never be known to have expired.
-	w.unresponsive = err != nil
-	if err != nil {
-		if errors.Is(err, ErrWorkerRestarted) {
-			c.handleMisdirected(w, h, o)
-		}
-		if errors.Is(err, ErrNotSent) && c.hasAnsweredAt(w, h.Address) {
-			c.handleRefused(w, heard)
-		}
-		c.tryOtherAddress(w)
-		return holdRetryInterval
-	}
-	if h.Address != w.host.Address {
-		return holdRetryInterval // the answer came from the previous address of the worker
-	}
-	if w.incarnation != 0 && r.StartedMS != 0 && r.StartedMS != w.incarnation {
-		if r.StartedMS < w.incarnation {
-			return holdRetryInterval
-		}
-		c.handleRestart(w, r.StartedMS)
-	}
-	if w.incarnation == 0 {
-		w.incarnation = r.StartedMS
-	}
-	if w.lastHeard.IsZero() {
-		w.leaseDeadlineMS = max(w.leaseDeadlineMS, c.firstDeadline(w, r.ClockMS, heard))
-	}
-	moved := w.answeredAt != "" && w.answeredAt != h.Address
-	w.lastHeard, w.clockMS, w.answeredAt, w.refused, w.misdirected = heard, r.ClockMS, h.Address, false, false
-	w.unwatched = 0
-	if moved {
-		c.recordAddress(w)
-	}
-	for _, e := range r.Ended {
-		if e.Sequence > w.endsSeen {
-			c.handleEnded(w, e)
-			w.endsSeen = e.Sequence
-		}
-	}
-	if len(r.Ended) > 0 && w.endsSeen > w.endsStored {
-		number, incarnation := w.endsSeen, w.incarnation
-		c.afterDurable(c.commits.applied, func() {
-			if w.incarnation == incarnation {
-				w.endsStored = max(w.endsStored, number)
-				w.wakeHold()
-			}
-		})
-	}
-	if r.Complete {
-		c.reconcile(w, r, sent)
-	}
-	c.requestPass()
-	if w.endsStored < w.endsSeen {
-		return unstoredPollInterval
-	}
-	return 0
-}
-
-func (w *worker) wakeHold() {
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
-}
-
 // reconcile compares the runs that the docket has on the worker with the worker's
 // lists. A run that is not listed after a hold of this epoch, and was not started
 // after that hold, has never run and never will.
