cell, docket, node: a docket keeps a moved job as long as its new docket knows it

Callers saw (in a test; no record of users): a job that was moved to another docket was unknown (410) four minutes after its move, also while its tasks ran; so was its cancelling. Submitted again then, it ran a second time in the docket of its name (TWICE, run 1 beside run 1). Cause: the move's confirmation counts as the job's end in the docket that its name leads to, and ended jobs are forgotten after the retention period, whatever the new docket does. Ruled out: a late commit or an owner that changes; the test has no fault. Change: before a moved job is forgotten its new docket is asked. While that knows the job, a later confirmation of the move is stored, which restarts the period. Asking all dockets for unknown names was not chosen: each 410 would need every owner. While versions are mixed, an older process rejects the later confirmation and forgets the job as before.

--- a/cell/balance.go
+++ b/cell/balance.go
@@ -32,6 +32,8 @@
 	LeastLoaded() (number int, load float64, ok bool)
 	// Transfer submits a job to another docket. It is idempotent.
 	Transfer(ctx context.Context, number int, job *wire.DocketAccepted) error
+	// Knows reports whether another docket knows a job.
+	Knows(ctx context.Context, number int, job string) (bool, error)
 }
 
 // Load returns the processor time of running and waiting tasks divided by the
@@ -138,3 +140,31 @@
 		return nil
 	})
 }
+
+// forgetMovedJob removes a moved job if its new docket has forgotten it. Until then
+// callers are sent there, since this docket is the one that the job's name leads to.
+func (c *Cell) forgetMovedJob(id string, to int) {
+	if c.OtherDockets == nil || c.asksForMoved[id] {
+		return
+	}
+	c.asksForMoved[id] = true
+	c.group.Go(func() error {
+		call, cancel := context.WithTimeout(c.ctx, transferTimeout)
+		defer cancel()
+		known, err := c.OtherDockets.Knows(call, to, id)
+		if err != nil {
+			pause.For(c.ctx, transferRetryInterval)
+		}
+		c.loop.Post(func() {
+			delete(c.asksForMoved, id)
+			switch {
+			case err != nil: // asked again with the next tick
+			case known:
+				c.append(docket.ConfirmMove(id, time.Now().UnixMilli()), nil)
+			default:
+				c.append(docket.Forget(id), nil)
+			}
+		})
+		return nil
+	})
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -102,6 +102,7 @@
 	stallReportedAt time.Time            // when OnStoreStalled was last called
 	loadBits        atomic.Uint64        // bits of the float64 that Load returns
 	balancedAt      time.Time
+	asksForMoved    map[string]bool // moved jobs whose new dockets are asked whether they still know them
 }
 
 // Meter records the metrics of a cell. Its methods never block.
@@ -117,6 +118,7 @@
 	c.runs = map[docket.TaskID]*run{}
 	c.readySteps = map[docket.StepID]*readyStep{}
 	c.startTimes = map[string]time.Time{}
+	c.asksForMoved = map[string]bool{}
 	c.isolation.used = map[string]float64{}
 	c.startedAt = time.Now()
 	c.commits.wake = make(chan struct{}, 1)
@@ -227,9 +229,14 @@
 	before := now.Add(-c.Limits.Retention).UnixMilli()
 	for _, id := range c.Docket.EndedBefore(before, maxPerTick) {
 		j, ok := c.Docket.Job(id)
-		if ok && j.Changed() <= c.commits.durable && !c.hasActiveRuns(j) {
-			c.append(docket.Forget(id), nil)
+		if !ok || j.Changed() > c.commits.durable || c.hasActiveRuns(j) {
+			continue
 		}
+		if to, _, moved := j.Moved(); moved {
+			c.forgetMovedJob(id, to)
+			continue
+		}
+		c.append(docket.Forget(id), nil)
 	}
 }
 
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -24,6 +24,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"persimmonworks.example/persimmonworks/wire"
 )
@@ -333,15 +334,19 @@
 }
 
 // moveJob marks a job that never started as moved to another docket. Once that docket
-// has confirmed the move, the job counts as ended here.
+// has confirmed the move, the job counts as ended here; later confirmations say that
+// the other docket still knew it then.
 func (d *Docket) moveJob(m *wire.DocketMoved, sequence uint64) error {
 	j, ok := d.jobs[m.GetJob()]
 	if !ok {
 		return fmt.Errorf("job %s: move of an unknown job", m.GetJob())
 	}
 	if m.GetConfirmed() {
-		if !j.moved || j.moveConfirmed {
-			return fmt.Errorf("job %s: confirmation without a pending move", m.GetJob())
+		if !j.moved || j.moveConfirmed && m.GetAtMs() <= j.endedAt {
+			return fmt.Errorf("job %s: confirmation without a pending move, or not a later one", m.GetJob())
+		}
+		if j.moveConfirmed {
+			d.endedJobs = slices.DeleteFunc(d.endedJobs, func(id string) bool { return id == j.ID() })
 		}
 		j.moveConfirmed, j.changed, j.endedAt = true, sequence, m.GetAtMs()
 		d.endedJobs = append(d.endedJobs, j.ID())
--- a/node/others.go
+++ b/node/others.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"persimmonworks.example/persimmonworks/cell"
@@ -52,3 +53,12 @@
 func (o otherDockets) Transfer(ctx context.Context, number int, job *wire.DocketAccepted) error {
 	return o.Node.participant(number).submit(ctx, job)
 }
+
+// Knows implements cell.OtherDockets.
+func (o otherDockets) Knows(ctx context.Context, number int, job string) (bool, error) {
+	_, err := o.Node.participant(number).state(ctx, job)
+	if errors.Is(err, cell.ErrNoJob) {
+		return false, nil
+	}
+	return err == nil, err
+}
