cell: a crash counts for runs that the next owner was stopping before it heard of them

The next owner stops a gang of which a member is missing after 0.5 s, while the crashed worker is still down. When its next life answers, runs that were being stopped were not among those of the earlier life: the stop was answered, the run counted as never begun, and no crash was recorded. The gang was started again without end. Change: runs of an earlier owner that this one has not heard of are judged when their worker turns out to have started again, also while they are being stopped, with what earlier owners have stored of them. Test: TestCauseIsGivenUpThoughOwnersChangeAtEachCrash plays its four cases with a gang as well; the four cases with tasks and all bounds stay as they were. After: none; the package's tests pass twice.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -185,7 +185,7 @@
 	shape, queue := j.StepDefinition(id.Step), j.Accepted().GetQueue()
 	x := &run{
 		task: id, number: t.Run(), shape: shape, queue: queue.GetName(), priority: queue.GetPriority(), gang: shape.GetGang(),
-		phase: adopted, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(),
+		phase: adopted, inherited: true, startMayArrive: true, incarnation: incarnation, startedAt: time.Now(),
 		trial: trialOf(shape, j.Step(id.Occurrence, id.Step), id.Index),
 	}
 	c.assignRun(x, c.workerByID(workerID))
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -93,11 +93,11 @@
 // their starts: whether a run on trial had begun, and had settled. While one had not, all
 // others on its worker had.
 func (c *Cell) evidence(runs []*run) []crash.Run {
-	trial := slices.ContainsFunc(runs, func(x *run) bool { return x.phase == adopted && x.trial != crash.None && !x.settled })
+	trial := slices.ContainsFunc(runs, func(x *run) bool { return x.unheard() && x.trial != crash.None && !x.settled })
 	known := make([]crash.Run, len(runs))
 	for i, x := range runs {
 		known[i] = crash.Run{Job: x.task.Job, Begun: x.startConfirmed, Settled: x.settled, History: c.crashHistory(x.task)}
-		if x.phase != adopted {
+		if !x.unheard() {
 			continue
 		}
 		j, _ := c.Docket.Job(x.task.Job)
@@ -108,6 +108,10 @@
 	return known
 }
 
+// unheard reports whether the run was started by an earlier owner and this one has not heard
+// of it. It may be stopping already, as one of a gang of which a member is missing.
+func (x *run) unheard() bool { return x.inherited && !x.listed }
+
 // runsAtCrash returns those of the runs that the worker may have had when its process
 // ended, but for those that a crash was counted for, in the order of their tasks.
 func (c *Cell) runsAtCrash(w *worker, runs []*run) []*run {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -220,11 +220,16 @@
 		name  string
 		after time.Duration // from the start to the crash
 		keep  bool
+		gang  bool
 	}{
-		{"at once, names kept", 40 * time.Millisecond, true},
-		{"at once, new names", 40 * time.Millisecond, false},
-		{"later, names kept", 450 * time.Millisecond, true},
-		{"later, new names", 450 * time.Millisecond, false},
+		{"at once, names kept", 40 * time.Millisecond, true, false},
+		{"at once, new names", 40 * time.Millisecond, false, false},
+		{"later, names kept", 450 * time.Millisecond, true, false},
+		{"later, new names", 450 * time.Millisecond, false, false},
+		{"gang, at once, names kept", 40 * time.Millisecond, true, true},
+		{"gang, at once, new names", 40 * time.Millisecond, false, true},
+		{"gang, later, names kept", 450 * time.Millisecond, true, true},
+		{"gang, later, new names", 450 * time.Millisecond, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, 6, func(b *harness) {
@@ -240,7 +245,11 @@
 				everywhere.AntiAffinity = 2
 				b.submit(everywhere)
 				time.Sleep(2 * time.Second)
-				deadly := b.submit(tasks(3, 1000))
+				step := tasks(3, 1000)
+				if c.gang {
+					step = gang(4, 4000)
+				}
+				deadly := b.submit(step)
 				seen := 0
 				for begun := time.Now(); time.Since(begun) < 2*time.Minute && b.fleet.Crashed() <= mostCrashes; time.Sleep(time.Millisecond) {
 					if n := b.fleet.Crashed(); n > seen {
--- a/cell/run.go
+++ b/cell/run.go
@@ -50,6 +50,7 @@
 	phase             phase
 	startUnanswered   bool      // it is unknown whether the run has begun
 	startConfirmed    bool      // the worker has accepted the start or reported the run
+	inherited         bool      // an earlier owner has started the run
 	listed            bool      // this incarnation of the worker has listed the run
 	startMayArrive    bool      // a copy of the start may still arrive, even if another copy was answered
 	startArrivesUntil time.Time // until then such a copy of this owner's may arrive
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -132,13 +132,14 @@
 func (c *Cell) endEarlierRuns(w *worker, listed map[docket.TaskID]RunningTask) {
 	var earlier []*run
 	for _, x := range w.runs {
+		if !x.unheard() || x.incarnation == 0 || x.incarnation >= w.incarnation {
+			continue
+		}
 		if t, ok := listed[x.task]; ok && t.Run == x.number {
 			x.incarnation = w.incarnation
 			continue
 		}
-		if x.phase == adopted && x.incarnation != 0 && x.incarnation < w.incarnation {
-			earlier = append(earlier, x)
-		}
+		earlier = append(earlier, x)
 	}
 	if len(earlier) == 0 {
 		return
