--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -208,3 +208,32 @@
 		})
 	}
 }
+
+// While ends cannot be stored, looks at a worker pause, and its restart as another kind is
+// not noticed. When the store was back, starts were sent before the next look (ROUTE).
+func TestNoStartsBetweenLooksWhenStoreIsBack(t *testing.T) {
+	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 25 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(b *harness) {
+				w := b.fleet.Worker(0)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				time.Sleep(2 * time.Second)
+				first, second := tasks(1, 4000), tasks(1, 4000, 0)
+				first.Requires, second.Requires = "a", "a"
+				job := b.submit(first, second)
+				time.Sleep(900 * time.Millisecond)
+				b.table.SetAway(true) // the first task ends now
+				time.Sleep(2*time.Second + offset)
+				w.Crash()
+				time.Sleep(100 * time.Millisecond)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"b"} })
+				b.table.SetAway(false)
+				time.Sleep(2 * time.Second)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				b.waitForState(job, docket.Completed, 20*time.Second)
+			})
+		})
+	}
+}
