cell: a start that waits for a look leaves after it, however busy the owner is

Callers would see jobs accepted that do not begin (LOST). Cause: a start that had waited for the store was held back until an answer of its worker was less than 20 ms old. Since the age counts from the arrival of the answer, so a control loop that came to each one 30 ms late held it back for ever. Change: after one answer that it was held back for, a start leaves if that is less than a second old.

--- a/cell/run.go
+++ b/cell/run.go
@@ -51,6 +51,7 @@
 	startUnanswered   bool      // it is unknown whether the run has begun
 	startConfirmed    bool      // the worker has accepted the start or reported the run
 	inherited         bool      // an earlier owner has started the run
+	heldBack          bool      // the start has waited for an answer of the worker
 	listed            bool      // this incarnation of the worker has listed the run
 	startMayArrive    bool      // a copy of the start may still arrive, even if another copy was answered
 	startArrivesUntil time.Time // until then such a copy of this owner's may arrive
--- a/cell/watched.go
+++ b/cell/watched.go
@@ -14,6 +14,9 @@
 	// maxUnwatchedLate is the same for a start that has waited for the store for longer
 	// than that: the worker was without a hold for most of that time.
 	maxUnwatchedLate = 20 * time.Millisecond
+	// maxUnwatchedAgain is the same for a start that has waited for an answer already. A
+	// busy control loop comes to each answer late; such a start must not wait for ever.
+	maxUnwatchedAgain = time.Second
 )
 
 // unwatchedFor returns how long no hold was open since the worker answered.
@@ -27,7 +30,10 @@
 // needsAnswer reports whether the start has to wait for a new answer of its worker.
 func (x *run) needsAnswer(now time.Time) bool {
 	most := maxUnwatched
-	if now.Sub(x.startedAt) > maxUnwatched {
+	switch {
+	case x.heldBack:
+		most = maxUnwatchedAgain
+	case now.Sub(x.startedAt) > maxUnwatched:
 		most = maxUnwatchedLate
 	}
 	return x.worker.unwatchedFor(now) > most
@@ -35,6 +41,7 @@
 
 // holdBack keeps a start until its worker has answered.
 func (w *worker) holdBack(x *run) {
+	x.heldBack = true
 	w.heldBack = append(w.heldBack, x)
 	w.wakeHold()
 }
