cell: no second copy of a start after a look that failed

Cause: since a copy of an unanswered start needs an answer that came after the first one was sent, but a look that has failed since was not asked for: the worker had crashed after that answer. Change: a copy also needs that the newest look was answered, by the same life. Evidence: TestNoSecondCopyAfterFailedLook, red before at each of ten offsets of which the first look's answer meets the gap, green now.

--- a/cell/busy_test.go
+++ b/cell/busy_test.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"persimmonworks.example/persimmonworks/cell"
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/wire"
@@ -69,3 +70,31 @@
 		}
 	})
 }
+
+// The answer to a look that came just after a start was sent let the second copy go, though
+// the next look had failed since: the worker was back as another kind (ROUTE).
+func TestNoSecondCopyAfterFailedLook(t *testing.T) {
+	for offset := 900 * time.Millisecond; offset < time.Second; offset += 10 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(b *harness) {
+				w := b.fleet.Worker(0)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				time.Sleep(2*time.Second + offset)
+				step := tasks(1, 4000)
+				step.Requires = "a"
+				w.DelayOrders(1, 8*time.Second) // the start
+				begun := time.Now()
+				job := b.submit(step)
+				time.Sleep(time.Until(begun.Add(100 * time.Millisecond)))
+				w.Crash()
+				time.Sleep(time.Until(begun.Add(450 * time.Millisecond)))
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"b"} })
+				time.Sleep(3 * time.Second)
+				w.RestartAs(func(h *cell.Host) { h.Labels = []string{"a"} })
+				w.Overwrite(nil)
+				b.waitForState(job, docket.Completed, 20*time.Second)
+			})
+		})
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -238,8 +238,8 @@
 	for time.Now().Before(giveUpAt) {
 		wanted, heard := false, false
 		if c.loop.Do(ctx, func() {
-			wanted = c.runs[x.task] == x && x.phase == starting
-			heard = x.worker.lastHeard.After(sent)
+			wanted = c.runs[x.task] == x && x.phase == starting && x.incarnation == x.worker.incarnation
+			heard = x.worker.lastHeard.After(sent) && !x.worker.unresponsive
 		}) != nil || !wanted {
 			return false
 		}
