cell: a start accepted by an unknown next life is not given up by the old clock

Callers saw: a task run twice at once (TWICE): run 1 on a worker that went silent soon after its start, run 2 elsewhere when its lease was taken to have ended. Cause: the worker had restarted and this was not known, since the looks at it were held up in the network. A start in time was accepted by the next life; its deadline was meant for the clock of the life before and lies further ahead on the new one, by as much as that life had lasted, up to the longest lease. Ruled out: a late order (the start was answered), a deadline in flight. Change: StartResponse has the worker's clock (clock-ms, which every answer has). A start that is accepted at a time before the earliest that the known life can show was begun by another life, and is waited for as one that may arrive late.

--- a/cell/late_test.go
+++ b/cell/late_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+// A start in time was accepted by the worker's next process, while the looks at the worker
+// were held up and its restart was not known. The run was given up by the clock of the
+// process before (TWICE).
+func TestStartMeetsNextLifeWhileHoldsAreLate(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 2, func(b *harness) {
+				b.fleet.Takes = func(docket.TaskID) time.Duration { return 11 * time.Second }
+				b.fleet.Worker(1).SetCapacity(100, 100) // until the run has begun on the other
+				time.Sleep(20*time.Second + offset)
+				b.fleet.Worker(0).DelayHolds(60, 30*time.Second)
+				time.Sleep(1100 * time.Millisecond) // until a hold is held up
+				b.fleet.Worker(0).RestartUnlisted()
+				job := b.submit(tasks(1, 4000))
+				time.Sleep(400 * time.Millisecond)
+				b.fleet.Worker(0).SetRefusing(true)
+				b.fleet.Worker(1).SetCapacity(16000, 32768)
+				b.waitForState(job, docket.Completed, 60*time.Second)
+			})
+		})
+	}
+}
--- a/cell/lease.go
+++ b/cell/lease.go
@@ -77,12 +77,18 @@
 	return time.Duration(float64(lease)*(1+maxClockDrift)) + leaseExpirySlack
 }
 
-// mayRunOnNextLife reports whether the next life of the worker, which the list shows, may
-// have been given the run by a copy of the start that arrived late. Deadlines are far ahead
-// of the clock of that life, which began anew: only the longest lease bounds it.
+// leastClock returns the earliest that the clock of the worker's life can show now.
+func (w *worker) leastClock(now time.Time) int64 {
+	return w.clockMS + int64((1-maxClockDrift)*float64(now.Sub(w.lastHeard).Milliseconds())) - 1
+}
+
+// mayRunOnNextLife reports whether the next life of the worker may have been given the run:
+// by its own answer to the start, or, where the list shows that life, by a copy that arrived
+// late. Deadlines are far ahead of the clock of that life, which began anew: only the longest
+// lease bounds it.
 func (c *Cell) mayRunOnNextLife(x *run, now time.Time) bool {
 	w := x.worker
-	if w.described() || !x.startArrivesUntil.After(w.lastHeard) {
+	if !x.metNextLife && (w.described() || !x.startArrivesUntil.After(w.lastHeard)) {
 		return false
 	}
 	return now.Sub(w.deadlineSentAt) <= maxRequestDelay+takesAtMost(c.Limits.MaxLease)
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -95,6 +95,7 @@
 // StartResponse is a worker's answer to a StartRequest.
 type StartResponse struct {
 	Refusal Refusal
+	ClockMS int64 // the worker's clock
 }
 
 // RunningTask is an entry of a worker's list of running tasks.
--- a/cell/run.go
+++ b/cell/run.go
@@ -56,6 +56,8 @@
 	startMayArrive    bool      // a copy of the start may still arrive, even if another copy was answered
 	startArrivesUntil time.Time // until then such a copy of this owner's may arrive
 	stopAnsweredAt    time.Time
+	leastClockMS      int64 // of the worker's life, when the start was sent
+	metNextLife       bool  // the start was answered by a life that had not answered before
 	stopSent          bool
 	startedAt         time.Time
 	percent           int
@@ -193,6 +195,7 @@
 	x.startUnanswered = true
 	x.startedAt = time.Now()
 	w.deadlineSentAt = x.startedAt
+	x.leastClockMS = w.leastClock(x.startedAt)
 	h := w.host
 	c.group.Go(func() error { return c.startUntilAnswered(c.ctx, x, &h, o) })
 }
@@ -259,6 +262,10 @@
 	}
 	w := x.worker
 	if err == nil && r.Refusal == Accepted {
+		if r.ClockMS < x.leastClockMS {
+			// Another life has begun it, whose clock the deadline was not meant for.
+			x.startMayArrive, x.metNextLife = true, true
+		}
 		c.confirmStart(x)
 		if x.phase == starting {
 			x.phase = running
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -322,7 +322,7 @@
 
 // start needs the lock.
 func (w *Worker) start(o cell.StartRequest) cell.StartResponse {
-	r := cell.StartResponse{}
+	r := cell.StartResponse{ClockMS: w.clock()}
 	switch x := w.running[o.Task]; {
 	case o.Epoch < w.fence:
 		r.Refusal = cell.Fenced
