soak: workers drain for up to 9 s before a pause, of all processes in half of the cases

Cause: in trials on no owner gave up a draining worker by its lease of 3 s within the 3 s that the workers drained before the pause: the lease of 9 s of before lasts on (silences of 8.4 to 9.8 s). Change: the drain precedes the pause by up to 9 s, and all processes are paused in half of the cases.

--- a/soak/owners.go
+++ b/soak/owners.go
@@ -18,7 +18,7 @@
 	betweenOwnerFaults = 5 * time.Second // at most
 	pauseLeast         = 2 * time.Second // of processes whose workers drain and are cut off
 	pauseMost          = 3 * time.Second
-	drainLead          = 3 * time.Second // at most, from the drain to the pause
+	drainLead          = 9 * time.Second // at most, to the pause; the last lease of before has lapsed after 9 s
 	restartLead        = time.Second     // at most, to the restart of owners
 	cutLead            = 3 * time.Second // at most, to the cut of their workers
 	cutLeast           = 3 * time.Second
@@ -35,9 +35,13 @@
 }
 
 // drainBehindPause cuts draining workers off at some moment of the pause of their owners,
-// so that answers that were sent before are read after it.
+// so that answers that were sent before are read after it. An owner that is paused keeps
+// its docket only if all others are paused too.
 func drainBehindPause(ctx context.Context, r *run, rng *rand.Rand, length time.Duration) error {
-	workers, hosts := r.drawWorkers(rng), r.drawHosts(rng)
+	workers, hosts := r.drawWorkers(rng), r.hosts
+	if rng.IntN(2) == 0 {
+		hosts = r.drawHosts(rng)
+	}
 	paused := pauseLeast + time.Duration(rng.Int64N(int64(pauseMost-pauseLeast)))
 	lead, before := time.Duration(rng.Int64N(int64(drainLead))), time.Duration(rng.Int64N(int64(paused)))
 	apply(workers, func(w *fleettest.Worker) { w.Overwrite(func(h *cell.Host) { h.Draining = true }) })
