--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,7 +40,7 @@
 	taskMost       = 1500 * time.Millisecond
 	longEvery      = 12 // one task in so many outlasts leases
 	longLeast      = 3 * time.Second
-	longMost       = 10 * time.Second
+	longMost       = 8 * time.Second
 	startUp        = 4 * time.Second  // until the processes have divided the workers
 	settle         = 40 * time.Second // for all jobs to end once nothing is broken any more
 	look           = 200 * time.Millisecond
