cell: ends are acknowledged once, not with every hold

Callers saw (in a test): a job that is shown as running for good though its task has ended done; with a stop on the way the task starts again after an end that was taken note of. Cause: each hold repeats the number of the last end that is stored. A call that gets no answer may be carried out seconds later, and a worker that has restarted under its name by then numbers its ends from 1 again: it forgets ends that nobody has read. Expect-Instance does not help, the name is the same. Change: an end is acknowledged until a hold that says so has been answered by the same life; later holds acknowledge nothing, as they need not. Before: TestLateAcknowledgementMeetsNextLife red. Remains: a hold that carries a new acknowledgement may itself be late.

--- a/cell/hold.go
+++ b/cell/hold.go
@@ -70,7 +70,12 @@
 		c.removeWorker(w)
 		return o, h, true
 	}
-	o = HoldRequest{Epoch: c.Epoch(), Confirmed: w.endsStored, Wait: holdWait, NewConnection: w.misdirected}
+	o = HoldRequest{Epoch: c.Epoch(), Wait: holdWait, NewConnection: w.misdirected}
+	if w.endsForgotten < w.endsStored {
+		// Once is enough. A hold may be carried out late, by the next life of the worker,
+		// which would forget ends that nobody has read.
+		o.Confirmed = w.endsStored
+	}
 	if w.trials > 0 || w.aside != forAll {
 		o.Wait = w.settlesIn(time.Now())
 	}
@@ -128,6 +133,9 @@
 		c.handleRestart(w, r.StartedMS)
 	}
 	c.noteAnswer(w, x)
+	if x.request.Confirmed <= w.endsStored { // it is above after a restart
+		w.endsForgotten = max(w.endsForgotten, x.request.Confirmed)
+	}
 	c.handleEnds(w, r.Ended)
 	if r.Complete {
 		c.reconcile(w, *r, x.sent)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -39,6 +39,7 @@
 	unresponsive         bool      // the latest hold was not answered
 	endsSeen             uint64    // ends up to this number are applied to the docket
 	endsStored           uint64    // ends up to this number are durable
+	endsForgotten        uint64    // and the worker has answered that it need not list them
 	wake                 chan struct{}
 	unansweredStarts     []unansweredStart
 	startsSuspendedUntil time.Time     // no starts are sent before
@@ -168,7 +169,7 @@
 	}
 	w.incarnation, w.reconciled = incarnation, false
 	w.answeredAt, w.misdirected, w.processEnded, w.expired, w.aside = "", false, false, nil, forAll
-	w.endsSeen, w.endsStored = 0, 0
+	w.endsSeen, w.endsStored, w.endsForgotten = 0, 0, 0
 	w.leaseDeadlineMS, w.clockMS = 0, 0
 	w.lastHeard = time.Time{}
 	c.blockUnansweredStarts(w)
