node: a randomized test of a process that takes its docket back

The strongest of three hosts loses its dockets by a pause, a cut or a request and gets them back, while workers are cut, leave and return.

--- a/node/owners_test.go
+++ b/node/owners_test.go
@@ -27,6 +27,10 @@
 // meanwhile, remains one job.
 func TestJobsMoveWhileOwnersChange(t *testing.T) { playAll(t, moves) }
 
+// A process that loses a docket and gets it back under a newer epoch waits for the leases
+// that it granted before.
+func TestOwnerTakesDocketBack(t *testing.T) { playAll(t, returns) }
+
 // playAll plays the days that the seeds stand for. Processes wait for random times, so a
 // play is not repeated exactly by its seed.
 func playAll(t *testing.T, days *rapid.Generator[play]) {
--- a/node/play_test.go
+++ b/node/play_test.go
@@ -159,6 +159,20 @@
 	return p
 })
 
+// returns are days on which the strongest host loses its dockets and is given them back,
+// while workers are cut, leave and come back.
+var returns = rapid.Custom(func(t *rapid.T) play {
+	p := play{cores: []float64{1, 0.25, 0.25}, workers: 12, listedFirst: 4 * uniform(1, 3).Draw(t, "listed racks")}
+	p.jobs = drawSome(t, "jobs", 12, 40, p.drawJob)
+	p.faults = drawSome(t, "faults", 8, 25, func(t *rapid.T) fault {
+		f := p.drawFault(t)
+		f.kind = among(changeAndCut, changeAndCut, changeAndCut, freezeProcess, askTakeover, cutStore, cutRack, workerDrains).Draw(t, "kind")
+		f.machine = among(-1, -2, 0).Draw(t, "machine")
+		return f
+	})
+	return p
+})
+
 func (p *play) drawMovingJob(t *rapid.T) submission {
 	j := submission{
 		at:      ms(4000, 5500).Draw(t, "at"),
