node: a broken play says how the first run ended, the retention is short in the test of moves

The users' record has a first run that ended done and was confirmed; the trace of two runs at once now shows that. The checks are the same.

--- a/node/machine_test.go
+++ b/node/machine_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,11 +53,22 @@
 	machines []*machine
 	lives    errgroup.Group // all processes, also those that were killed
 	begun    time.Time
+	// retention is how long ended jobs are kept. Set it before the first start.
+	retention time.Duration
 
 	mu    sync.Mutex
 	lines []logLine
 	sent  []sentStart
 	owner map[int]ownership // by docket
+	ends  []listedEnd
+}
+
+// listedEnd is the end of a run that a worker has listed.
+type listedEnd struct {
+	worker    string
+	life      int64
+	end       cell.EndedTask
+	confirmed bool // to the worker
 }
 
 // logLine is an event that a process has written.
@@ -116,7 +128,7 @@
 }
 
 func newSite(workers int, cores []float64) *site {
-	s := &site{fleet: fleettest.New(workers, 16000, 32768), store: fleettest.NewStore(), owner: map[int]ownership{}, begun: time.Now()}
+	s := &site{fleet: fleettest.New(workers, 16000, 32768), store: fleettest.NewStore(), owner: map[int]ownership{}, begun: time.Now(), retention: 4 * time.Minute}
 	for i, c := range cores {
 		s.machines = append(s.machines, &machine{
 			site: s, name: fmt.Sprintf("e%d", i), address: fmt.Sprintf("10.1.0.%d:1", i), cores: c,
@@ -142,7 +154,7 @@
 		Orders:   l, Advisor: m.fleet, Fleet: l, Log: l, Meter: l, Transport: l,
 		Limits: cell.Limits{
 			Lease: 9 * time.Second, MaxLease: 10 * time.Second, MaxLeaseAfterCommit: 10 * time.Second,
-			GangTimeout: 3 * time.Second, StopTime: 400 * time.Millisecond, RestoreTime: 250 * time.Millisecond, Retention: 4 * time.Minute,
+			GangTimeout: 3 * time.Second, StopTime: 400 * time.Millisecond, RestoreTime: 250 * time.Millisecond, Retention: m.retention,
 		},
 	}
 	n.Prepare()
@@ -354,7 +366,32 @@
 
 // Hold implements cell.WorkerClient.
 func (l *life) Hold(ctx context.Context, h *cell.Host, o cell.HoldRequest) (cell.HoldResponse, error) {
-	return order(ctx, l, h, func() (cell.HoldResponse, error) { return l.fleet.Hold(ctx, h, o) })
+	return order(ctx, l, h, func() (cell.HoldResponse, error) {
+		r, err := l.fleet.Hold(ctx, h, o)
+		if err == nil {
+			l.noteEnds(h.ID, o.Confirmed, r)
+		}
+		return r, err
+	})
+}
+
+// noteEnds records which ends a worker lists, and which were confirmed to it.
+func (s *site) noteEnds(worker string, confirmed uint64, r cell.HoldResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.ends {
+		if e := &s.ends[i]; e.worker == worker && e.life == r.StartedMS && e.end.Sequence <= confirmed {
+			e.confirmed = true
+		}
+	}
+	for _, e := range r.Ended {
+		known := slices.ContainsFunc(s.ends, func(x listedEnd) bool {
+			return x.worker == worker && x.life == r.StartedMS && x.end.Sequence == e.Sequence
+		})
+		if !known {
+			s.ends = append(s.ends, listedEnd{worker: worker, life: r.StartedMS, end: e})
+		}
+	}
 }
 
 // RoundTrip implements http.RoundTripper: it carries a request to another process.
--- a/node/moved_test.go
+++ b/node/moved_test.go
@@ -24,11 +24,12 @@
 	return state, err
 }
 
-// The docket that a job was submitted to forgot it some minutes after its move, although
+// The docket that a job was submitted to forgot it some time after its move, although
 // it still ran in the other docket: callers were told that there is no such job.
 func TestMovedJobIsKnownWhileItRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(12, []float64{0.25, 0.25, 0.25})
+		s.retention = 10 * time.Second
 		d := &day{play: &play{}, site: s}
 		s.fleet.Takes = func(docket.TaskID) time.Duration { return time.Hour }
 		d.startAll()
@@ -43,7 +44,7 @@
 			}
 			jobs = append(jobs, job)
 		}
-		time.Sleep(6 * time.Minute)
+		time.Sleep(25 * time.Second)
 		if s.countEvents()["docket-job-moved"] == 0 {
 			t.Error("no job has moved")
 		}
@@ -56,7 +57,7 @@
 			}
 			d.cancelJob(job.GetJob(), submission{cancel: time.Second})
 		}
-		time.Sleep(9 * time.Minute)
+		time.Sleep(35 * time.Second)
 		for i, job := range jobs {
 			if state, err := d.state(i, job.GetJob()); !errors.Is(err, cell.ErrNoJob) {
 				t.Errorf("job %s is %q long after its end: %v", job.GetJob(), state, err)
--- a/node/play_test.go
+++ b/node/play_test.go
@@ -675,8 +675,23 @@
 	return -1
 }
 
-// evidence returns the lines by which a run was given up.
+// evidence returns how a run ended and by which lines it was given up.
 func (s *site) evidence(x sentStart) string {
+	return s.endOf(x) + s.givenUp(x)
+}
+
+// endOf returns how the worker has ended a run.
+func (s *site) endOf(x sentStart) string {
+	for _, e := range s.ends {
+		if e.worker == x.worker.ID && e.end.Task == x.task && e.end.Run == x.run {
+			return fmt.Sprintf("the first ended %v, confirmed %v; ", e.end.Outcome, e.confirmed)
+		}
+	}
+	return "no end of the first is listed; "
+}
+
+// givenUp returns the lines by which a run was given up.
+func (s *site) givenUp(x sentStart) string {
 	run := fmt.Sprintf(" task=%s run=%d worker=%s ", x.task, x.run, x.worker.ID)
 	for i, l := range s.lines {
 		if l.name != "task-ended" || !strings.Contains(l.text, run) {
