cell: runs that lapsed on a life which goes on have not crashed with it

Cause: runs that are lost with a worker's lease are kept as evidence for a crash that is found out later. They were kept on when the same life was heard again, and counted when it restarted much later; after two such workers the task was given up. Change: the first lists of the same life clear them. Evidence: TestLapsedRunsDidNotCrash, red before (the job is failed), green now. Stand-in, stricter: MayLookFailed allowed a failed job for each task that had begun on a worker that crashed later; it hid this. Now it counts tasks that ran there or whose end was not confirmed, which is what nobody can know.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -266,3 +266,38 @@
 		})
 	}
 }
+
+// Runs that were lost with the lease of a worker, which was heard again in the same life,
+// counted as crashed with it when it started again much later: the job failed though no
+// run of it was on a worker that crashed (LOST).
+func TestLapsedRunsDidNotCrash(t *testing.T) {
+	const workers = 4
+	run(t, workers, func(b *harness) {
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 25 * time.Second }
+		only := func(open int) {
+			for i := range workers {
+				b.fleet.Worker(i).SetCapacity(100, 100)
+			}
+			b.fleet.Worker(open).SetCapacity(16000, 32768)
+		}
+		only(0)
+		time.Sleep(time.Second)
+		job := b.submit(tasks(1, 4000))
+		for i := range workers - 1 {
+			time.Sleep(200 * time.Millisecond)
+			b.fleet.Worker(i).SetCut(true)
+			only(i + 1)
+			time.Sleep(13 * time.Second) // until its lease has ended
+			b.fleet.Worker(i).SetCut(false)
+			time.Sleep(3 * time.Second)
+		}
+		if !b.fleet.Worker(workers - 1).Runs(job) {
+			t.Error("the task does not run on the last worker")
+		}
+		for i := range workers - 1 {
+			b.fleet.Worker(i).Restart()
+			time.Sleep(500 * time.Millisecond)
+		}
+		b.waitForState(job, docket.Completed, time.Minute)
+	})
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -93,6 +93,7 @@
 func (c *Cell) reconcile(w *worker, r HoldResponse, sent time.Time) {
 	first := !w.reconciled
 	w.reconciled = true
+	w.expired = nil // the same life goes on, so it has not crashed under them
 	listedRuns := make(map[docket.TaskID]RunningTask, len(r.Running))
 	for _, t := range r.Running {
 		listedRuns[t.Task] = t
--- a/fleettest/crash.go
+++ b/fleettest/crash.go
@@ -151,9 +151,9 @@
 	return false
 }
 
-// MayLookFailed reports whether as many workers crashed after a task of the job began there
-// as have to crash under it before the job may be shown as failed. Where a worker could not
-// be reached before it crashed, nobody can know that the task had ended.
+// MayLookFailed reports whether as many workers crashed with a task of the job, or with an
+// end of it that was not confirmed, as have to crash under it before the job may be shown as
+// failed. Where a worker could not be reached before, nobody can know of the end.
 func (f *Fleet) MayLookFailed(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -61,7 +61,7 @@
 	noOwnerSince time.Time
 	// crashesUnder counts the workers that crashed while a task ran there.
 	crashesUnder map[docket.TaskID]int
-	// crashesAfter counts also those on which the task had ended, which may not be known.
+	// crashesAfter counts also those on which its end was not confirmed, and may not be known.
 	crashesAfter map[docket.TaskID]int
 }
 
@@ -241,7 +241,7 @@
 		f.fault("%v: %v after its job was cancelled", o.Task, time.Since(at))
 	}
 	f.judgeCrashes(w, o.Task)
-	w.running[o.Task], w.begun[o.Task] = x, true
+	w.running[o.Task] = x
 	x.timer = time.AfterFunc(f.takes(o.Task), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/fleettest/worker.go
+++ b/fleettest/worker.go
@@ -39,7 +39,6 @@
 	fence       uint64
 	deadline    time.Time
 	running     map[docket.TaskID]*work
-	begun       map[docket.TaskID]bool // tasks that began in this life
 	ended       []cell.EndedTask
 	number      uint64
 	// lapsedThrough is the last end that was listed when the lease lapsed.
@@ -181,10 +180,22 @@
 		x.timer.Stop()
 		w.fleet.crashesUnder[t]++
 	}
-	for t := range w.begun {
+	for t := range w.unconfirmed() {
 		w.fleet.crashesAfter[t]++
 	}
-	w.running, w.begun = map[docket.TaskID]*work{}, map[docket.TaskID]bool{}
+	w.running = map[docket.TaskID]*work{}
+}
+
+// unconfirmed returns the tasks that run, or have ended without a confirmation.
+func (w *Worker) unconfirmed() map[docket.TaskID]bool {
+	tasks := map[docket.TaskID]bool{}
+	for t := range w.running {
+		tasks[t] = true
+	}
+	for _, e := range w.ended {
+		tasks[e.Task] = true
+	}
+	return tasks
 }
 
 // Restart gives the worker a new life under its name.
@@ -220,7 +231,6 @@
 	w.host.StartedMS = w.born
 	w.fence, w.number, w.lapsedThrough, w.deadline = 0, 0, 0, time.Time{}
 	w.running, w.ended, w.barred = map[docket.TaskID]*work{}, nil, map[docket.TaskID]uint32{}
-	w.begun = map[docket.TaskID]bool{}
 	w.wake = make(chan struct{})
 }
 
