cell: an answer with an earlier start renews no lease

Cause: a worker that came back with an earlier time of start, as after its time of day was set back, was not believed, but counted as answering: each hold renewed the lease of the life before, and its runs were never given up. Change: such an answer counts as none. Evidence: TestLifeWithEarlierStartLosesItsLease, red before (1 start of 2 after 15 s), green now. Open: such a worker gets no work until it starts again with a later time.

--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -31,6 +31,8 @@
 	jobs    int
 	// decorateLog, if set, wraps the logs of the cells that take over from now on.
 	decorateLog func(event.Emitter) event.Emitter
+	// decorateOrders does the same with their requests to workers.
+	decorateOrders func(cell.WorkerClient) cell.WorkerClient
 }
 
 type nopMeter struct{}
@@ -82,8 +84,12 @@
 	if b.decorateLog != nil {
 		log = b.decorateLog(log)
 	}
+	var orders cell.WorkerClient = b.fleet
+	if b.decorateOrders != nil {
+		orders = b.decorateOrders(orders)
+	}
 	c := &cell.Cell{
-		Docket: r.Docket(), Writer: w, Orders: b.fleet, Advice: advice.NewBalancer("e1", b.advisor), Fleet: b.fleet,
+		Docket: r.Docket(), Writer: w, Orders: orders, Advice: advice.NewBalancer("e1", b.advisor), Fleet: b.fleet,
 		Log: log, Meter: nopMeter{}, Limits: limits(),
 	}
 	c.Prepare()
--- a/cell/hold.go
+++ b/cell/hold.go
@@ -128,6 +128,9 @@
 	}
 	if w.incarnation != 0 && r.StartedMS != 0 && r.StartedMS != w.incarnation {
 		if r.StartedMS < w.incarnation {
+			// An earlier life cannot answer, so this is a process whose time of day was set
+			// back, or another one. Its lease is not renewed.
+			w.unresponsive = true
 			return holdRetryInterval
 		}
 		c.handleRestart(w, r.StartedMS)
--- a/cell/late_test.go
+++ b/cell/late_test.go
@@ -1,6 +1,8 @@
 package cell_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +93,43 @@
 		})
 	}
 }
+
+// agedOrders makes a worker say that it started earlier than it did.
+type agedOrders struct {
+	cell.WorkerClient
+	worker string
+	byMS   atomic.Int64
+}
+
+// Hold implements cell.WorkerClient.
+func (a *agedOrders) Hold(ctx context.Context, h *cell.Host, o cell.HoldRequest) (cell.HoldResponse, error) {
+	r, err := a.WorkerClient.Hold(ctx, h, o)
+	if h.ID == a.worker {
+		r.StartedMS -= a.byMS.Load()
+	}
+	return r, err
+}
+
+// A worker whose host's time of day was set back came back with an earlier time of start.
+// None of its answers counted, each hold renewed its lease, and its runs were never given
+// up (LOST).
+func TestLifeWithEarlierStartLosesItsLease(t *testing.T) {
+	run(t, 2, func(b *harness) {
+		aged := &agedOrders{WorkerClient: b.fleet, worker: b.fleet.Worker(0).Host().ID}
+		b.stop()
+		b.decorateOrders = func(cell.WorkerClient) cell.WorkerClient { return aged }
+		b.takeOver()
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return 20 * time.Second }
+		b.fleet.Worker(1).SetCapacity(100, 100) // until the run has begun on the other
+		time.Sleep(time.Second)
+		b.submit(tasks(1, 4000))
+		time.Sleep(time.Second)
+		aged.byMS.Store(time.Hour.Milliseconds())
+		b.fleet.Worker(0).Restart()
+		b.fleet.Worker(1).SetCapacity(16000, 32768)
+		time.Sleep(15 * time.Second)
+		if n := b.fleet.Starts(); n != 2 {
+			t.Errorf("%d starts, want 2: the task is not running again", n)
+		}
+	})
+}
