--- a/cell/random_test.go
+++ b/cell/random_test.go
@@ -404,7 +404,7 @@
 
 // faultKinds are the names of the faults.
 var faultKinds = []string{
-	"cut", "refused", "answers-lost", "orders-late", "holds-late", "restart", "restart-unlisted", "restart-as", "drain-cut", "odd-entry", "incomplete-list",
+	"cut", "refused", "answers-lost", "orders-late", "holds-late", "restart", "restart-unlisted", "restart-as", "drain-cut", "drain-stall", "odd-entry", "incomplete-list",
 	"stall", "store-away", "store-answers-lost", "takeover-told", "takeover-untold", "takeover-refused-cut", "cancel", "capacity",
 }
 
@@ -431,11 +431,13 @@
 		w.RestartUnlisted()
 	case "drain-cut":
 		y.drainAndCut(w, f)
+	case "drain-stall":
+		y.drainAndStall(w, f)
 	case "incomplete-list":
 		y.fleet.List(f.worker)
 		time.AfterFunc(f.lasts, func() { y.fleet.List(playWorkers) })
 	case "stall":
-		y.stallOwner(500*time.Millisecond + f.lasts/4)
+		y.stallOwner(0, 500*time.Millisecond+f.lasts/4)
 	case "store-away":
 		y.table.SetAway(true)
 		time.AfterFunc(f.lasts/2, func() { y.table.SetAway(false) })
@@ -463,14 +465,26 @@
 	})
 }
 
-// stallOwner stalls the present owner's control loop.
-func (y *play) stallOwner(d time.Duration) {
+// drainAndStall lets a worker announce its shutdown, and stalls the owner for about as long
+// as the lease of such a worker once the longer one from before has passed.
+func (y *play) drainAndStall(w *fleettest.Worker, f plannedFault) {
+	w.Drain()
+	lasts := 2200*time.Millisecond + time.Duration(f.number)*80*time.Millisecond
+	y.stallOwner(6*time.Second+f.lasts/4, lasts)
+	time.AfterFunc(faultMost, func() {
+		w.RestartAs(func(h *cell.Host) { h.Draining = false })
+		w.Overwrite(nil)
+	})
+}
+
+// stallOwner stalls the present owner's control loop after a while.
+func (y *play) stallOwner(after, d time.Duration) {
 	if len(y.accepted) == 0 {
 		return
 	}
 	owner, known := y.cell, proto.CloneOf(y.accepted[0])
-	y.stall.Store(int64(d))
-	time.AfterFunc(0, func() {
+	time.AfterFunc(after, func() {
+		y.stall.Store(int64(d))
 		ctx, cancel := context.WithTimeout(y.Context(), time.Second)
 		defer cancel()
 		_ = owner.Submit(ctx, known) // it is known already
