--- a/cell/busy_test.go
+++ b/cell/busy_test.go
@@ -71,9 +71,9 @@
 	})
 }
 
-// The answer to a look that came just after a start was sent let the second copy go, though
-// the next look had failed since: the worker was back as another kind (ROUTE).
-func TestNoSecondCopyAfterFailedLook(t *testing.T) {
+// The answer to a hold that came just after a start was sent let the second copy go, though
+// the next hold had failed since: the worker was back as another kind (ROUTE).
+func TestNoSecondCopyAfterFailedHold(t *testing.T) {
 	for offset := 900 * time.Millisecond; offset < time.Second; offset += 10 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
 			run(t, 1, func(b *harness) {
--- a/cell/entries_test.go
+++ b/cell/entries_test.go
@@ -153,9 +153,9 @@
 	}
 }
 
-// A start that was stored while the owner was paused was sent, without another look, to a
+// A start that was stored while the owner was paused was sent, without another hold, to a
 // worker that had come back as another kind meanwhile (ROUTE).
-func TestNoStartsAfterPauseWithoutAnotherLook(t *testing.T) {
+func TestNoStartsAfterPauseWithoutAnotherHold(t *testing.T) {
 	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
 			run(t, 1, func(b *harness) {
@@ -182,9 +182,9 @@
 	}
 }
 
-// A start that was not answered was sent again, without another look, to a worker that had
+// A start that was not answered was sent again, without another hold, to a worker that had
 // come back as another kind (ROUTE).
-func TestNoSecondCopyWithoutAnotherLook(t *testing.T) {
+func TestNoSecondCopyWithoutAnotherHold(t *testing.T) {
 	for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
 			run(t, 1, func(b *harness) {
@@ -194,7 +194,7 @@
 				time.Sleep(2*time.Second + offset)
 				step := tasks(1, 4000)
 				step.Requires = "a"
-				w.DelayOrders(2, 8*time.Second) // the start, and the answer to a look
+				w.DelayOrders(2, 8*time.Second) // the start, and the answer to a hold
 				job := b.submit(step)
 				time.Sleep(100 * time.Millisecond)
 				w.Crash()
@@ -209,9 +209,9 @@
 	}
 }
 
-// While ends cannot be stored, looks at a worker pause, and its restart as another kind is
-// not noticed. When the store was back, starts were sent before the next look (ROUTE).
-func TestNoStartsBetweenLooksWhenStoreIsBack(t *testing.T) {
+// While ends cannot be stored, holds of a worker pause, and its restart as another kind is
+// not noticed. When the store was back, starts were sent before the next hold (ROUTE).
+func TestNoStartsBetweenHoldsWhenStoreIsBack(t *testing.T) {
 	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 25 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
 			run(t, 1, func(b *harness) {
--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -413,7 +413,7 @@
 		t.Run(offset.String(), func(t *testing.T) {
 			run(t, 1, func(b *harness) {
 				w := b.fleet.Worker(0)
-				w.DelayOrders(1, 6*time.Second) // of the start, or of a look before it
+				w.DelayOrders(1, 6*time.Second) // of the start, or of a hold before it
 				job := b.submit(tasks(1, 1000))
 				b.waitForState(job, docket.Completed, 4*time.Second)
 				time.Sleep(500 * time.Millisecond)
--- a/cell/late_test.go
+++ b/cell/late_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// A start in time was accepted by the worker's next process, while the looks at the worker
+// A start in time was accepted by the worker's next process, while the holds of the worker
 // were held up and its restart was not known. The run was given up by the clock of the
 // process before (TWICE).
 func TestStartMeetsNextLifeWhileHoldsAreLate(t *testing.T) {
--- a/cell/unwatched_test.go
+++ b/cell/unwatched_test.go
@@ -8,7 +8,7 @@
 	"persimmonworks.example/persimmonworks/docket"
 )
 
-// While ends could not be stored, nothing was open between two looks at a worker, which
+// While ends could not be stored, nothing was open between two holds of a worker, which
 // could come back as another kind unseen. A start that was stored as soon as the store was
 // back met it there (ROUTE).
 func TestStartAfterStoreIsBackMeetsNoOtherKind(t *testing.T) {
