Judge idle jobs of the review by the runs and the room there is

The check was not the rule as written: it looked every 0.2 s whether anything of a job ran, took room for it and an idle service for granted, and did not allow a job to be given up after two crashes under a task. It now takes the last run from the ledger and reckons both.

--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -19,7 +19,9 @@
 	callerDeadline = 3 * time.Second
 	mostTries      = 5
 	mostAttempts   = 4 // runs of a task that may fail
-	betweenTries   = 300 * time.Millisecond
+	// crashesToGiveUp is how many runners have to crash under a task before it may be given up.
+	crashesToGiveUp = 2
+	betweenTries    = 300 * time.Millisecond
 )
 
 type jobStep struct {
--- a/review/stand-2/day.go
+++ b/review/stand-2/day.go
@@ -81,15 +81,15 @@
 // asked is what the questions for a job have shown.
 type asked struct {
 	*job
-	answered  bool
-	state     string    // in the newest answer
-	idleSince time.Time // since when it has not ended and nothing of it runs, zero if that is not so
+	answered bool
+	state    string // in the newest answer
 }
 
 // judgeJobs asks for the jobs that were accepted, for askTime. One that is not known, or for
-// which there is no answer, is lost; so is one that has not ended and of which nothing runs for
-// idleTime, while most runners are idle.
+// which there is no answer, is lost; so is one that has not ended and of which nothing has run for
+// idleTime, though there is room for it twice over and less than half of the service is in use.
 func (s *stage) judgeJobs(ctx context.Context, jobs []*job) {
+	begun := time.Now()
 	asking, stop := context.WithTimeout(ctx, askTime)
 	defer stop()
 	list := make([]*asked, len(jobs))
@@ -109,7 +109,7 @@
 		pause.For(asking, startLook)
 	}
 	for _, a := range list {
-		s.judge(a)
+		s.judge(a, begun)
 	}
 }
 
@@ -122,22 +122,47 @@
 	case http.StatusOK:
 		a.answered, a.state = true, state
 	}
-	switch {
-	case a.state == "completed" || a.state == "failed" || a.times.Start > 0 || !s.ledger.idle(a.id):
-		a.idleSince = time.Time{}
-	case a.idleSince.IsZero():
-		a.idleSince = time.Now()
-	}
 }
 
-func (s *stage) judge(a *asked) {
-	idle := time.Since(a.idleSince)
+// judge judges what the questions since a time have shown.
+func (s *stage) judge(a *asked, begun time.Time) {
+	since, runs := s.ledger.idleSince(a.id)
+	if since.Before(begun) {
+		since = begun
+	}
+	idle := time.Since(since)
 	switch {
 	case !a.answered:
 		s.ledger.fault("LOST", "job %s was accepted, and for %v there was no answer for it", a.id, askTime)
-	case a.state == "failed" && !s.ledger.hasFailed(a.id):
-		s.ledger.fault("LOST", "job %s is shown as failed, and no task of it has failed %d times", a.id, mostAttempts)
-	case !a.idleSince.IsZero() && idle >= idleTime:
+	case a.state == "failed" && !s.ledger.mayFail(a.id):
+		s.ledger.fault("LOST", "job %s is shown as failed, and no task of it has failed %d times or was there at %d crashes", a.id, mostAttempts, crashesToGiveUp)
+	case a.state == "completed" || a.state == "failed" || a.times.Start > 0 || runs || idle < idleTime:
+	case s.roomTwice(a.job) && s.mostlyIdle():
 		s.ledger.fault("LOST", "job %s is shown as %q, and nothing of it has run for %.1f s: %s", a.id, a.state, idle.Seconds(), s.ledger.tasksOf(a.id))
 	}
 }
+
+// roomTwice reports whether the runners that may run the job have room for it twice over.
+func (s *stage) roomTwice(j *job) bool {
+	fit := int64(0)
+	for _, r := range s.runners {
+		if !r.lives() || j.requires != "" && j.requires != r.kind() {
+			continue
+		}
+		milliCPU, memoryMB := s.ledger.use(r.id)
+		fit += max(0, min((runnerMilliCPU-milliCPU)/j.milliCPU, (runnerMemoryMB-memoryMB)/j.memoryMB))
+	}
+	return fit >= 2*int64(j.count)
+}
+
+// mostlyIdle reports whether less than half of the capacity of the service is in use.
+func (s *stage) mostlyIdle() bool {
+	used, all := int64(0), int64(0)
+	for _, r := range s.runners {
+		if r.lives() {
+			milliCPU, _ := s.ledger.use(r.id)
+			used, all = used+milliCPU, all+runnerMilliCPU
+		}
+	}
+	return 2*used < all
+}
--- a/review/stand-2/ledger.go
+++ b/review/stand-2/ledger.go
@@ -14,6 +14,8 @@
 	running   map[string]uint32 // run by runner
 	doneRun   uint32            // the run that ended done, 0 if none has
 	failures  int
+	crashes   int       // of runners under the task
+	lastRan   time.Time // when a run of it last began or ended
 	noted     bool      // that end was acknowledged while the lease held
 	startedAt time.Time // of the newest run
 	again     string    // a start after the end, empty if there was none
@@ -100,7 +102,7 @@
 			l.breaks("TWICE", "%s, and that end was taken note of", t.again)
 		}
 	}
-	t.running[runner] = o.Run
+	t.running[runner], t.lastRan = o.Run, time.Now()
 	l.checkRoom(runner, o.Task)
 	return j.takes, j.lasts
 }
@@ -108,13 +110,7 @@
 // checkRoom judges whether a runner holds more than its capacity. What is being stopped
 // still counts. It needs the lock.
 func (l *ledger) checkRoom(runner, task string) {
-	milliCPU, memoryMB := int64(0), int64(0)
-	for name, t := range l.tasks {
-		if _, here := t.running[runner]; here {
-			j := l.jobOf(name)
-			milliCPU, memoryMB = milliCPU+j.milliCPU, memoryMB+j.memoryMB
-		}
-	}
+	milliCPU, memoryMB := l.taken(runner)
 	if milliCPU > runnerMilliCPU || memoryMB > runnerMemoryMB {
 		l.breaks("LIMIT", "the start of task %s brings %s to %d of %d thousandths of a core and %d of %d MB", task, runner, milliCPU, runnerMilliCPU, memoryMB, runnerMemoryMB)
 	}
@@ -127,7 +123,10 @@
 	l.line("end", "runner", runner, "task", task, "run", run, "how", how)
 	t := l.task(task)
 	delete(t.running, runner)
+	t.lastRan = time.Now()
 	switch {
+	case how == lostWithRunner:
+		t.crashes++
 	case how == "failed":
 		t.failures++
 	case how == "done" && t.doneRun == 0:
@@ -166,17 +165,48 @@
 	return runners
 }
 
-// idle returns whether no task of the job runs.
-func (l *ledger) idle(id string) bool {
-	return len(l.at(id)) == 0
+// idleSince returns since when nothing of the job runs, zero time if it never ran, and whether
+// something of it runs now.
+func (l *ledger) idleSince(id string) (since time.Time, runs bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, t := range l.tasks {
+		if !strings.HasPrefix(name, id+".") {
+			continue
+		}
+		runs = runs || len(t.running) > 0
+		if t.lastRan.After(since) {
+			since = t.lastRan
+		}
+	}
+	return since, runs
+}
+
+// use returns what the runs on a runner take.
+func (l *ledger) use(runner string) (milliCPU, memoryMB int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.taken(runner)
+}
+
+// taken needs the lock.
+func (l *ledger) taken(runner string) (milliCPU, memoryMB int64) {
+	for name, t := range l.tasks {
+		if _, here := t.running[runner]; here {
+			j := l.jobOf(name)
+			milliCPU, memoryMB = milliCPU+j.milliCPU, memoryMB+j.memoryMB
+		}
+	}
+	return milliCPU, memoryMB
 }
 
-// hasFailed reports whether a task of the job has failed as often as it may.
-func (l *ledger) hasFailed(id string) bool {
+// mayFail reports whether a task of the job has failed as often as it may, or may be given up
+// for the runners that have crashed under it.
+func (l *ledger) mayFail(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, t := range l.tasks {
-		if strings.HasPrefix(name, id+".") && t.failures >= mostAttempts {
+		if strings.HasPrefix(name, id+".") && (t.failures >= mostAttempts || t.crashes >= crashesToGiveUp) {
 			return true
 		}
 	}
--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -26,6 +26,7 @@
 	serviceName    = "checks"
 	kindA          = "a"
 	kindB          = "b"
+	lostWithRunner = "lost with its runner"
 	silentBeats    = 3 // heartbeats of silence after which an entry is removed
 )
 
@@ -174,7 +175,7 @@
 	r.goneAt = time.Now()
 	for _, x := range r.running {
 		x.timer.Stop()
-		r.ledger.ended(r.id, x.task, x.run, "lost with its runner")
+		r.ledger.ended(r.id, x.task, x.run, lostWithRunner)
 	}
 	r.running, r.deadline = map[string]*execution{}, time.Time{}
 	r.mu.Unlock()
@@ -399,6 +400,13 @@
 	return len(r.running) > 0
 }
 
+// lives reports whether the runner is there.
+func (r *runner) lives() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.goneAt.IsZero()
+}
+
 // token returns the highest fencing token that the runner has seen.
 func (r *runner) token() uint64 {
 	r.mu.Lock()
