--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -86,6 +86,7 @@
 	*testing.T
 	limits
 	front, ready, exchange string // ip:port
+	ordinary               func() int // sends an ordinary job and returns the status, 0 if there was no answer
 	log                    *os.File
 	command                *exec.Cmd
 	exited                 chan struct{}
@@ -121,24 +122,25 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	g.launch(settings, filepath.Join(folder, "e0.log"))
+	g.launch("schedule", settings, filepath.Join(folder, "e0.log"))
 	group.Go(func() error {
 		g.sample(ctx)
 		return nil
 	})
+	g.ordinary = g.submit
 	g.ask()
 	return g
 }
 
 // launch starts the process; it is ended by its id when the test ends.
-func (g *target) launch(settings, log string) {
+func (g *target) launch(role, settings, log string) {
 	g.Helper()
 	file, err := os.Create(log)
 	if err != nil {
 		g.Fatal(err)
 	}
 	g.log = file
-	g.command = exec.Command(program, "schedule", "-settings", settings)
+	g.command = exec.Command(program, role, "-settings", settings)
 	g.command.Stdout, g.command.Stderr = file, file
 	if err := g.command.Start(); err != nil {
 		g.Fatal(err)
@@ -228,9 +230,8 @@
 	}
 }
 
-// ask sends one ordinary job until it is accepted, each time on a connection of its own.
-func (g *target) ask() {
-	g.Helper()
+// submit sends an ordinary job to a process of the scheduler, on a connection of its own.
+func (g *target) submit() int {
 	caller := counterpart.Caller{
 		Patience: 3 * time.Second,
 		Client:   http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
@@ -239,17 +240,23 @@
 		Job: fmt.Sprintf("%016x", time.Now().UnixNano()), Spec: "ordinary",
 		Steps: []*wire.DocketStep{{Count: 1, MilliCpu: 100, MemoryMb: 10, EstimateMs: 50}},
 	}
+	return caller.Submit(g.Context(), g.front, job).Status
+}
+
+// ask sends one ordinary job until it is accepted.
+func (g *target) ask() {
+	g.Helper()
 	end := time.Now().Add(answerBound)
 	for {
-		a := caller.Submit(g.Context(), g.front, job)
-		if a.Status == http.StatusOK {
+		status := g.ordinary()
+		if status == http.StatusOK {
 			return
 		}
 		if !g.alive() {
 			g.Fatalf("the process has ended:\n%s", g.lastLines())
 		}
 		if time.Now().After(end) {
-			g.Fatalf("an ordinary call is still answered %d after %v\n%s", a.Status, answerBound, g.lastLines())
+			g.Fatalf("an ordinary call is still answered %d after %v\n%s", status, answerBound, g.lastLines())
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
