job: tasks beyond the limit are counted and not kept

Cause: a submission was decoded whole, then its tasks were counted; an empty task takes 3 bytes on the wire and 40 in memory, more while the list grows, and all submissions were decoded at once. The copy of the body for decoding is gone.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -83,6 +84,8 @@
 	MaxBodyBytes int64
 	SubmitWait   time.Duration
 	Log          event.Emitter
+
+	large sync.Mutex // held while a large submission is decoded, which takes many times its size
 }
 
 // Handler returns the router for all paths of the API.
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -117,6 +117,15 @@
 	return job.Spec{}, false
 }
 
+// decode decodes large submissions one at a time.
+func (s *Server) decode(body []byte) (job.Spec, error) {
+	if ingress.IsLarge(body) {
+		s.large.Lock()
+		defer s.large.Unlock()
+	}
+	return job.ParseSpec(body, s.Limits())
+}
+
 // shardFor returns the job shard for a submission by hashing its organisation and
 // idempotency key, so that all submissions with the same key go to the same shard.
 // Without a key the shard is random.
--- a/job/limits.go
+++ b/job/limits.go
@@ -60,16 +60,11 @@
 // ParseSpec decodes a submission and checks it against the limits. The error, if
 // any, is of type FieldErrors.
 func ParseSpec(body []byte, l Limits) (Spec, error) {
-	var s Spec
-	decoder := json.NewDecoder(strings.NewReader(string(body)))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Spec{}, FieldErrors{{Field: "body", Problem: jsonProblem(err)}}
+	s, count, err := decodeSpec(body, l.MaxTasks)
+	if err != nil {
+		return Spec{}, err
 	}
-	if decoder.More() {
-		return Spec{}, FieldErrors{{Field: "body", Problem: "more than one JSON value"}}
-	}
-	if errs := s.Check(l); len(errs) > 0 {
+	if errs := s.check(l, count); len(errs) > 0 {
 		return Spec{}, errs
 	}
 	return s, nil
@@ -86,7 +81,10 @@
 
 // Check returns the errors in s. It skips the remaining tasks after
 // maxFieldErrors errors.
-func (s *Spec) Check(l Limits) FieldErrors {
+func (s *Spec) Check(l Limits) FieldErrors { return s.check(l, len(s.Tasks)) }
+
+// check does so for a submission with so many tasks, of which s.Tasks may lack some.
+func (s *Spec) check(l Limits, tasks int) FieldErrors {
 	var errs FieldErrors
 	for _, f := range []struct{ field, value string }{
 		{"name", s.Name}, {"kind", s.Kind}, {"organisation", s.Organisation}, {"idempotency-key", s.IdempotencyKey},
@@ -121,11 +119,11 @@
 	}
 	s.checkDuration(&errs, "estimate-ms", s.EstimateMS)
 	s.checkDuration(&errs, "deadline-ms", s.DeadlineMS)
-	switch n := len(s.Tasks); {
-	case n == 0:
+	switch {
+	case tasks == 0:
 		errs.add("tasks", "none given, at least 1 needed")
-	case n > l.MaxTasks:
-		errs.add("tasks", "%d tasks, limit %d", n, l.MaxTasks)
+	case tasks > l.MaxTasks:
+		errs.add("tasks", "%d tasks, limit %d", tasks, l.MaxTasks)
 		return errs
 	}
 	s.checkTasks(&errs, l)
