serve: what callers hold follows from the memory of the host

Callers saw: nothing yet. With its usual settings an entry process let requests of 512 MB arrive at a time and 8,192 connections stay open, whatever the host has; the hosts of both users have 284 MB. Cause: max-held-bytes and max-connections were fixed numbers (read in settings/keys.go; not tried on such a host). Change: limits.memory-mb, 0 for the memory of the host. Connections take at most a quarter of it, requests that are arriving a sixteenth or two of max-body-bytes; both settings stay as upper bounds. On a host with 16 GB nothing changes for callers.

--- a/entry/intake.go
+++ b/entry/intake.go
@@ -22,10 +22,19 @@
 	if most := ingress.Descriptors(); most > 0 {
 		connections = min(connections, most-most/descriptorsParts)
 	}
-	return intake.Limits{
-		Connections: connections, Bytes: max(s.Limits.MaxHeldBytes, 2*s.Limits.MaxBodyBytes),
+	l := intake.Limits{
+		Connections: connections, Bytes: s.Limits.MaxHeldBytes,
 		FreeBytes: callerFreeBytes, Stall: callerStall, Whole: callerWhole,
 	}
+	memory := s.Limits.MemoryMB
+	if memory == 0 {
+		memory = ingress.HostMemoryMB()
+	}
+	if memory > 0 {
+		l = l.Within(memory)
+	}
+	l.Bytes = max(l.Bytes, 2*s.Limits.MaxBodyBytes)
+	return l
 }
 
 // closedMeter counts the callers that were let go.
--- a/intake/divide.go
+++ b/intake/divide.go
@@ -29,6 +29,15 @@
 	usualWhole = 70 * time.Second // longer than any caller waits
 )
 
+// Within returns limits that a process with so much memory can afford for its callers.
+func (l Limits) Within(memoryMB int64) Limits {
+	memory := memoryMB * mebibyte
+	price := connectionBytes - freeBytes + l.FreeBytes
+	l.Connections = max(connectionsLeast, int(min(int64(l.Connections), memory/connectionMemory/price)))
+	l.Bytes = min(l.Bytes, memory/callerMemory)
+	return l
+}
+
 // Divide returns the limits of a process with so much memory and so many descriptors, 0 for
 // no limit on these.
 func Divide(memoryMB int64, descriptors int) Division {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,7 @@
 	MaxHeaderBytes int
 	MaxConnections int
 	MaxHeldBytes   int64
+	MemoryMB       int64 // 0 for the memory of the host
 	MaxTasks       int // of one job
 	MaxNameLength  int // bytes
 	MaxQueue       int // requests and tasks waiting in one process
