ingress: places come round among connections that are always busy

Callers saw: while 150 connections sent one small call after another (112 places at the front), every new connection was reset at once, from the crowd's address and from another, at all three interfaces of schedule and at serve, as long as the crowd liked. Cause: MakeRoomForConnections gives up idle, stalled and slow connections only; a connection that is always busy is never one. Change: a new connection without a place waits in its first read, 1.5 s at most; connections of the clients with the most places, longest-served first, close with their next answer (Connection: close, between two calls, the answer taken before the socket closes). A client with fewer places gets one at once, one with as many after 0.5 s of service; the last sixteenth is for clients without any. In a full line a client with fewer connections displaces one with more. Who gets none is answered 503, not run, with Retry-After 1 to 3 s where a call has come. Idle connections of small clients are not closed for large ones any more.

--- a/command/node.go
+++ b/command/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -98,6 +99,7 @@
 	}
 	n.Prepare()
 	bounds := process.NewIntake(s, log, flow)
+	bounds.Callers.Refuse = http.HandlerFunc(platform.RefuseForRoom)
 	if err := gaugeIntake(flow, bounds); err != nil {
 		return nil, err
 	}
@@ -139,6 +141,7 @@
 	var all error
 	for _, i := range bounds.All() {
 		all = errors.Join(all, m.Gauge("ingress."+i.Name+".bytes", "By", func() float64 { return float64(i.Bytes()) }))
+		all = errors.Join(all, m.Gauge("ingress."+i.Name+".waiting", "", func() float64 { return float64(i.Waiting()) }))
 		for p := range intake.Phases {
 			name := "ingress." + i.Name + ".connections." + p.String()
 			all = errors.Join(all, m.Gauge(name, "", func() float64 { return float64(i.Connections(p)) }))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -188,7 +188,7 @@
 		Handler: p.countRequests(p.handler), MaxHeaderBytes: p.Settings.Limits.MaxHeaderBytes,
 		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 	}
-	p.intake = &ingress.Interface{Name: "callers", Limits: callerLimits(p.Settings), Log: p.Log, Meter: closedMeter{p.meter}}
+	p.intake = &ingress.Interface{Name: "callers", Limits: callerLimits(p.Settings), Refuse: http.HandlerFunc(gateway.RefuseForRoom), Log: p.Log, Meter: callerMeter{p.meter}}
 	p.intake.Attach(server)
 	listener := p.intake.Listen(p.listener)
 	p.group.Go(func() error { return ingress.Sweep(p.ctx, p.intake) })
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"persimmonworks.example/persimmonworks/ingress"
@@ -37,11 +38,20 @@
 	return l
 }
 
-// closedMeter counts the callers that were let go.
-type closedMeter struct{ *meter.Meter }
+// callerMeter counts the callers that were let go, and those that waited for a place.
+type callerMeter struct{ *meter.Meter }
 
 // Count implements ingress.Meter.
-func (m closedMeter) Count(_, outcome string) { m.CallerClosed(outcome) }
+func (m callerMeter) Count(name, outcome string) {
+	if strings.HasSuffix(name, ".waited") {
+		m.CallerWaited(outcome)
+		return
+	}
+	m.CallerClosed(outcome)
+}
+
+// Observe implements ingress.Meter.
+func (m callerMeter) Observe(_ string, d time.Duration) { m.CallerWait(d) }
 
 // countCallers sets the gauges of what callers hold.
 func (p *Process) countCallers() {
@@ -49,6 +59,7 @@
 		return
 	}
 	p.meter.SetCallerBytes(p.intake.Bytes())
+	p.meter.SetCallerConnections("waiting", p.intake.Waiting())
 	for phase := range intake.Phases {
 		p.meter.SetCallerConnections(phase.String(), p.intake.Connections(phase))
 	}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -97,10 +97,15 @@
 	return nil, false
 }
 
+// RefuseForRoom answers a request for which the process has no place. Retry-After is set.
+func RefuseForRoom(w http.ResponseWriter, _ *http.Request) {
+	WriteProblem(w, http.StatusServiceUnavailable, Problem{Outcome: OutcomeNotRun, Reason: "too many connections are open"})
+}
+
 // parseSpec parses a submission and checks that it names the caller's organisation.
 // Otherwise it writes an error response and returns false.
 func (s *Server) parseSpec(w http.ResponseWriter, r *http.Request, o *pool.Organisation, body []byte) (job.Spec, bool) {
-	spec, err := job.ParseSpec(body, s.Limits())
+	spec, err := s.decode(body)
 	if err == nil && spec.Organisation != o.Name {
 		WriteProblem(w, http.StatusForbidden, Problem{
 			Outcome: OutcomeNotRun, Reason: "the token belongs to organisation " + o.Name + ", the job names " + spec.Organisation,
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -18,6 +18,14 @@
 	owner  *Interface
 	number uint64
 	client string
+	opened time.Time // when it got its place; the owner's mu is held
+
+	decided chan struct{} // closed when it has waited for a place; nil if it has not
+	away    atomic.Bool   // it got no place, and not even an answer
+	refused atomic.Bool   // it got no place, and is open until its call is refused
+	turn    atomic.Bool   // it is to end with its next answer
+	parting atomic.Bool   // its last answer is being sent
+	waited  bool          // the first read has begun; for the reader alone
 
 	phase    atomic.Int32 // an intake.Phase
 	since    atomic.Int64 // start of the phase, but for intake.Handling
@@ -38,7 +46,7 @@
 func (c *conn) view() intake.View {
 	v := intake.View{
 		Number: c.number, Client: c.client, Phase: intake.Phase(c.phase.Load()), Held: c.counted.Load(),
-		Since: c.owner.time(c.since.Load()), Progress: c.owner.time(c.progress.Load()),
+		Opened: c.opened, Leaving: c.turn.Load(), Since: c.owner.time(c.since.Load()), Progress: c.owner.time(c.progress.Load()),
 	}
 	if !c.pending.Load() {
 		v.Progress = c.owner.time(c.owner.now()) // it is not the client who is waited for
@@ -105,6 +113,12 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.decided != nil && !c.waited {
+		c.waited = true
+		if err := c.await(); err != nil {
+			return 0, err
+		}
+	}
 	if r := c.reason(); r != "" {
 		return 0, &intake.RefusedError{Reason: r}
 	}
@@ -172,7 +186,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reason() != "" {
+	if c.reason() != "" || c.refused.Load() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -180,12 +194,11 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.closed.Do(func() {
-		c.owner.mu.Lock()
-		delete(c.owner.conns, c.number)
-		c.owner.mu.Unlock()
-	})
+	if c.parting.Swap(false) && c.reason() == "" {
+		c.takeLeave()
+	}
 	err := c.Conn.Close()
+	c.closed.Do(func() { c.owner.closed(c) })
 	c.release()
 	return err
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -6,9 +6,13 @@
 // when it has to go reads an intake.RefusedError, so that its handler can still answer; any
 // other client only sees that its connection is closed.
 //
+// A new connection for which there is no place is accepted and waits in its first read, while
+// connections that were served for long are told to close with their next answer. One that
+// gets no place in time is answered by Refuse, if it has sent a call.
+//
 // Usage:
 //
-//	i := &ingress.Interface{Name: "callers", Limits: limits, Log: log, Meter: meter}
+//	i := &ingress.Interface{Name: "callers", Limits: limits, Refuse: refuse, Log: log, Meter: meter}
 //	server := &http.Server{Handler: handler}
 //	i.Attach(server)
 //	server.Serve(i.Listen(listener))
@@ -33,9 +37,10 @@
 	answerTime    = time.Second      // for a client that is let go to take the refusal
 )
 
-// Meter counts the clients that were let go.
+// Meter counts the clients that were let go, and observes how long others waited for a place.
 type Meter interface {
 	Count(name, outcome string)
+	Observe(name string, d time.Duration)
 }
 
 // Interface bounds what the clients of one server hold. Set the exported fields, then call
@@ -43,6 +48,9 @@
 type Interface struct {
 	Name   string
 	Limits intake.Limits
+	// Refuse answers a call of a client that got no place. The headers Connection and
+	// Retry-After are set. If it is nil, the answer is 503 without a body.
+	Refuse http.Handler
 	Log    event.Emitter
 	Meter  Meter
 
@@ -50,11 +58,15 @@
 	bytes   atomic.Int64 // that count towards the limit
 	leaving atomic.Int64 // part of bytes, of calls that were let go and have not ended
 
-	mu     sync.Mutex
-	next   uint64
-	conns  map[uint64]*conn
-	gone   map[intake.Reason]int // since the last log line
-	logged time.Time
+	mu       sync.Mutex
+	next     uint64
+	conns    map[uint64]*conn      // that are served
+	held     map[string]int        // places by client
+	line     []*conn               // that wait for a place, first ones first
+	refusing int                   // connections that are open only to be refused
+	looked   time.Time             // when it was last tried to make room for the line
+	gone     map[intake.Reason]int // since the last log line
+	logged   time.Time
 }
 
 type connKey struct{}
@@ -68,8 +80,15 @@
 			next.ServeHTTP(w, q)
 			return
 		}
+		if c.refused.Load() {
+			i.refuse(w, q, c)
+			return
+		}
 		c.handling.Store(true)
 		defer c.handled()
+		if c.turn.Load() {
+			c.part(w)
+		}
 		if q.Body == nil || q.Body == http.NoBody {
 			c.enter(intake.Handling)
 			next.ServeHTTP(w, q)
@@ -108,7 +127,7 @@
 	owner *Interface
 }
 
-// Accept implements net.Listener. A connection for which there is no room is closed.
+// Accept implements net.Listener. A connection that may not even wait is closed.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		n, err := l.Listener.Accept()
@@ -122,33 +141,6 @@
 	}
 }
 
-// admit returns the connection with its count, or nil if there is no room for it.
-func (i *Interface) admit(n net.Conn, now time.Time) *conn {
-	i.mu.Lock()
-	var gone []*conn
-	if len(i.conns) >= i.Limits.Connections {
-		gone = i.take(i.Limits.MakeRoomForConnections(i.views(), now))
-		if len(gone) == 0 {
-			i.mu.Unlock()
-			i.note(intake.NoRoomForConnections)
-			return nil
-		}
-	}
-	if i.conns == nil {
-		i.conns = map[uint64]*conn{}
-	}
-	i.next++
-	c := &conn{Conn: n, owner: i, number: i.next, client: clientOf(n)}
-	c.since.Store(int64(now.Sub(i.epoch)))
-	c.progress.Store(int64(now.Sub(i.epoch)))
-	i.conns[c.number] = c
-	i.mu.Unlock()
-	for _, g := range gone {
-		g.letGo(intake.NoRoomForConnections)
-	}
-	return c
-}
-
 // clientOf returns the address of the other side without its port.
 func clientOf(n net.Conn) string {
 	host, _, err := net.SplitHostPort(n.RemoteAddr().String())
@@ -158,17 +150,6 @@
 	return host
 }
 
-// take removes connections from the list. The caller must hold i.mu, and let them go
-// without it.
-func (i *Interface) take(numbers []uint64) []*conn {
-	var out []*conn
-	for _, n := range numbers {
-		out = append(out, i.conns[n])
-		delete(i.conns, n)
-	}
-	return out
-}
-
 // views returns what is known of all connections. The caller must hold i.mu.
 func (i *Interface) views() []intake.View {
 	out := make([]intake.View, 0, len(i.conns))
@@ -238,6 +219,13 @@
 	return count
 }
 
+// Waiting returns how many connections wait for a place.
+func (i *Interface) Waiting() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.line)
+}
+
 // Bytes returns how many bytes count towards the limit.
 func (i *Interface) Bytes() int64 { return i.bytes.Load() }
 
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -40,6 +40,8 @@
 	r.counts[name+" "+outcome]++
 }
 
+func (r *reading) Observe(name string, _ time.Duration) { r.Count(name, "observed") }
+
 func (r *reading) count(name string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/ingress/places.go
@@ -0,0 +1,267 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"persimmonworks.example/persimmonworks/intake"
+)
+
+const (
+	lookInterval = 100 * time.Millisecond // between two tries to make room for those that wait
+	refuseTime   = 500 * time.Millisecond // for the call of a client that is refused to arrive
+	partingTime  = 200 * time.Millisecond // for a client to take its last answer
+)
+
+// admit returns a new connection, which may have to wait in its first read. It returns nil if
+// the connection may not stay open.
+func (i *Interface) admit(n net.Conn, now time.Time) *conn {
+	c := i.newConn(n, now)
+	i.mu.Lock()
+	i.next++
+	c.number = i.next
+	if len(i.line) == 0 && i.Limits.HasPlace(len(i.conns), i.held[c.client]) {
+		i.place(c, now)
+		i.mu.Unlock()
+		return c
+	}
+	c.decided = make(chan struct{})
+	if !i.enqueue(c) {
+		stays := i.turnAway(c)
+		close(c.decided)
+		i.mu.Unlock()
+		i.note(intake.NoRoomForConnections)
+		if !stays {
+			return nil
+		}
+		return c
+	}
+	gone := i.look(now)
+	i.mu.Unlock()
+	i.letAllGo(gone)
+	return c
+}
+
+func (i *Interface) newConn(n net.Conn, now time.Time) *conn {
+	c := &conn{Conn: n, owner: i, client: clientOf(n)}
+	c.since.Store(int64(now.Sub(i.epoch)))
+	c.progress.Store(int64(now.Sub(i.epoch)))
+	return c
+}
+
+// place serves a connection. The caller must hold i.mu.
+func (i *Interface) place(c *conn, now time.Time) {
+	if i.conns == nil {
+		i.conns, i.held = map[uint64]*conn{}, map[string]int{}
+	}
+	c.opened = now
+	c.since.Store(int64(now.Sub(i.epoch)))
+	i.conns[c.number] = c
+	i.held[c.client]++
+}
+
+// unplace takes the place of a connection. The caller must hold i.mu.
+func (i *Interface) unplace(c *conn) {
+	if _, ok := i.conns[c.number]; !ok {
+		return
+	}
+	delete(i.conns, c.number)
+	if i.held[c.client]--; i.held[c.client] == 0 {
+		delete(i.held, c.client)
+	}
+}
+
+// enqueue lets a connection wait, in the place of another if the line is full. It returns
+// false if the connection has to go. The caller must hold i.mu.
+func (i *Interface) enqueue(c *conn) bool {
+	if len(i.line) >= i.Limits.Waiting() {
+		d := intake.Displaced(i.waiters(), i.held, c.client)
+		if d < 0 {
+			return false
+		}
+		i.decide(d, false)
+	}
+	i.line = append(i.line, c)
+	return true
+}
+
+// waiters returns what is known of those that wait. The caller must hold i.mu.
+func (i *Interface) waiters() []intake.Waiter {
+	out := make([]intake.Waiter, 0, len(i.line))
+	for _, c := range i.line {
+		out = append(out, intake.Waiter{Number: c.number, Client: c.client})
+	}
+	return out
+}
+
+// decide ends the wait of a connection: it gets a place, or is refused. The caller must hold
+// i.mu.
+func (i *Interface) decide(index int, placed bool) {
+	c := i.line[index]
+	i.line = slices.Delete(i.line, index, index+1)
+	if placed {
+		i.place(c, time.Now())
+	} else if !i.turnAway(c) {
+		c.away.Store(true)
+	}
+	close(c.decided)
+}
+
+// turnAway reports whether a connection may stay open until it is refused with an answer. The
+// caller must hold i.mu.
+func (i *Interface) turnAway(c *conn) bool {
+	if i.refusing >= i.Limits.Refusing() {
+		return false
+	}
+	i.refusing++
+	c.refused.Store(true)
+	return true
+}
+
+// grant gives free places to those that wait. The caller must hold i.mu.
+func (i *Interface) grant() {
+	for len(i.line) > 0 {
+		first := intake.First(i.waiters(), i.held)
+		if !i.Limits.HasPlace(len(i.conns), i.held[i.line[first].client]) {
+			return
+		}
+		i.decide(first, true)
+	}
+}
+
+// look makes room for those that wait. It returns connections to let go; others are told to
+// close with their next answer. The caller must hold i.mu.
+func (i *Interface) look(now time.Time) []*conn {
+	i.grant()
+	if len(i.line) == 0 || now.Sub(i.looked) < lookInterval {
+		return nil
+	}
+	i.looked = now
+	views, waiting := i.views(), i.waiters()
+	yielding := intake.Yielding(views, waiting[intake.First(waiting, i.held)].Client)
+	var gone []*conn
+	for _, n := range i.Limits.MakeRoomForConnections(yielding, now) {
+		c := i.conns[n]
+		gone = append(gone, c)
+		i.unplace(c)
+	}
+	if len(gone) > 0 {
+		i.looked = time.Time{}
+		i.grant()
+		return gone
+	}
+	for _, n := range i.Limits.GiveWay(views, waiting, now) {
+		i.conns[n].turn.Store(true)
+	}
+	return nil
+}
+
+// letAllGo closes connections that gave way. The caller must not hold i.mu.
+func (i *Interface) letAllGo(gone []*conn) {
+	for _, g := range gone {
+		g.letGo(intake.NoRoomForConnections)
+	}
+}
+
+// closed takes a connection that has been closed off all lists.
+func (i *Interface) closed(c *conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.unplace(c)
+	if c.refused.Swap(false) {
+		i.refusing--
+	}
+	if n := slices.Index(i.line, c); n >= 0 {
+		i.line = slices.Delete(i.line, n, n+1)
+		c.away.Store(true)
+		close(c.decided)
+	}
+	i.grant()
+}
+
+// await waits until a connection has a place or is refused. It returns an error if it can do
+// neither.
+func (c *conn) await() error {
+	begun := time.Now()
+	most := time.NewTimer(intake.WaitMost)
+	defer most.Stop()
+	again := time.NewTicker(lookInterval)
+	defer again.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-c.decided:
+			waiting = false
+		case now := <-again.C:
+			c.owner.lookAgain(now)
+		case <-most.C:
+			c.owner.giveUp(c)
+		}
+	}
+	name := "ingress." + c.owner.Name + ".waited"
+	c.owner.Meter.Observe(name, time.Since(begun))
+	if c.away.Load() {
+		c.owner.Meter.Count(name, "closed")
+		return &intake.RefusedError{Reason: intake.NoRoomForConnections}
+	}
+	if !c.refused.Load() {
+		c.owner.Meter.Count(name, "served")
+		return nil
+	}
+	c.owner.Meter.Count(name, "refused")
+	return c.Conn.SetReadDeadline(time.Now().Add(refuseTime))
+}
+
+func (i *Interface) lookAgain(now time.Time) {
+	i.mu.Lock()
+	gone := i.look(now)
+	i.mu.Unlock()
+	i.letAllGo(gone)
+}
+
+// giveUp refuses a connection that has waited for too long.
+func (i *Interface) giveUp(c *conn) {
+	i.mu.Lock()
+	n := slices.Index(i.line, c)
+	if n >= 0 {
+		i.decide(n, false)
+	}
+	i.mu.Unlock()
+	if n >= 0 {
+		i.note(intake.NoRoomForConnections)
+	}
+}
+
+// refuse answers a call of a client that got no place.
+func (i *Interface) refuse(w http.ResponseWriter, q *http.Request, c *conn) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.Itoa(int(intake.RetryAfter(c.number).Seconds())))
+	if i.Refuse == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	i.Refuse.ServeHTTP(w, q)
+}
+
+// part makes the answer of a call the last one of its connection.
+func (c *conn) part(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	c.parting.Store(true)
+	c.owner.note(intake.Turn)
+}
+
+// takeLeave lets the client take its last answer: closing at once would reset the connection
+// if calls have been sent ahead.
+func (c *conn) takeLeave() {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(partingTime)) != nil {
+		return
+	}
+	var sink [512]byte
+	for {
+		if _, err := c.Conn.Read(sink[:]); err != nil {
+			return
+		}
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,6 +11,10 @@
 // that have been arriving for long. A client below an equal share also takes the room of
 // busy calls of those above it. A call that has arrived whole is never let go.
 //
+// If that makes no room for a new connection, it waits a moment for a place, and connections
+// that have been served for a turn end after the call that they are in: first those of
+// clients that hold the most places.
+//
 // The package reads no clock and does no input or output: times come in as arguments.
 //
 // Usage:
@@ -18,6 +22,7 @@
 //	l := intake.Divide(memory, descriptors).Callers
 //	gone := l.MakeRoomForConnections(views, now)
 //	gone, ok := l.MakeRoomForBytes(views, number, bytes, now)
+//	asked := l.GiveWay(views, waiting, now) // when the first made no room
 package intake
 
 import (
@@ -54,6 +59,8 @@
 	Number   uint64 // of the connection
 	Client   string // address without port
 	Phase    Phase
+	Opened   time.Time // when the connection got its place
+	Leaving  bool      // ends after its call
 	Since    time.Time // start of the phase
 	Progress time.Time // last bytes that arrived
 	Writing  time.Time // start of a write that has not ended, zero if there is none
@@ -70,10 +77,11 @@
 	Stalled              Reason = "stalled"     // nothing arrives of its call
 	Slow                 Reason = "slow"        // its call takes too long to arrive
 	Unread               Reason = "unread"      // it does not read its answer
+	Turn                 Reason = "turn"        // it was served for long, and others wait
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{NoRoomForBytes, NoRoomForConnections, Stalled, Slow, Unread}
+var Reasons = []Reason{NoRoomForBytes, NoRoomForConnections, Stalled, Slow, Unread, Turn}
 
 const (
 	stallLeast = time.Second            // without progress before a call counts as stalled where there is no room
--- a/meter/instruments.go
+++ b/meter/instruments.go
@@ -18,8 +18,9 @@
 	attemptEnds   = []string{"done", "failed", "stopped", "refused", "lost", "unknown"}
 	platformCalls = []string{"get", "range", "commit", "object-get", "object-put", "object-delete", "hosts"}
 	shardKinds    = []string{"rack", "jobs"}
-	closedReasons = []string{"bytes", "connections", "stalled", "slow", "unread"}
-	callerStates  = []string{"idle", "reading", "handling"}
+	closedReasons = []string{"bytes", "connections", "stalled", "slow", "unread", "turn"}
+	waitOutcomes  = []string{"served", "refused", "closed"}
+	callerStates  = []string{"idle", "reading", "handling", "waiting"}
 	workerStates  = []string{"open", "closed", "quarantined", "draining"}
 )
 
@@ -29,13 +30,13 @@
 
 // instruments are the OpenTelemetry instruments of a Meter.
 type instruments struct {
-	requests, placements, attempts         metric.Int64Counter
-	platformCalls, relayCalls, workerSyncs metric.Int64Counter
-	loopSteps, callersClosed               metric.Int64Counter
-	loopBusy                               metric.Float64Counter
-	wait, platformTime                     metric.Float64Histogram
-	shards, queue, configuration, workers  metric.Int64Gauge
-	callerBytes, callerConnections         metric.Int64Gauge
+	requests, placements, attempts          metric.Int64Counter
+	platformCalls, relayCalls, workerSyncs  metric.Int64Counter
+	loopSteps, callersClosed, callersWaited metric.Int64Counter
+	loopBusy                                metric.Float64Counter
+	wait, platformTime, callerWait          metric.Float64Histogram
+	shards, queue, configuration, workers   metric.Int64Gauge
+	callerBytes, callerConnections          metric.Int64Gauge
 }
 
 // builder creates instruments and collects the errors.
@@ -56,6 +57,8 @@
 		loopSteps:         b.counter("control.loop.steps", "Steps of the control loop."),
 		callersClosed:     b.counter("callers.closed", "Callers that were refused or closed for what they held."),
 		loopBusy:          b.seconds("control.loop.busy", "Time in which the control loop was not waiting."),
+		callersWaited:     b.counter("callers.waited", "Callers that waited for a place, by outcome."),
+		callerWait:        b.histogram("callers.wait", "Time that callers waited for a place."),
 		wait:              b.histogram("wait", "Time from acceptance to a slot or worker."),
 		platformTime:      b.histogram("platform.call.duration", "Time that calls to the platform took."),
 		shards:            b.gauge("shards.owned", "Shards that this process owns."),
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -217,6 +217,22 @@
 	add(m.instruments.callersClosed, 1, attribute.String("reason", valueOrOther(reason, closedReasons)))
 }
 
+// CallerWaited counts a caller that waited for a place, by what came of it.
+func (m *Meter) CallerWaited(outcome string) {
+	if m.instruments == nil {
+		return
+	}
+	add(m.instruments.callersWaited, 1, attribute.String("outcome", valueOrOther(outcome, waitOutcomes)))
+}
+
+// CallerWait observes how long a caller waited for a place.
+func (m *Meter) CallerWait(d time.Duration) {
+	if m.instruments == nil {
+		return
+	}
+	m.instruments.callerWait.Record(context.Background(), d.Seconds())
+}
+
 // SetCallerBytes sets the bytes of requests that are arriving.
 func (m *Meter) SetCallerBytes(n int64) {
 	if m.instruments == nil {
