event: refused calls write a bounded number of lines, and each one line

Cause: the cell that refuses logs it with what decided, and the front again; nothing bounded lines for calls that change nothing.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -20,6 +20,7 @@
 type RefusedError struct {
 	Reason     string
 	RetryAfter time.Duration
+	Logged     bool // a line of this process's log says it
 }
 
 // Error implements error.
@@ -84,7 +85,7 @@
 		c.Log.Emit(event.DocketJobRefused, "job", id, "queue", job.GetQueue().GetName(), "reason", reason, "retry-after-ms", after.Milliseconds(),
 			"job-bytes", docket.JobBytes(job), "docket-bytes", c.Docket.Bytes(), "limit-bytes", c.Limits.DocketBytes)
 		c.Meter.Count("jobs", "refused")
-		done(&RefusedError{Reason: reason, RetryAfter: after})
+		done(&RefusedError{Reason: reason, RetryAfter: after, Logged: true})
 		return
 	}
 	if !job.GetMoved() {
--- a/command/node.go
+++ b/command/node.go
@@ -63,7 +63,7 @@
 	defer signal.Stop(signals)
 	queue := &event.Queue{Writer: s.out}
 	defer queue.Flush()
-	log := &event.Log{Writer: queue, Process: loaded.Name}
+	log := &event.Limit{Emitter: &event.Log{Writer: queue, Process: loaded.Name}, Events: callEvents}
 	p, err := assemble(loaded, log)
 	if err != nil {
 		return s.fail(err)
@@ -77,6 +77,9 @@
 	return subcommands.ExitSuccess
 }
 
+// callEvents are written for calls that change nothing, as fast as callers send them.
+var callEvents = []*event.Event{event.DocketJobRefused, event.DocketJobRepeated, event.RouteUnknown, event.KeyUnknown, event.CallFailed}
+
 // assemble makes the process out of its parts.
 func assemble(s *process.Settings, log event.Emitter) (*process.Process, error) {
 	flow := &meter.DynamicMeter{}
