cell: a task that wants a worker to itself does not wait for one for good

Cause: from the third crash on its trial is Alone, which wants a worker with no runs; there was a way out for gangs alone.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -96,7 +96,7 @@
 	trial := slices.ContainsFunc(runs, func(x *run) bool { return x.unheard() && x.trial != crash.None && !x.settled })
 	known := make([]crash.Run, len(runs))
 	for i, x := range runs {
-		known[i] = crash.Run{Job: x.task.Job, Begun: x.startConfirmed, Settled: x.settled, History: c.crashHistory(x.task)}
+		known[i] = crash.Run{Job: x.task.Job, Begun: x.startConfirmed, Settled: x.settled, Crowded: x.crowded, History: c.crashHistory(x.task)}
 		if !x.unheard() {
 			continue
 		}
--- a/cell/isolate.go
+++ b/cell/isolate.go
@@ -291,7 +291,7 @@
 	if c.isolation.aside() == 0 {
 		return workers
 	}
-	untried := s.apart && s.easiestTrial(s.startableTasks()) == crash.None
+	untried := s.apart && s.easiestTrial(s.startableTasks(), time.Now()) == crash.None
 	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
 		return s.apart != (w.aside != forAll) || untried && w.aside == forTrials
 	})
--- a/cell/lasting_test.go
+++ b/cell/lasting_test.go
@@ -88,3 +88,52 @@
 		}
 	})
 }
+
+// Three workers crashed under a batch task, of which it was not the cause. From then on it
+// wanted a worker with nothing on it, and waited for good where a lasting task ran on each
+// (LOST).
+func TestTaskOnTrialRunsBesideLastingTasks(t *testing.T) {
+	run(t, 4, func(b *harness) {
+		b.fleet.KeepNames = true
+		b.fleet.Takes = func(id docket.TaskID) time.Duration {
+			if id.Job == "0000000000000001" {
+				return time.Hour
+			}
+			return 8 * time.Second
+		}
+		const asked = 2 * 3 // the fleet asks twice for each of three starts
+		asks := 0
+		b.fleet.Crashes = func(id docket.TaskID) time.Duration {
+			if id.Job != "0000000000000002" || asks == asked {
+				return 0
+			}
+			asks++
+			return 6 * time.Second // until it counts as settled
+		}
+		everywhere := lasting(tasks(4, 2000))
+		everywhere.AntiAffinity = 1
+		b.submit(everywhere)
+		time.Sleep(time.Second)
+		batch := b.submit(tasks(1, 2000))
+		b.waitForState(batch, docket.Completed, 60*time.Second) // four starts, of which three wait for a worker
+	})
+}
+
+// The same with a task that crashes its workers some time after its start: it is given up with
+// the fourth crash, although it could never run alone.
+func TestDeadlyTaskBesideLastingTasksIsGivenUp(t *testing.T) {
+	run(t, 6, func(b *harness) {
+		b.fleet.KeepNames = true
+		b.fleet.Takes = func(docket.TaskID) time.Duration { return time.Hour }
+		b.crashing(2*time.Second, "0000000000000002")
+		everywhere := lasting(tasks(6, 2000))
+		everywhere.AntiAffinity = 1
+		b.submit(everywhere)
+		time.Sleep(time.Second)
+		deadly := b.submit(tasks(2, 2000))
+		b.waitForState(deadly, docket.Failed, 2*time.Minute)
+		if n := b.fleet.Crashed(); n > 4 {
+			t.Errorf("%d workers crashed, want at most 4", n)
+		}
+	})
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -60,7 +60,7 @@
 	}
 	workers = c.workersFor(s, workers)
 	room := c.workersWithRoom(s, workers)
-	if easiest := s.easiestTrial(indices); easiest != crash.None {
+	if easiest := s.easiestTrial(indices, now); easiest != crash.None {
 		room = slices.DeleteFunc(room, func(w *worker) bool { return !w.admits(easiest) })
 	}
 	ticketed := room
@@ -137,6 +137,16 @@
 	return b
 }
 
+// runsOthers reports whether tasks of other jobs run on the worker.
+func (w *worker) runsOthers(job string) bool {
+	for t := range w.runs {
+		if t.Job != job {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) countTasks(id docket.StepID) int {
 	count := 0
 	for t := range w.runs {
@@ -251,6 +261,12 @@
 	if !c.append(docket.Start(id, number, w.host.ID, w.incarnation), func() { c.sendStart(x) }) {
 		return
 	}
+	if x.trial == crash.Alone && w.runsOthers(id.Job) {
+		x.crowded = true
+		if !x.gang {
+			x.trial = s.nextTrial(index, now)
+		}
+	}
 	expected, basis := c.expectRun(x, s, w, now)
 	c.assignRun(x, w)
 	c.Log.Emit(event.TaskStarting, "job", id.Job, "task", id.String(), "run", number, "worker", w.host.ID,
--- a/cell/run.go
+++ b/cell/run.go
@@ -65,6 +65,7 @@
 	percent           int
 	ticket            string
 	trial             crash.Trial
+	crowded           bool // it was to run alone, and other jobs run on the worker
 	settled           bool // the worker has reported the run as running for a while
 	crashJudged       bool // a crash was counted for the run
 	known             *estimate.Task
--- a/cell/step.go
+++ b/cell/step.go
@@ -34,7 +34,7 @@
 	reservations        []reservation
 	preempted           map[uint32]bool // tasks of which a run was preempted
 	preemptTriedAt      time.Time       // when preemption for the step was last tried
-	trialSince          time.Time       // since when a gang waits for workers for its trial, zero if it does not
+	trialSince          time.Time       // since when a gang, or a task that is to run alone, waits for workers for its trial; zero if none does
 	apart               bool            // its tasks are of an isolated kind
 	unschedulableSince  time.Time       // since when no worker in touch could run it, zero if one can
 	unschedulableLogged bool
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -10,13 +10,15 @@
 //   - that was the only one, but for runs of its own job, at the second crash under its
 //     task, and was suspected before,
 //   - or was the only one for the fourth time, although no worker ever answered its start,
-//   - or was the only run on the worker at the fourth crash under its task.
+//   - or was the only run on the worker at the fourth crash under its task, or should have
+//     been and had no such worker.
 //
 // The next run of a suspect is therefore a trial, which tells it from the other suspects:
 //
 //   - it starts on a worker on which all other runs have settled, and nothing starts
 //     there until it has settled too;
-//   - a task under which three workers have crashed runs on a worker with nothing else.
+//   - a task under which three workers have crashed runs on a worker with nothing else, or,
+//     if there is none for a while, as after the crashes before.
 //
 // A start that was not answered may never have arrived. Its run is a suspect like
 // others, but the crash does not count as one under its task.
@@ -48,7 +50,7 @@
 
 const (
 	aloneAfter       = 3 // crashes under a task, after which it runs alone
-	minCrashesAlone  = 4 // under a task that was alone on the worker and never suspected before
+	minCrashesAlone  = 4 // under a task that was alone on the worker, or should have been, and never suspected before
 	minCrashesToFail = 2 // under a task before it may be given up
 	maxSuspicions    = 3 // before a task is the cause whose starts were never answered
 )
@@ -65,6 +67,7 @@
 	Job     string
 	Begun   bool // the worker has certainly started the run
 	Settled bool // the worker had reported the run as running for a while
+	Crowded bool // its trial was to be Alone, and other jobs ran on the worker when it started
 }
 
 // Verdict says what a run has to do with a crash.
@@ -124,7 +127,7 @@
 	case oneJob && r.Suspicions >= maxSuspicions:
 		return true
 	}
-	return alone && crashes >= minCrashesAlone
+	return (alone || r.Crowded) && crashes >= minCrashesAlone
 }
 
 // Trial is how a task has to be started so that the next crash tells more.
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -28,6 +28,11 @@
 		r.Settled = true
 		return r
 	}
+	crowded := func(job string, crashes, suspicions int) crash.Run {
+		r := old(job, crashes, suspicions)
+		r.Crowded = true
+		return r
+	}
 	for _, c := range []struct {
 		name string
 		runs []crash.Run
@@ -46,6 +51,8 @@
 		{"a gang", []crash.Run{fresh("a", 1, 1), fresh("a", 0, 0)}, []crash.Verdict{cause, suspect}},
 		{"all settled", []crash.Run{old("a", 0, 0), old("b", 2, 2)}, []crash.Verdict{suspect, suspect}},
 		{"later crash, alone", []crash.Run{old("a", 3, 0)}, []crash.Verdict{cause}},
+		{"later crash, no worker to be alone on", []crash.Run{crowded("a", 3, 0), old("b", 3, 0)}, []crash.Verdict{cause, suspect}},
+		{"no worker to be alone on, another has just begun", []crash.Run{crowded("a", 3, 0), fresh("b", 0, 0)}, []crash.Verdict{bystander, suspect}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := []crash.Verdict{}
