quarantine: work that can run nowhere else is tried on a quarantined worker

Cause: a quarantine of ten minutes, whatever waits; its limit counts by data centre, not by what waiting work can run on. Change: where no trusted worker has room for a step, a quarantined one gets a single task after 0.5 s, then at intervals that double up to 4 s while it fails. A probation allows two tasks more with each success (it was one at a time, and a pass could start several at once there: workerBin bounds them now). Failed early probations do not lengthen the usual quarantine; the reason no longer grows. Left: gangs are tried only where no other worker has room for a member.

--- a/cell/place.go
+++ b/cell/place.go
@@ -8,6 +8,7 @@
 	"persimmonworks.example/persimmonworks/docket"
 	"persimmonworks.example/persimmonworks/event"
 	"persimmonworks.example/persimmonworks/packing"
+	"persimmonworks.example/persimmonworks/quarantine"
 	"persimmonworks.example/persimmonworks/wire"
 )
 
@@ -60,6 +61,9 @@
 	}
 	workers = c.workersFor(s, workers)
 	room := c.workersWithRoom(s, workers)
+	if len(room) == 0 {
+		room = c.probe(s, now)
+	}
 	if easiest := s.easiestTrial(indices, now); easiest != crash.None {
 		room = slices.DeleteFunc(room, func(w *worker) bool { return !w.admits(easiest) })
 	}
@@ -101,6 +105,23 @@
 	return room
 }
 
+// probe returns quarantined workers on which the step may be tried, since no other has room
+// for it.
+func (c *Cell) probe(s *readyStep, now time.Time) []*worker {
+	if !c.quarantine.Any() {
+		return nil
+	}
+	var barred []*worker
+	for _, w := range c.byName {
+		if c.quarantine.State(w.host.ID) == quarantine.Quarantined && w.mayStart(now) {
+			barred = append(barred, w)
+		}
+	}
+	return slices.DeleteFunc(c.workersWithRoom(s, c.workersFor(s, barred)), func(w *worker) bool {
+		return !c.quarantine.Probe(w.host.ID, len(w.runs), now)
+	})
+}
+
 // mayUse reports whether the worker is not known to be excluded for the step.
 func (s *readyStep) mayUse(w *worker) bool {
 	return w.host.suits(s.queue, s.shape) && !s.denied[w.host.ID] && !w.conflictsWith(s.shape)
@@ -131,12 +152,29 @@
 	if maxTasks := s.shape.GetAntiAffinity(); maxTasks > 0 {
 		b.MaxTasks = int(maxTasks) - w.countTasks(s.id)
 	}
+	if c.quarantine.Any() {
+		b.MaxTasks = c.mostOnProbation(w, b.MaxTasks)
+	}
 	if rack := s.shape.GetDataRack(); rack != "" && rack != w.host.Rack {
 		b.Cost += 0.5 // tasks away from their data take half as long again
 	}
 	return b
 }
 
+// mostOnProbation returns how many tasks may start on a worker on which so many could, -1
+// for no limit, if it were trusted.
+func (c *Cell) mostOnProbation(w *worker, trusted int) int {
+	most := c.quarantine.MostTasks(w.host.ID)
+	if most < 0 {
+		return trusted
+	}
+	most = max(0, most-len(w.runs))
+	if trusted < 0 {
+		return most
+	}
+	return min(trusted, most)
+}
+
 // runsOthers reports whether tasks of other jobs run on the worker.
 func (w *worker) runsOthers(job string) bool {
 	for t := range w.runs {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -180,8 +180,12 @@
 
 // acceptsStarts reports whether tasks may be started on the worker.
 func (c *Cell) acceptsStarts(w *worker, now time.Time) bool {
-	return w.described() && !w.unresponsive && (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0 &&
-		c.quarantine.Allow(w.host.ID, len(w.runs), now)
+	return w.mayStart(now) && c.quarantine.Allow(w.host.ID, len(w.runs), now)
+}
+
+// mayStart reports whether tasks may be started on the worker, quarantined or not.
+func (w *worker) mayStart(now time.Time) bool {
+	return w.described() && !w.unresponsive && (w.inFleet || now.Sub(w.unlistedSince) < unlistedGrace) && w.reconciled && !w.host.Draining && now.Sub(w.lastHeard) < silenceTimeout && now.After(w.startsSuspendedUntil) && w.trials == 0
 }
 
 // silentMS returns the time since the worker's latest answer in milliseconds, -1 if it has
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -28,6 +28,7 @@
 		return false
 	}
 	r.dataCentre.restricted++
+	w.restricted++
 	w.quarantine(r, now, reason)
 	return true
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -20,7 +20,10 @@
 // of the workers, so in a data centre of fewer than ten workers it quarantines none.
 // Strong evidence, which requires that the task succeeded elsewhere, may use the whole
 // share. When the quarantine time is over, the worker is on probation: it is given one
-// task at a time, and is trusted again after a few successes in a row.
+// task at a time, more after each success, and is trusted again after a few in a row.
+//
+// Where work can run on no other worker, Probe begins the probation early, at intervals that
+// double with each one that fails.
 //
 // Memory use is bounded by the number of workers and by MaxJobs.
 //
@@ -35,7 +38,10 @@
 //	if w.Allow("w-17", running, now) { shard.Open("w-17") }
 package quarantine
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 const (
 	defaultShareLimit     = 1.0 / 3          // share of the workers of a data centre
@@ -48,11 +54,16 @@
 	strongTasks          = 3 // distinct tasks that succeeded on another worker
 	weakJobs             = 4 // distinct jobs that failed on no other worker
 	weakOrganisations    = 2
-	probationSuccesses   = 3    // consecutive successes that end a probation
+	probationSuccesses   = 3                      // consecutive successes that end a probation
+	tasksPerSuccess      = 2                      // by which the tasks at a time grow during a probation
+	probeLeast           = 500 * time.Millisecond // in quarantine before the first early probation
+	probeMost            = 4 * time.Second
 	maxOutcomesPerWorker = 64   // failures, and successes, recorded for each worker
 	maxTasksPerJob       = 1024 // failed tasks recorded for each job
 )
 
+const failedAgain = "; failed again on probation" // added to the reason
+
 // State is the state of a worker.
 type State string
 
@@ -80,6 +91,7 @@
 	InitialQuarantine time.Duration // first time in quarantine
 	MaxJobs           int           // number of jobs with failures that are recorded
 
+	restricted  int // workers in quarantine or on probation
 	workers     map[string]*workerRecord
 	dataCentres map[string]*dataCentreRecord
 	jobs        map[string]*jobRecord
@@ -98,8 +110,10 @@
 	successTimes     []time.Time
 	state            State
 	since            time.Time
-	failedProbations int // since it was last trusted
-	successes        int // consecutive, on probation
+	failedProbations int  // since it was last trusted
+	failedProbes     int  // probations that had begun early
+	early            bool // the probation has begun early
+	successes        int  // consecutive, on probation
 	reason           string
 }
 
@@ -164,6 +178,9 @@
 	return ""
 }
 
+// Any reports whether any worker is in quarantine or on probation.
+func (w *Tracker) Any() bool { return w.restricted > 0 }
+
 // Restricted returns the number of workers of a data centre that are in quarantine or on
 // probation, and the number of all its workers.
 func (w *Tracker) Restricted(dataCentre string) (held, workers int) {
@@ -181,9 +198,38 @@
 		return true
 	}
 	if r.state == Quarantined && now.Sub(r.since) >= w.quarantineTime(r) {
-		r.state, r.successes = Probation, 0
+		r.state, r.successes, r.early = Probation, 0, false
+	}
+	return r.state == Probation && running < r.mostTasks()
+}
+
+// Probe begins the probation of a quarantined worker early, since work waits that can run
+// nowhere else. It reports whether the worker may be given a task.
+func (w *Tracker) Probe(worker string, running int, now time.Time) bool {
+	if r, ok := w.workers[worker]; ok && r.state == Quarantined && now.Sub(r.since) >= r.probeInterval() {
+		r.state, r.successes, r.early = Probation, 0, true
 	}
-	return r.state == Probation && running == 0
+	return w.Allow(worker, running, now)
+}
+
+// MostTasks returns how many tasks a worker may run at a time, -1 for no limit.
+func (w *Tracker) MostTasks(worker string) int {
+	r, ok := w.workers[worker]
+	switch {
+	case !ok || r.state == Trusted:
+		return -1
+	case r.state == Quarantined:
+		return 0
+	}
+	return r.mostTasks()
+}
+
+// mostTasks returns how many tasks run at a time during a probation.
+func (r *workerRecord) mostTasks() int { return 1 + tasksPerSuccess*r.successes }
+
+// probeInterval returns the time in quarantine until the probation may begin early.
+func (r *workerRecord) probeInterval() time.Duration {
+	return min(probeMost, probeLeast<<min(r.failedProbes, 16))
 }
 
 // RecordFailure records a failed attempt, and reports whether its worker is quarantined as a
@@ -203,7 +249,7 @@
 	}
 	r.failures = append(r.failures, failure{Attempt: o, at: now})
 	if r.state == Probation && !w.failsEverywhere(o.Job) {
-		w.quarantine(r, now, r.reason+"; failed again on probation")
+		w.quarantine(r, now, strings.TrimSuffix(r.reason, failedAgain)+failedAgain)
 		return true
 	}
 	return w.evaluate(r, now)
@@ -262,7 +308,10 @@
 
 // quarantine puts a worker into quarantine and discards the evidence against it.
 func (w *Tracker) quarantine(r *workerRecord, now time.Time, reason string) {
-	if r.state == Probation {
+	switch {
+	case r.state == Probation && r.early:
+		r.failedProbes++
+	case r.state == Probation:
 		r.failedProbations++
 	}
 	r.state, r.since, r.reason, r.successes = Quarantined, now, reason, 0
@@ -274,8 +323,9 @@
 func (w *Tracker) markTrusted(r *workerRecord) {
 	if r.state != Trusted {
 		r.dataCentre.restricted--
+		w.restricted--
 	}
-	r.state, r.reason, r.failedProbations = Trusted, "", 0
+	r.state, r.reason, r.failedProbations, r.failedProbes = Trusted, "", 0, 0
 	r.failures, r.successTimes = nil, nil
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -207,3 +207,44 @@
 		t.Error("the record of a forgotten task still exists")
 	}
 }
+
+// Work that can run nowhere else is tried on a quarantined worker: one task at a time, at
+// intervals that double up to a bound, and more with each success.
+func TestProbe(t *testing.T) {
+	w := newTracker(3)
+	for n := range 3 {
+		task := fmt.Sprint("t", n)
+		w.RecordFailure(Attempt{"w0", task, "j", "prado"}, start)
+		w.RecordSuccess(Attempt{"w1", task, "j", "prado"}, start)
+	}
+	if w.State("w0") != Quarantined || !w.Any() || w.MostTasks("w0") != 0 {
+		t.Fatalf("w0 is %s", w.State("w0"))
+	}
+	reason := w.Reason("w0")
+	now := start
+	for _, wait := range []time.Duration{probeLeast, 2 * probeLeast, 4 * probeLeast, probeMost, probeMost, probeMost} {
+		if w.Probe("w0", 0, now.Add(wait-time.Millisecond)) {
+			t.Errorf("a task is tried before %v", wait)
+		}
+		now = now.Add(wait)
+		if !w.Probe("w0", 0, now) || w.Probe("w0", 1, now) || w.MostTasks("w0") != 1 {
+			t.Errorf("no single task is tried after %v", wait)
+		}
+		w.RecordFailure(Attempt{"w0", "other", "j", "prado"}, now)
+	}
+	if got := w.Reason("w0"); got != reason+failedAgain {
+		t.Errorf("the reason is %q", got)
+	}
+	if w.Allow("w0", 0, now.Add(defaultQuarantineTime-time.Second)) || !w.Allow("w0", 0, now.Add(defaultQuarantineTime)) {
+		t.Error("early probations that fail change the usual quarantine")
+	}
+	for _, most := range []int{1, 3, 5} {
+		if got := w.MostTasks("w0"); got != most {
+			t.Errorf("%d tasks may run, want %d", got, most)
+		}
+		w.RecordSuccess(Attempt{"w0", fmt.Sprint("good", most), "j2", "prado"}, now)
+	}
+	if w.State("w0") != Trusted || w.Any() || w.MostTasks("w0") != -1 {
+		t.Errorf("w0 is %s after its successes", w.State("w0"))
+	}
+}
