ingress: a new connection is not refused while another makes no use of its place

Cause: room for those that wait was looked for every 100 ms; a connection that came between two looks to a full line was refused although idle ones could have been closed. Change: before a new connection is refused, idle, stalled and slow connections are looked for at once, at most every 5 ms as long as there are none.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -58,15 +58,16 @@
 	bytes   atomic.Int64 // that count towards the limit
 	leaving atomic.Int64 // part of bytes, of calls that were let go and have not ended
 
-	mu       sync.Mutex
-	next     uint64
-	conns    map[uint64]*conn      // that are served
-	held     map[string]int        // places by client
-	line     []*conn               // that wait for a place, first ones first
-	refusing int                   // connections that are open only to be refused
-	looked   time.Time             // when it was last tried to make room for the line
-	gone     map[intake.Reason]int // since the last log line
-	logged   time.Time
+	mu        sync.Mutex
+	next      uint64
+	conns     map[uint64]*conn      // that are served
+	held      map[string]int        // places by client
+	line      []*conn               // that wait for a place, first ones first
+	refusing  int                   // connections that are open only to be refused
+	looked    time.Time             // when it was last tried to make room for the line
+	reclaimed time.Time             // when no connection was found that makes no use of its place
+	gone      map[intake.Reason]int // since the last log line
+	logged    time.Time
 }
 
 type connKey struct{}
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	lookInterval = 100 * time.Millisecond // between two tries to make room for those that wait
-	refuseTime   = 500 * time.Millisecond // for the call of a client that is refused to arrive
-	partingTime  = 200 * time.Millisecond // for a client to take its last answer
+	lookInterval    = 100 * time.Millisecond // between two tries to make room for those that wait
+	reclaimInterval = 5 * time.Millisecond   // between two tries for new connections, after one that found nothing
+	refuseTime      = 500 * time.Millisecond // for the call of a client that is refused to arrive
+	partingTime     = 200 * time.Millisecond // for a client to take its last answer
 )
 
 // admit returns a new connection, which may have to wait in its first read. It returns nil if
@@ -29,19 +30,27 @@
 		return c
 	}
 	c.decided = make(chan struct{})
-	if !i.enqueue(c) {
-		stays := i.turnAway(c)
+	var gone []*conn
+	waits := i.enqueue(c)
+	if !waits && now.Sub(i.reclaimed) >= reclaimInterval {
+		gone = i.reclaim(c.client, now)
+		waits = i.enqueue(c)
+	}
+	stays := waits
+	if waits {
+		gone = append(gone, i.look(now)...)
+	} else {
+		stays = i.turnAway(c)
 		close(c.decided)
-		i.mu.Unlock()
-		i.note(intake.NoRoomForConnections)
-		if !stays {
-			return nil
-		}
-		return c
 	}
-	gone := i.look(now)
 	i.mu.Unlock()
 	i.letAllGo(gone)
+	if !waits {
+		i.note(intake.NoRoomForConnections)
+	}
+	if !stays {
+		return nil
+	}
 	return c
 }
 
@@ -140,23 +149,34 @@
 		return nil
 	}
 	i.looked = now
-	views, waiting := i.views(), i.waiters()
-	yielding := intake.Yielding(views, waiting[intake.First(waiting, i.held)].Client)
+	waiting := i.waiters()
+	gone := i.reclaim(waiting[intake.First(waiting, i.held)].Client, now)
+	if len(gone) > 0 {
+		i.looked = time.Time{}
+		return gone
+	}
+	for _, n := range i.Limits.GiveWay(i.views(), waiting, now) {
+		i.conns[n].turn.Store(true)
+	}
+	return nil
+}
+
+// reclaim takes the places of connections that make no use of them, for one of a client, and
+// gives them to those that wait. It returns the connections to let go. The caller must hold
+// i.mu.
+func (i *Interface) reclaim(client string, now time.Time) []*conn {
 	var gone []*conn
-	for _, n := range i.Limits.MakeRoomForConnections(yielding, now) {
+	for _, n := range i.Limits.MakeRoomForConnections(intake.Yielding(i.views(), client), now) {
 		c := i.conns[n]
 		gone = append(gone, c)
 		i.unplace(c)
 	}
+	i.reclaimed = now
 	if len(gone) > 0 {
-		i.looked = time.Time{}
+		i.reclaimed = time.Time{}
 		i.grant()
-		return gone
 	}
-	for _, n := range i.Limits.GiveWay(views, waiting, now) {
-		i.conns[n].turn.Store(true)
-	}
-	return nil
+	return gone
 }
 
 // letAllGo closes connections that gave way. The caller must not hold i.mu.
--- a/intake/places_test.go
+++ b/intake/places_test.go
@@ -97,7 +97,8 @@
 func TestYielding(t *testing.T) {
 	views := []View{
 		{Number: 1, Client: "lone", Phase: Idle, Since: ago(time.Second)},
-		{Number: 2, Client: "crowd", Phase: Handling}, {Number: 3, Client: "crowd", Phase: Handling},
+		{Number: 2, Client: "crowd", Phase: Handling},
+		{Number: 3, Client: "crowd", Phase: Handling},
 	}
 	if got := Yielding(views, "crowd"); len(got) != 2 || got[0].Number != 2 {
 		t.Errorf("%v may be closed for the crowd, want its own connections", got)
