ingress: connections that never pause are held back while the process runs late

Callers saw: on a process held to 0.144 of a core, a crowd of refused submissions kept all others out although they got their places, and the owner lost its store feed four times in 20 s. On a process that is not late: one atomic load a call. Tried and dropped: a gate for four calls a processor.

--- a/command/node.go
+++ b/command/node.go
@@ -145,6 +145,7 @@
 	for _, i := range bounds.All() {
 		all = errors.Join(all, m.Gauge("ingress."+i.Name+".bytes", "By", func() float64 { return float64(i.Bytes()) }))
 		all = errors.Join(all, m.Gauge("ingress."+i.Name+".waiting", "", func() float64 { return float64(i.Waiting()) }))
+		all = errors.Join(all, m.Gauge("ingress."+i.Name+".call-gap", "s", func() float64 { return i.Gap().Seconds() }))
 		for p := range intake.Phases {
 			name := "ingress." + i.Name + ".connections." + p.String()
 			all = errors.Join(all, m.Gauge(name, "", func() float64 { return float64(i.Connections(p)) }))
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"persimmonworks.example/persimmonworks/intake"
+	"persimmonworks.example/persimmonworks/pause"
 )
 
 // conn is a connection of a client. Times are nanoseconds since the epoch of its owner.
@@ -25,6 +27,7 @@
 	refused atomic.Bool   // it got no place, and is open until its call is refused
 	turn    atomic.Bool   // it is to end with its next answer
 	parting atomic.Bool   // its last answer is being sent
+	called  time.Time     // start of the latest call that may have been held back; for its handler alone
 	waited  bool          // the first read has begun; for the reader alone
 
 	phase    atomic.Int32 // an intake.Phase
@@ -89,6 +92,14 @@
 	}
 }
 
+// pause holds a call back until the gap since the one before it has passed.
+func (c *conn) pause(ctx context.Context, gap time.Duration) {
+	if wait := time.Until(c.called.Add(gap)); wait > 0 {
+		pause.For(ctx, wait)
+	}
+	c.called = time.Now()
+}
+
 // idle ends a call.
 func (c *conn) idle() {
 	c.release()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -55,6 +55,7 @@
 	Meter  Meter
 
 	epoch   time.Time    // set by Listen
+	gap     atomic.Int64 // least time between two calls of a connection
 	bytes   atomic.Int64 // that count towards the limit
 	leaving atomic.Int64 // part of bytes, of calls that were let go and have not ended
 
@@ -90,6 +91,9 @@
 		if c.turn.Load() {
 			c.part(w)
 		}
+		if gap := i.Gap(); gap > 0 {
+			c.pause(q.Context(), gap)
+		}
 		if q.Body == nil || q.Body == http.NoBody {
 			c.enter(intake.Handling)
 			next.ServeHTTP(w, q)
@@ -230,7 +234,11 @@
 // Bytes returns how many bytes count towards the limit.
 func (i *Interface) Bytes() int64 { return i.bytes.Load() }
 
-// Sweep applies the time limits of interfaces until ctx ends.
+// Gap returns the least time between two calls of a connection, 0 for none.
+func (i *Interface) Gap() time.Duration { return time.Duration(i.gap.Load()) }
+
+// Sweep applies the time limits of interfaces until ctx ends, and holds back connections that
+// never pause while the process runs late.
 func Sweep(ctx context.Context, all ...*Interface) error {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
@@ -239,7 +247,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
+			late := time.Since(now)
 			for _, i := range all {
+				i.gap.Store(int64(intake.Pace(i.Gap(), late)))
 				i.sweep(now)
 			}
 		}
--- a/ingress/places_test.go
+++ b/ingress/places_test.go
@@ -189,3 +189,37 @@
 		t.Error("no client is counted that was refused for want of a place")
 	}
 }
+
+// While the process runs late, connections that never pause are held back, and the first call
+// of each is not.
+func TestPausesWhileProcessRunsLate(t *testing.T) {
+	i, _, address := serveCalls(t, crowded, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	const gap, calls = 100 * time.Millisecond, 5
+	i.gap.Store(int64(gap))
+	busy := dial(t, address)
+	begun := time.Now()
+	if _, err := io.WriteString(busy, strings.Repeat(plainCall, calls)); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(busy)
+	for range calls {
+		a, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(begun); took < (calls-1)*gap {
+		t.Errorf("%d calls of one connection are answered in %v, want at least %v", calls, took, (calls-1)*gap)
+	}
+	i.gap.Store(int64(time.Hour))
+	c := dial(t, address)
+	if _, err := io.WriteString(c, plainCall); err != nil {
+		t.Fatal(err)
+	}
+	if got := status(t, c); got != http.StatusOK {
+		t.Errorf("the first call of a connection is answered %d, want 200", got)
+	}
+}
