docket: jobs with values that no caller can send are refused

Seen: between processes a job with a negative amount of processor time, with due times before 1970 or with 4,294,967,295 occurrences was accepted (ExchangeSubmit by hand); a negative amount makes room on a worker that has none. No process ended by it. Cause: the front checks what callers send; the docket checked counts and the order of steps alone.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -72,6 +72,10 @@
 
 func (c *Cell) submit(job *wire.DocketAccepted, done func(error)) {
 	id := job.GetJob()
+	if len(job.GetSteps()) == 0 {
+		done(&RefusedError{Reason: "the job has no steps", RetryAfter: time.Second})
+		return
+	}
 	if c.nameTaken(job) {
 		done(&RefusedError{Reason: "the job cannot be accepted", RetryAfter: time.Second})
 		return
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -158,7 +158,7 @@
 	if ok && !known.ReplacedBy(a) {
 		return fmt.Errorf("job %s: already accepted", a.GetJob())
 	}
-	if err := checkSteps(a.GetSteps()); err != nil {
+	if err := check(a); err != nil {
 		return fmt.Errorf("job %s: %w", a.GetJob(), err)
 	}
 	a, progress, tasks := withoutState(a)
@@ -182,13 +182,42 @@
 	return nil
 }
 
-// maxTasksPerStep bounds the memory that one entry can take.
-const maxTasksPerStep = 100_000
+// Limits on what a job may hold, whoever sends it.
+const (
+	MaxOccurrences = 1000
+	MaxAmount      = 1 << 40 // of a resource of one task
+	MaxUnixMS      = 1 << 43 // the year 2248; differences fit into a time.Duration
 
-// checkSteps reports whether the steps can be scheduled: each has tasks, and follows
-// only steps before it.
+	maxTasksPerStep = 100_000 // bounds the memory that one entry can take
+)
+
+// check reports whether a job can be scheduled. One that has ended may have lost its steps.
+func check(a *wire.DocketAccepted) error {
+	if err := checkDueTimes(a); err != nil {
+		return err
+	}
+	return checkSteps(a.GetSteps())
+}
+
+// checkDueTimes reports whether all due times of a job can be reckoned with.
+func checkDueTimes(a *wire.DocketAccepted) error {
+	first, interval, repeat := a.GetFirstDueMs(), a.GetIntervalMs(), int64(a.GetRepeat())
+	inRange := repeat <= MaxOccurrences && first >= 0 && first <= MaxUnixMS && interval >= 0 && interval <= MaxUnixMS
+	if !inRange || first+repeat*interval > MaxUnixMS {
+		return fmt.Errorf("%d occurrences from %d every %d ms are out of range", repeat, first, interval)
+	}
+	return nil
+}
+
+// checkSteps reports whether the steps can be scheduled: each has tasks with amounts of
+// resources, and follows only steps before it.
 func checkSteps(steps []*wire.DocketStep) error {
 	for i, s := range steps {
+		for _, amount := range []int64{s.GetMilliCpu(), s.GetMemoryMb(), s.GetAccelerators()} {
+			if amount < 0 || amount > MaxAmount {
+				return fmt.Errorf("step %d takes %d of a resource, want 0 to %d", i, amount, int64(MaxAmount))
+			}
+		}
 		if s.GetCount() == 0 || s.GetCount() > maxTasksPerStep {
 			return fmt.Errorf("step %d has %d tasks, want 1 to %d", i, s.GetCount(), maxTasksPerStep)
 		}
