crowd: trickling, pipelined and chunked clients at the interfaces that lacked them

Change: five guards: trickling calls between processes and at readiness, pipelined calls between processes, bodies whole and in chunks of a byte at readiness. Crowds and bounds are those of the others. Not run apart from other load at this commit.

--- a/crowd/busy_test.go
+++ b/crowd/busy_test.go
@@ -169,6 +169,20 @@
 	g.judge()
 }
 
+func TestTricklingCallsBetweenProcesses(t *testing.T) {
+	g := start(t, connectionLimits)
+	g.keepBusy(g.exchange, nil, busyCrowd, true, trickle(stateCall))
+	g.askAt(g.exchange, http.MethodPost, "/state", http.StatusOK)
+	g.judge()
+}
+
+func TestTricklingCallsAtReadiness(t *testing.T) {
+	g := start(t, connectionLimits)
+	g.keepBusy(g.ready, nil, busyCrowd, true, trickle(readinessCall))
+	g.askAt(g.ready, http.MethodGet, "/-/readiness", http.StatusOK)
+	g.judge()
+}
+
 func TestBusyClientsAtReadiness(t *testing.T) {
 	g := start(t, connectionLimits)
 	g.keepBusy(g.ready, crowdAddress, busyCrowd, true, busy(readinessCall, true))
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -282,6 +282,32 @@
 	g.judge()
 }
 
+// atReadiness has bodies although its calls have none.
+func (g *target) atReadiness() place {
+	return place{
+		address: g.ready, host: "e0", body: bytes.Repeat([]byte{' '}, messageBytes),
+		path: func(int) string { return "/-/readiness" },
+	}
+}
+
+func TestWholeBodiesAtReadiness(t *testing.T) {
+	g := start(t, memoryLimits)
+	g.wholeBodies(g.atReadiness(), messageCrowd)
+	g.judge()
+}
+
+func TestChunksOfAByteAtReadiness(t *testing.T) {
+	g := start(t, memoryLimits)
+	g.chunks(g.atReadiness(), messageCrowd, 1)
+	g.judge()
+}
+
+func TestPipelinedCallsBetweenProcesses(t *testing.T) {
+	g := start(t, connectionLimits)
+	g.gather(g.exchange, connectionCrowd, func(_ int, c *client) { c.write([]byte(strings.Repeat(stateCall, 20) + stateCall[:20])) })
+	g.judge()
+}
+
 func TestHeadersAtReadiness(t *testing.T) {
 	g := start(t, connectionLimits)
 	g.headers(g.ready, connectionCrowd)
