intake: connections between processes are not held back

Seen by reading: a process that runs late held back all its connections, also those of other processes, which carry the calls of many callers each, 64 at most; a forwarded submission would have waited up to 1 s behind others. Change: Limits.Paced, set for callers and readiness. serve has it for none.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -249,7 +249,9 @@
 		case now := <-t.C:
 			late := time.Since(now)
 			for _, i := range all {
-				i.gap.Store(int64(intake.Pace(i.Gap(), late)))
+				if i.Limits.Paced {
+					i.gap.Store(int64(intake.Pace(i.Gap(), late)))
+				}
 				i.sweep(now)
 			}
 		}
--- a/intake/divide.go
+++ b/intake/divide.go
@@ -54,9 +54,11 @@
 			Connections: max(connectionsLeast, most), Bytes: bytes, FreeBytes: freeBytes, Stall: usualStall, Whole: usualWhole,
 		}
 	}
-	return Division{
+	d := Division{
 		Callers:   limits(callerDescriptors, memory/callerMemory),
 		Processes: limits(processDescriptors, memory/processMemory),
 		Readiness: limits(readinessDescriptors, readinessBytes),
 	}
+	d.Callers.Paced, d.Readiness.Paced = true, true // another process sends the calls of many callers
+	return d
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -38,6 +38,7 @@
 	FreeBytes   int64         // of each call that Bytes does not count
 	Stall       time.Duration // without progress after which a call or an answer is given up
 	Whole       time.Duration // for a call to arrive
+	Paced       bool          // whether connections that never pause are held back while the process runs late
 }
 
 // Phase is what a connection is doing.
