ingress: names of the field for what happens to connections

Change: queue, lingerClose, closeAfterAnswer, expire and others in place of words of our own; a connection that is displaced from the queue is counted with the others that got no place. Nothing else changes what the program does.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -22,13 +22,13 @@
 	client string
 	opened time.Time // when it got its place; the owner's mu is held
 
-	decided chan struct{} // closed when it has waited for a place; nil if it has not
-	away    atomic.Bool   // it got no place, and not even an answer
-	refused atomic.Bool   // it got no place, and is open until its call is refused
-	turn    atomic.Bool   // it is to end with its next answer
-	parting atomic.Bool   // its last answer is being sent
-	called  time.Time     // start of the latest call that may have been held back; for its handler alone
-	waited  bool          // the first read has begun; for the reader alone
+	decided    chan struct{} // closed when it has waited for a place; nil if it has not
+	away       atomic.Bool   // it got no place, and not even an answer
+	refused    atomic.Bool   // it got no place, and is open until its call is refused
+	closeNext  atomic.Bool   // it is to end with its next answer
+	lastAnswer atomic.Bool   // its last answer is being sent
+	called     time.Time     // start of the latest call that may have been held back; for its handler alone
+	waited     bool          // the first read has begun; for the reader alone
 
 	phase    atomic.Int32 // an intake.Phase
 	since    atomic.Int64 // start of the phase, but for intake.Handling
@@ -49,7 +49,7 @@
 func (c *conn) view() intake.View {
 	v := intake.View{
 		Number: c.number, Client: c.client, Phase: intake.Phase(c.phase.Load()), Held: c.counted.Load(),
-		Opened: c.opened, Leaving: c.turn.Load(), Since: c.owner.time(c.since.Load()), Progress: c.owner.time(c.progress.Load()),
+		Opened: c.opened, Leaving: c.closeNext.Load(), Since: c.owner.time(c.since.Load()), Progress: c.owner.time(c.progress.Load()),
 	}
 	if !c.pending.Load() {
 		v.Progress = c.owner.time(c.owner.now()) // it is not the client who is waited for
@@ -205,8 +205,8 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if c.parting.Swap(false) && c.reason() == "" {
-		c.takeLeave()
+	if c.lastAnswer.Swap(false) && c.reason() == "" {
+		c.lingerClose()
 	}
 	err := c.Conn.Close()
 	c.closed.Do(func() { c.owner.closed(c) })
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -63,9 +63,9 @@
 	next      uint64
 	conns     map[uint64]*conn      // that are served
 	held      map[string]int        // places by client
-	line      []*conn               // that wait for a place, first ones first
+	queue     []*conn               // that wait for a place, first ones first
 	refusing  int                   // connections that are open only to be refused
-	looked    time.Time             // when it was last tried to make room for the line
+	looked    time.Time             // when it was last tried to make room for the queue
 	reclaimed time.Time             // when no connection was found that makes no use of its place
 	gone      map[intake.Reason]int // since the last log line
 	logged    time.Time
@@ -88,8 +88,8 @@
 		}
 		c.handling.Store(true)
 		defer c.handled()
-		if c.turn.Load() {
-			c.part(w)
+		if c.closeNext.Load() {
+			c.closeAfterAnswer(w)
 		}
 		if gap := i.Gap(); gap > 0 {
 			c.pause(q.Context(), gap)
@@ -228,7 +228,7 @@
 func (i *Interface) Waiting() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return len(i.line)
+	return len(i.queue)
 }
 
 // Bytes returns how many bytes count towards the limit.
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -14,7 +14,7 @@
 	lookInterval    = 100 * time.Millisecond // between two tries to make room for those that wait
 	reclaimInterval = 5 * time.Millisecond   // between two tries for new connections, after one that found nothing
 	refuseTime      = 500 * time.Millisecond // for the call of a client that is refused to arrive
-	partingTime     = 200 * time.Millisecond // for a client to take its last answer
+	lingerTime      = 200 * time.Millisecond // for a client to take its last answer
 )
 
 // admit returns a new connection, which may have to wait in its first read. It returns nil if
@@ -24,7 +24,7 @@
 	i.mu.Lock()
 	i.next++
 	c.number = i.next
-	if len(i.line) == 0 && i.Limits.HasPlace(len(i.conns), i.held[c.client]) {
+	if len(i.queue) == 0 && i.Limits.HasPlace(len(i.conns), i.held[c.client]) {
 		i.place(c, now)
 		i.mu.Unlock()
 		return c
@@ -38,17 +38,15 @@
 	}
 	stays := waits
 	if waits {
-		gone = append(gone, i.look(now)...)
+		gone = append(gone, i.makePlaces(now)...)
 	} else {
-		stays = i.turnAway(c)
+		stays = i.keepToRefuse(c)
 		close(c.decided)
 	}
 	i.mu.Unlock()
 	i.letAllGo(gone)
-	if !waits {
-		i.note(intake.NoRoomForConnections)
-	}
 	if !stays {
+		i.note(intake.NoRoomForConnections)
 		return nil
 	}
 	return c
@@ -83,45 +81,45 @@
 	}
 }
 
-// enqueue lets a connection wait, in the place of another if the line is full. It returns
+// enqueue lets a connection wait, in the place of another if the queue is full. It returns
 // false if the connection has to go. The caller must hold i.mu.
 func (i *Interface) enqueue(c *conn) bool {
-	if len(i.line) >= i.Limits.Waiting() {
+	if len(i.queue) >= i.Limits.Waiting() {
 		d := intake.Displaced(i.waiters(), i.held, c.client)
 		if d < 0 {
 			return false
 		}
-		i.decide(d, false)
+		i.dequeue(d, false)
 	}
-	i.line = append(i.line, c)
+	i.queue = append(i.queue, c)
 	return true
 }
 
 // waiters returns what is known of those that wait. The caller must hold i.mu.
 func (i *Interface) waiters() []intake.Waiter {
-	out := make([]intake.Waiter, 0, len(i.line))
-	for _, c := range i.line {
+	out := make([]intake.Waiter, 0, len(i.queue))
+	for _, c := range i.queue {
 		out = append(out, intake.Waiter{Number: c.number, Client: c.client})
 	}
 	return out
 }
 
-// decide ends the wait of a connection: it gets a place, or is refused. The caller must hold
+// dequeue ends the wait of a connection: it gets a place, or is refused. The caller must hold
 // i.mu.
-func (i *Interface) decide(index int, placed bool) {
-	c := i.line[index]
-	i.line = slices.Delete(i.line, index, index+1)
+func (i *Interface) dequeue(index int, placed bool) {
+	c := i.queue[index]
+	i.queue = slices.Delete(i.queue, index, index+1)
 	if placed {
 		i.place(c, time.Now())
-	} else if !i.turnAway(c) {
+	} else if !i.keepToRefuse(c) {
 		c.away.Store(true)
 	}
 	close(c.decided)
 }
 
-// turnAway reports whether a connection may stay open until it is refused with an answer. The
+// keepToRefuse reports whether a connection may stay open until it is refused with an answer. The
 // caller must hold i.mu.
-func (i *Interface) turnAway(c *conn) bool {
+func (i *Interface) keepToRefuse(c *conn) bool {
 	if i.refusing >= i.Limits.Refusing() {
 		return false
 	}
@@ -132,20 +130,20 @@
 
 // grant gives free places to those that wait. The caller must hold i.mu.
 func (i *Interface) grant() {
-	for len(i.line) > 0 {
+	for len(i.queue) > 0 {
 		first := intake.First(i.waiters(), i.held)
-		if !i.Limits.HasPlace(len(i.conns), i.held[i.line[first].client]) {
+		if !i.Limits.HasPlace(len(i.conns), i.held[i.queue[first].client]) {
 			return
 		}
-		i.decide(first, true)
+		i.dequeue(first, true)
 	}
 }
 
-// look makes room for those that wait. It returns connections to let go; others are told to
+// makePlaces makes room for those that wait. It returns connections to let go; others are told to
 // close with their next answer. The caller must hold i.mu.
-func (i *Interface) look(now time.Time) []*conn {
+func (i *Interface) makePlaces(now time.Time) []*conn {
 	i.grant()
-	if len(i.line) == 0 || now.Sub(i.looked) < lookInterval {
+	if len(i.queue) == 0 || now.Sub(i.looked) < lookInterval {
 		return nil
 	}
 	i.looked = now
@@ -156,7 +154,7 @@
 		return gone
 	}
 	for _, n := range i.Limits.GiveWay(i.views(), waiting, now) {
-		i.conns[n].turn.Store(true)
+		i.conns[n].closeNext.Store(true)
 	}
 	return nil
 }
@@ -194,8 +192,8 @@
 	if c.refused.Swap(false) {
 		i.refusing--
 	}
-	if n := slices.Index(i.line, c); n >= 0 {
-		i.line = slices.Delete(i.line, n, n+1)
+	if n := slices.Index(i.queue, c); n >= 0 {
+		i.queue = slices.Delete(i.queue, n, n+1)
 		c.away.Store(true)
 		close(c.decided)
 	}
@@ -215,42 +213,40 @@
 		case <-c.decided:
 			waiting = false
 		case now := <-again.C:
-			c.owner.lookAgain(now)
+			c.owner.lookForPlaces(now)
 		case <-most.C:
-			c.owner.giveUp(c)
+			c.owner.expire(c)
 		}
 	}
 	name := "ingress." + c.owner.Name + ".waited"
 	c.owner.Meter.Observe(name, time.Since(begun))
+	served := !c.away.Load() && !c.refused.Load()
+	if served {
+		c.owner.Meter.Count(name, "served")
+		return nil
+	}
+	c.owner.note(intake.NoRoomForConnections)
 	if c.away.Load() {
 		c.owner.Meter.Count(name, "closed")
 		return &intake.RefusedError{Reason: intake.NoRoomForConnections}
 	}
-	if !c.refused.Load() {
-		c.owner.Meter.Count(name, "served")
-		return nil
-	}
 	c.owner.Meter.Count(name, "refused")
 	return c.Conn.SetReadDeadline(time.Now().Add(refuseTime))
 }
 
-func (i *Interface) lookAgain(now time.Time) {
+func (i *Interface) lookForPlaces(now time.Time) {
 	i.mu.Lock()
-	gone := i.look(now)
+	gone := i.makePlaces(now)
 	i.mu.Unlock()
 	i.letAllGo(gone)
 }
 
-// giveUp refuses a connection that has waited for too long.
-func (i *Interface) giveUp(c *conn) {
+// expire refuses a connection that has waited for too long.
+func (i *Interface) expire(c *conn) {
 	i.mu.Lock()
-	n := slices.Index(i.line, c)
-	if n >= 0 {
-		i.decide(n, false)
-	}
-	i.mu.Unlock()
-	if n >= 0 {
-		i.note(intake.NoRoomForConnections)
+	defer i.mu.Unlock()
+	if n := slices.Index(i.queue, c); n >= 0 {
+		i.dequeue(n, false)
 	}
 }
 
@@ -265,17 +261,17 @@
 	i.Refuse.ServeHTTP(w, q)
 }
 
-// part makes the answer of a call the last one of its connection.
-func (c *conn) part(w http.ResponseWriter) {
+// closeAfterAnswer makes the answer of a call the last one of its connection.
+func (c *conn) closeAfterAnswer(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	c.parting.Store(true)
+	c.lastAnswer.Store(true)
 	c.owner.note(intake.Turn)
 }
 
-// takeLeave lets the client take its last answer: closing at once would reset the connection
+// lingerClose lets the client take its last answer: closing at once would reset the connection
 // if calls have been sent ahead.
-func (c *conn) takeLeave() {
-	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(partingTime)) != nil {
+func (c *conn) lingerClose() {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	var sink [512]byte
--- a/ingress/places_test.go
+++ b/ingress/places_test.go
@@ -41,7 +41,7 @@
 		await(t, "nothing is counted", func() bool {
 			i.mu.Lock()
 			defer i.mu.Unlock()
-			return len(i.conns) == 0 && len(i.held) == 0 && len(i.line) == 0 && i.refusing == 0
+			return len(i.conns) == 0 && len(i.held) == 0 && len(i.queue) == 0 && i.refusing == 0
 		})
 	})
 	return i, m, listener.Addr().String()
@@ -126,7 +126,7 @@
 	}
 	i.mu.Lock()
 	for _, served := range i.conns {
-		served.turn.Store(true)
+		served.closeNext.Store(true)
 	}
 	i.mu.Unlock()
 	if _, err := io.WriteString(c, strings.Repeat(plainCall, 500)); err != nil {
@@ -143,7 +143,7 @@
 }
 
 // Where no place comes free, a call that waits is refused with an answer, and those beyond
-// the line and the ones being refused are closed.
+// the queue and the ones being refused are closed.
 func TestNoPlaceComesFree(t *testing.T) {
 	release := make(chan struct{})
 	i, m, address := serveCalls(t, crowded, func(_ http.ResponseWriter, _ *http.Request) { <-release })
@@ -162,12 +162,12 @@
 		return i.Connections(intake.Handling) >= crowded.Places()-2 && i.Waiting() == crowded.Waiting()
 	})
 	i.mu.Lock()
-	last, open := i.line[0], len(i.conns)+len(i.line)+i.refusing
+	last, open := i.queue[0], len(i.conns)+len(i.queue)+i.refusing
 	i.mu.Unlock()
 	if open > crowded.Connections {
 		t.Errorf("%d connections are open, want at most %d", open, crowded.Connections)
 	}
-	await(t, "the line is refused", func() bool {
+	await(t, "the queue is refused", func() bool {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		return last.refused.Load() || last.away.Load()
--- a/intake/places.go
+++ b/intake/places.go
@@ -57,7 +57,7 @@
 	return first
 }
 
-// Displaced returns the index of the waiter that leaves a full line for another client's
+// Displaced returns the index of the waiter that leaves a full queue for another client's
 // connection: the last one of the client with the most connections, served or waiting, if it
 // has at least two more than the other. It returns -1 if the new connection has to go.
 func Displaced(waiting []Waiter, held map[string]int, client string) int {
@@ -91,7 +91,7 @@
 // their places. A client that holds more places than the waiting one gives way at once,
 // one that holds as many after a connection has been served for a turn, and one that holds
 // fewer never. Clients with the most places go first, of these the connections that were
-// served longest. A full line stands for twice as many, since others were turned away.
+// served longest. A full queue stands for twice as many, since others were turned away.
 func (l Limits) GiveWay(views []View, waiting []Waiter, now time.Time) []uint64 {
 	held := map[string]int{}
 	asked := 0
--- a/intake/places_test.go
+++ b/intake/places_test.go
@@ -35,7 +35,7 @@
 
 func TestDisplaced(t *testing.T) {
 	for _, c := range []struct {
-		line   []string
+		queue  []string
 		held   map[string]int
 		client string
 		want   int
@@ -49,11 +49,11 @@
 		{[]string{"a", "a", "b"}, nil, "b", -1},
 	} {
 		var waiting []Waiter
-		for i, name := range c.line {
+		for i, name := range c.queue {
 			waiting = append(waiting, Waiter{Number: uint64(i), Client: name})
 		}
 		if got := Displaced(waiting, c.held, c.client); got != c.want {
-			t.Errorf("%v, for %s: %d is displaced, want %d", c.line, c.client, got, c.want)
+			t.Errorf("%v, for %s: %d is displaced, want %d", c.queue, c.client, got, c.want)
 		}
 	}
 }
@@ -117,8 +117,8 @@
 	next    uint64
 	served  map[uint64]*View
 	calls   map[uint64]time.Time // end of the call that is going on
-	line    []Waiter
-	since   map[uint64]time.Time // when those in the line came
+	queue   []Waiter
+	since   map[uint64]time.Time // when those in the queue came
 	outside []string             // clients of the crowd without a connection, which come back
 	waits   []time.Duration      // of ordinary callers that got a place
 	refused int                  // ordinary callers
@@ -176,26 +176,26 @@
 		p.place(w, p.at)
 		return true
 	}
-	if len(p.line) == 0 && p.limits.HasPlace(len(p.served), p.held()[client]) {
+	if len(p.queue) == 0 && p.limits.HasPlace(len(p.served), p.held()[client]) {
 		p.place(w, p.at)
 		return true
 	}
-	if len(p.line) >= p.limits.Waiting() {
-		d := Displaced(p.line, p.held(), client)
+	if len(p.queue) >= p.limits.Waiting() {
+		d := Displaced(p.queue, p.held(), client)
 		if d < 0 {
 			return false
 		}
 		p.leave(d)
 	}
-	p.line = append(p.line, w)
+	p.queue = append(p.queue, w)
 	p.since[w.Number] = p.at
 	return true
 }
 
-// leave takes one out of the line that gets no place.
+// leave takes one out of the queue that gets no place.
 func (p *busyPool) leave(i int) {
-	w := p.line[i]
-	p.line = slices.Delete(p.line, i, i+1)
+	w := p.queue[i]
+	p.queue = slices.Delete(p.queue, i, i+1)
 	if ordinary(w.Client) {
 		p.refused++
 	} else {
@@ -217,23 +217,23 @@
 			}
 		}
 	}
-	for i := len(p.line) - 1; i >= 0; i-- {
-		if p.at.Sub(p.since[p.line[i].Number]) > WaitMost {
+	for i := len(p.queue) - 1; i >= 0; i-- {
+		if p.at.Sub(p.since[p.queue[i].Number]) > WaitMost {
 			p.leave(i)
 		}
 	}
-	for len(p.line) > 0 {
+	for len(p.queue) > 0 {
 		held := p.held()
-		i := First(p.line, held)
-		if !p.limits.HasPlace(len(p.served), held[p.line[i].Client]) {
+		i := First(p.queue, held)
+		if !p.limits.HasPlace(len(p.served), held[p.queue[i].Client]) {
 			break
 		}
-		w := p.line[i]
-		p.line = slices.Delete(p.line, i, i+1)
+		w := p.queue[i]
+		p.queue = slices.Delete(p.queue, i, i+1)
 		p.place(w, p.since[w.Number])
 	}
 	if look && p.turns {
-		for _, n := range p.limits.GiveWay(p.views(), p.line, p.at) {
+		for _, n := range p.limits.GiveWay(p.views(), p.queue, p.at) {
 			p.served[n].Leaving = true
 		}
 	}
