cell: quarantined workers are tried only where no other could run a step, or after 2 s

Cause: by reading, each burst that filled all workers tried tasks on the quarantined ones at once, where they fail. Change: a step is tried there if no trusted worker could ever run it, or once it has waited for 2 s. The three tests stay green. Conclusion: kept, since callers' tasks are not to be spent where others could run them.

--- a/cell/place.go
+++ b/cell/place.go
@@ -12,6 +12,10 @@
 	"persimmonworks.example/persimmonworks/wire"
 )
 
+// probeAfter is how long a step waits for a trusted worker before it is tried on a quarantined
+// one, where its tasks may fail.
+const probeAfter = 2 * time.Second
+
 // ticketMargin is the remaining validity that a ticket needs, so that a start reaches
 // the worker in time.
 const ticketMargin = 250 * time.Millisecond
@@ -61,7 +65,7 @@
 	}
 	workers = c.workersFor(s, workers)
 	room := c.workersWithRoom(s, workers)
-	if len(room) == 0 {
+	if len(room) == 0 && s.needsProbe(workers, now) {
 		room = c.probe(s, now)
 	}
 	if easiest := s.easiestTrial(indices, now); easiest != crash.None {
@@ -105,6 +109,12 @@
 	return room
 }
 
+// needsProbe reports whether a step that has no room is to be tried on quarantined workers: no
+// trusted worker could ever run it, or it has waited for long.
+func (s *readyStep) needsProbe(trusted []*worker, now time.Time) bool {
+	return now.Sub(s.readyAt) > probeAfter || !slices.ContainsFunc(trusted, s.mayUse)
+}
+
 // probe returns quarantined workers on which the step may be tried, since no other has room
 // for it.
 func (c *Cell) probe(s *readyStep, now time.Time) []*worker {
