--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -85,7 +85,7 @@
 type target struct {
 	*testing.T
 	limits
-	front, ready, exchange string // ip:port
+	front, ready, exchange string     // ip:port
 	ordinary               func() int // sends an ordinary job and returns the status, 0 if there was no answer
 	log                    *os.File
 	command                *exec.Cmd
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,10 +89,10 @@
 	MaxConnections int
 	MaxHeldBytes   int64
 	MemoryMB       int64 // 0 for the memory of the host
-	MaxTasks       int // of one job
-	MaxNameLength  int // bytes
-	MaxQueue       int // requests and tasks waiting in one process
-	JobShards      int // per data centre; the same in all its processes
+	MaxTasks       int   // of one job
+	MaxNameLength  int   // bytes
+	MaxQueue       int   // requests and tasks waiting in one process
+	JobShards      int   // per data centre; the same in all its processes
 }
 
 // Log sets the minimum level and the format of the log.
