crash: a task that could not run alone is given up with the next crash, whatever began beside it

Ruled out: load. Change: a run that is Crowded is the cause of a crash of its worker in any case: three workers have crashed under the task before. Left: an owner that finds such a run does not know that it was crowded.

--- a/cell/lasting_test.go
+++ b/cell/lasting_test.go
@@ -119,6 +119,34 @@
 	})
 }
 
+// The same while short tasks start beside it all the time, of which each crash finds some that
+// have just begun.
+func TestDeadlyTaskAmongShortTasksIsGivenUp(t *testing.T) {
+	run(t, 6, func(b *harness) {
+		b.fleet.KeepNames = true
+		b.fleet.Takes = func(id docket.TaskID) time.Duration {
+			if id.Job <= "0000000000000002" {
+				return time.Hour
+			}
+			return 150 * time.Millisecond
+		}
+		b.crashing(3*time.Second, "0000000000000002")
+		everywhere := lasting(tasks(6, 2000))
+		everywhere.AntiAffinity = 1
+		b.submit(everywhere)
+		time.Sleep(time.Second)
+		deadly := b.submit(tasks(2, 2000))
+		for range 600 {
+			b.submit(tasks(6, 1000))
+			time.Sleep(100 * time.Millisecond)
+		}
+		b.waitForState(deadly, docket.Failed, time.Minute)
+		if n := b.fleet.Crashed(); n > 4 {
+			t.Errorf("%d workers crashed, want at most 4", n)
+		}
+	})
+}
+
 // The same with a task that crashes its workers some time after its start: it is given up with
 // the fourth crash, although it could never run alone.
 func TestDeadlyTaskBesideLastingTasksIsGivenUp(t *testing.T) {
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -10,8 +10,10 @@
 //   - that was the only one, but for runs of its own job, at the second crash under its
 //     task, and was suspected before,
 //   - or was the only one for the fourth time, although no worker ever answered its start,
-//   - or was the only run on the worker at the fourth crash under its task, or should have
-//     been and had no such worker.
+//   - or was the only run on the worker at the fourth crash under its task.
+//
+// A run that should have been the only one, and for which there was no such worker, is taken
+// for the cause as well, whatever has just begun beside it: one more try tells no more.
 //
 // The next run of a suspect is therefore a trial, which tells it from the other suspects:
 //
@@ -50,7 +52,7 @@
 
 const (
 	aloneAfter       = 3 // crashes under a task, after which it runs alone
-	minCrashesAlone  = 4 // under a task that was alone on the worker, or should have been, and never suspected before
+	minCrashesAlone  = 4 // under a task that was alone on the worker and never suspected before
 	minCrashesToFail = 2 // under a task before it may be given up
 	maxSuspicions    = 3 // before a task is the cause whose starts were never answered
 )
@@ -104,10 +106,8 @@
 		job = r.Job
 	}
 	for i, r := range runs {
-		if judgements[i].Verdict != Suspect {
-			continue
-		}
-		if isCause(r, oneJob, len(runs) == 1) {
+		suspect := judgements[i].Verdict == Suspect
+		if r.Crowded || suspect && isCause(r, oneJob, len(runs) == 1) {
 			judgements[i].Verdict = Cause
 		}
 	}
@@ -127,7 +127,7 @@
 	case oneJob && r.Suspicions >= maxSuspicions:
 		return true
 	}
-	return (alone || r.Crowded) && crashes >= minCrashesAlone
+	return alone && crashes >= minCrashesAlone
 }
 
 // Trial is how a task has to be started so that the next crash tells more.
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -52,7 +52,7 @@
 		{"all settled", []crash.Run{old("a", 0, 0), old("b", 2, 2)}, []crash.Verdict{suspect, suspect}},
 		{"later crash, alone", []crash.Run{old("a", 3, 0)}, []crash.Verdict{cause}},
 		{"later crash, no worker to be alone on", []crash.Run{crowded("a", 3, 0), old("b", 3, 0)}, []crash.Verdict{cause, suspect}},
-		{"no worker to be alone on, another has just begun", []crash.Run{crowded("a", 3, 0), fresh("b", 0, 0)}, []crash.Verdict{bystander, suspect}},
+		{"no worker to be alone on, another has just begun", []crash.Run{crowded("a", 3, 0), fresh("b", 0, 0)}, []crash.Verdict{cause, suspect}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := []crash.Verdict{}
