--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -40,6 +40,7 @@
 	Target   int    `json:"target-ms,omitempty"`
 	MostAway int    `json:"max-unavailable,omitempty"`
 	Image    string `json:"image,omitempty"`
+	Apart    int    `json:"anti-affinity,omitempty"`
 	Requires string `json:"requires,omitempty"`
 }
 
--- a/review/stand-3/oversize.go
+++ b/review/stand-3/oversize.go
@@ -103,15 +103,16 @@
 	}
 }
 
-// longestIdle returns the longest time between two moments in which nothing of a job ran.
-func (w *world) longestIdle(job string, from, until time.Time) (idle time.Duration, since time.Time) {
+// longestIdle returns the longest time between two moments in which no task ran whose name
+// begins so.
+func (w *world) longestIdle(prefix string, from, until time.Time) (idle time.Duration, since time.Time) {
 	running, last := map[string]bool{}, from
 	look := func(at time.Time) {
 		if len(running) == 0 && at.After(last) && at.Sub(last) > idle {
 			idle, since = at.Sub(last), last
 		}
 	}
-	for _, e := range w.eventsOf(job + ".") {
+	for _, e := range w.eventsOf(prefix) {
 		if e.kind == "stop" {
 			continue
 		}
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -22,6 +22,7 @@
 	storeTime  = 4 * time.Millisecond
 	txTime     = 5 * time.Millisecond
 	mostWait   = 30 * time.Second
+	history    = 20 * time.Second // history-s
 	operatorDB = "op"
 	serversDB  = "servers"
 )
@@ -58,7 +59,9 @@
 	mu      sync.Mutex
 	version uint64
 	rows    map[string]*row
-	changes []row // in order of their versions
+	changes []row // in order of their versions, those of the last history-s
+	times   []time.Time
+	dropped uint64 // version up to which changes are forgotten
 	changed chan struct{}
 	parts   map[string]*sync.Mutex
 	refused int
@@ -97,7 +100,21 @@
 func (s *store) set(r row) {
 	r.Version = s.version
 	s.rows[r.name()] = &r
-	s.changes = append(s.changes, r)
+	s.noteChange(r)
+}
+
+// noteChange keeps a change for as long as the history lasts.
+func (s *store) noteChange(r row) {
+	now := time.Now()
+	s.changes, s.times = append(s.changes, r), append(s.times, now)
+	old := 0
+	for now.Sub(s.times[old]) > history {
+		old++
+	}
+	if old > mostRows {
+		s.dropped = s.changes[old-1].Version
+		s.changes, s.times = slices.Clone(s.changes[old:]), slices.Clone(s.times[old:])
+	}
 }
 
 func (s *store) remove(r row) {
@@ -106,7 +123,7 @@
 	}
 	delete(s.rows, r.name())
 	r.Version, r.Deleted, r.Value = s.version, true, nil
-	s.changes = append(s.changes, r)
+	s.noteChange(r)
 }
 
 func (s *store) announce() {
@@ -254,7 +271,11 @@
 	defer end.Stop()
 	time.Sleep(storeTime)
 	for waiting := true; ; {
-		a, changed := s.since(v.Get("table"), after)
+		a, changed, gone := s.since(v.Get("table"), after)
+		if gone {
+			respond(w, http.StatusGone, struct{}{})
+			return
+		}
 		if len(a.Rows) > 0 || !waiting {
 			respond(w, http.StatusOK, a)
 			return
@@ -269,11 +290,14 @@
 	}
 }
 
-// since returns the newest state of the rows of a table that changed after a version.
-func (s *store) since(table string, after uint64) (rowsAnswer, <-chan struct{}) {
+// since returns the changes of a table after a version, or true if the history is gone.
+func (s *store) since(table string, after uint64) (a rowsAnswer, changed <-chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := rowsAnswer{Rows: []row{}, Version: s.version, NowMS: s.now()}
+	if after < s.dropped {
+		return rowsAnswer{}, nil, true
+	}
+	a = rowsAnswer{Rows: []row{}, Version: s.version, NowMS: s.now()}
 	from, _ := slices.BinarySearchFunc(s.changes, after+1, func(r row, v uint64) int { return int(int64(r.Version) - int64(v)) })
 	size := 0
 	for _, r := range s.changes[from:] {
@@ -288,7 +312,7 @@
 		}
 		a.Rows = append(a.Rows, r)
 	}
-	return a, s.changed
+	return a, s.changed, false
 }
 
 func respond(w http.ResponseWriter, status int, body any) {
