--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -45,8 +45,11 @@
 }
 
 type jobBody struct {
-	Spec  string `json:"spec"`
-	Steps []step `json:"steps"`
+	Spec   string `json:"spec"`
+	Steps  []step `json:"steps"`
+	Start  int64  `json:"start-at-ms,omitempty"`
+	Every  int64  `json:"interval-ms,omitempty"`
+	Repeat int    `json:"repeat-count,omitempty"`
 }
 
 // call sends one call to the next host and returns status and body, 0 for no answer.
@@ -105,6 +108,18 @@
 	return status
 }
 
+// cancel cancels a job, and asks again, as often as a client does, until it has the answer that the
+// pages promise. It returns false if none came.
+func (c *client) cancel(ctx context.Context, path, job string) bool {
+	for range 1 + retries {
+		if status, _ := c.call(ctx, http.MethodDelete, path+job, nil); status == http.StatusOK || status == http.StatusGone {
+			return true
+		}
+		sleep(ctx, retryPause)
+	}
+	return false
+}
+
 // state returns what the system says of a job.
 func (c *client) state(ctx context.Context, path, job string) (int, string) {
 	status, body := c.call(ctx, http.MethodGet, path+job, nil)
--- a/review/stand-3/oversize.go
+++ b/review/stand-3/oversize.go
@@ -10,6 +10,7 @@
 
 const (
 	ordinaryJob   = "00000000000000a1"
+	ordinaryTask  = 1500 * time.Millisecond // 60 steps of it last longer than the case
 	oversizeJob   = 0xb00
 	shortJob      = 0xc00
 	shortTask     = 500 * time.Millisecond
@@ -28,21 +29,9 @@
 // playOversize hands an ordinary job of many steps in. Then clients that the users do not control
 // hand in jobs whose bodies are of legal size, and repeat them as the pages say.
 func playOversize(ctx context.Context, s *scene) (string, error) {
-	const steps, tasks = 60, 4
-	ordinary := jobBody{Spec: "ordinary"}
-	var shapes []shape
-	for i := range steps {
-		x := step{Count: tasks, MilliCPU: 1000, MemoryMB: 500, Estimate: 1000}
-		if i > 0 {
-			x.After = []int{i - 1}
-		}
-		ordinary.Steps = append(ordinary.Steps, x)
-		shapes = append(shapes, shape{takes: time.Second})
-	}
-	s.expect(ordinaryJob, shapes...)
 	c := s.client()
-	if status := c.submit(ctx, queuePath, ordinaryJob, ordinary); status != http.StatusOK {
-		return "", fmt.Errorf("the ordinary job was not accepted: %d", status)
+	if err := s.submitOrdinary(ctx, c); err != nil {
+		return "", err
 	}
 	sleep(ctx, 3*time.Second)
 	begun := time.Now()
@@ -72,6 +61,26 @@
 	return "", nil
 }
 
+// submitOrdinary hands in a job of many short steps, one after the other.
+func (s *scene) submitOrdinary(ctx context.Context, c *client) error {
+	const steps, tasks = 60, 4
+	ordinary := jobBody{Spec: "ordinary"}
+	var shapes []shape
+	for i := range steps {
+		x := step{Count: tasks, MilliCPU: 1000, MemoryMB: 500, Estimate: int(ordinaryTask.Milliseconds())}
+		if i > 0 {
+			x.After = []int{i - 1}
+		}
+		ordinary.Steps = append(ordinary.Steps, x)
+		shapes = append(shapes, shape{takes: ordinaryTask})
+	}
+	s.expect(ordinaryJob, shapes...)
+	if status := c.submit(ctx, queuePath, ordinaryJob, ordinary); status != http.StatusOK {
+		return fmt.Errorf("the ordinary job was not accepted: %d", status)
+	}
+	return nil
+}
+
 // sendShort hands short jobs in and returns how many, and how many were accepted.
 func (s *scene) sendShort(ctx context.Context, until time.Time) (sent, accepted int) {
 	c := s.client()
