--- a/review/stand-3/cancel.go
+++ b/review/stand-3/cancel.go
@@ -8,14 +8,13 @@
 )
 
 const (
-	timedJob     = "00000000000001c1"
-	timedSteps   = 20
-	timedRepeat  = 1000
-	timedEvery   = time.Minute
-	timedTask    = 10 * time.Minute
-	startedMost  = 40 * time.Second // until the tasks of the timed job run
-	startedShare = 0.95
-	calmTime     = 10 * time.Second // in which they run and nothing happens
+	timedJob    = "00000000000001c1"
+	timedSteps  = 40
+	timedFirst  = 8 // steps that follow no other
+	timedRepeat = 1000
+	timedEvery  = time.Minute
+	timedTask   = 10 * time.Minute
+	startedTime = 15 * time.Second // in which the tasks of the timed job start
 )
 
 func init() { cases["cancel"] = play{hosts: 4, runners: 48, run: playCancel} }
@@ -31,20 +30,20 @@
 		Spec: "timed", Start: time.Now().Add(-timedRepeat * timedEvery).UnixMilli(), Every: timedEvery.Milliseconds(), Repeat: timedRepeat,
 	}
 	var shapes []shape
-	for range timedSteps {
-		b.Steps = append(b.Steps, step{Count: 1, MilliCPU: 25, MemoryMB: 1, Estimate: 60000})
+	for i := range timedSteps {
+		x := step{Count: 1, MilliCPU: 50, MemoryMB: 1, Estimate: 60000}
+		if i >= timedFirst {
+			x.After = []int{0}
+		}
+		b.Steps = append(b.Steps, x)
 		shapes = append(shapes, shape{takes: timedTask})
 	}
 	s.expect(timedJob, shapes...)
 	if status := c.submit(ctx, queuePath, timedJob, b); status != http.StatusOK {
 		return "", fmt.Errorf("the timed job was not accepted: %d", status)
 	}
-	begun := time.Now()
-	for time.Since(begun) < startedMost && float64(s.count(timedJob, "start")) < startedShare*timedSteps*timedRepeat {
-		sleep(ctx, askEvery)
-	}
+	sleep(ctx, startedTime)
 	s.record.write("%d tasks of the timed job have started", s.count(timedJob, "start"))
-	sleep(ctx, calmTime)
 	if s.trouble && !c.cancel(ctx, queuePath, timedJob) {
 		s.record.write("the cancel had no 2xx and no 410 in %d tries", 1+retries)
 	}
--- a/review/stand-3/host.go
+++ b/review/stand-3/host.go
@@ -27,14 +27,14 @@
 const settingsText = `[process]
 name = %s
 data-centre = %s
-ip = 127.0.0.1
+ip = %s
 memory-mb = %d
 descriptors = 4200
 core-share = 0.4
 core-speed = 1
 [listen]
-front = 127.0.0.1:%d
-ready = 127.0.0.1:%d
+front = %s:%d
+ready = %s:%d
 ports = %d,%d
 [platform]
 store = %s
@@ -64,28 +64,36 @@
 // newHost writes the settings of a process.
 func newHost(number int, folder, store string) (*host, error) {
 	const portsAHost = 3
-	ports, err := freePorts(portsAHost)
+	ip := addressOf(number)
+	ports, err := freePorts(ip, portsAHost)
 	if err != nil {
 		return nil, err
 	}
 	name := fmt.Sprintf("edge-%d", number)
 	zone := []string{"zone-a", "zone-b", "zone-c"}[number%3]
 	h := &host{
-		name: name, front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		name: name, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]),
 		settings: filepath.Join(folder, name+".ini"), log: filepath.Join(folder, name+".log"),
 	}
-	text := fmt.Sprintf(settingsText, name, zone, memoryMB, ports[0], ports[1], ports[2], ports[2], store)
+	text := fmt.Sprintf(settingsText, name, zone, ip, memoryMB, ip, ports[0], ip, ports[1], ports[2], ports[2], store)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("host %s: %w", name, err)
 	}
 	return h, nil
 }
 
-// freePorts returns ports of loopback on which nobody listens.
-func freePorts(count int) ([]int, error) {
+// addressOf returns a loopback address of a host's own, so that nobody else takes its ports.
+func addressOf(number int) string {
+	const nets = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 2+pid%nets, 1+pid/nets%nets, 1+number)
+}
+
+// freePorts returns ports of an address on which nobody listens.
+func freePorts(ip string, count int) ([]int, error) {
 	var ports []int
 	for range count {
-		l, err := net.Listen("tcp", loopback)
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, fmt.Errorf("find a port: %w", err)
 		}
